--- /dev/null
+++ b/packages/schema/src/MemberRecord.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod'
+import { failureDomainIdSchema, instanceIdSchema } from './ids.js'
+
+/** Validator of member records. @public */
+export const memberRecordSchema = z.strictObject({
+  instanceId: instanceIdSchema,
+  /** Grows whenever the instance restarts or refutes a suspicion. */
+  incarnation: z.int().min(0),
+  failureDomain: failureDomainIdSchema,
+  callerUrl: z.string(),
+  peerUrl: z.string(),
+  /** `serving` members appear in answers to callers; `leaving` members finish what they have. */
+  state: z.enum(['serving', 'leaving']),
+  adoptedRevision: z.int().min(0)
+})
+/** What an instance tells others of itself. @public */
+export type MemberRecord = z.infer<typeof memberRecordSchema>
+
+/**
+ * Gives the live members as this instance sees them.
+ * @public
+ */
+export interface MembershipSource {
+  /** Members that are believed alive, this instance included. */
+  members(): readonly MemberRecord[]
+  /** Calls the listener after each change of the view; returns a function that unsubscribes. */
+  onChange(listener: () => void): () => void
+}
--- /dev/null
+++ b/packages/schema/src/parse.ts
@@ -0,0 +1,37 @@
+import { Result } from 'true-myth'
+import type { z } from 'zod'
+
+/**
+ * One violation found by a validator.
+ * @public
+ */
+export interface Violation {
+  /** Path of the field, such as `targets.t1.slots`. */
+  path: string
+  /** What is wrong and which values are allowed. */
+  message: string
+}
+
+/**
+ * Validates a value and reports every violation at once.
+ * @public
+ */
+export function parseWith<Schema extends z.ZodType> (schema: Schema, value: unknown): Result<z.infer<Schema>, Violation[]> {
+  const parsed = schema.safeParse(value)
+  if (parsed.success) return Result.ok(parsed.data)
+  return Result.err(parsed.error.issues.map(issue => ({ path: issue.path.join('.'), message: issue.message })))
+}
+
+/**
+ * Parses JSON text and validates the value.
+ * @public
+ */
+export function parseJsonWith<Schema extends z.ZodType> (schema: Schema, text: string): Result<z.infer<Schema>, Violation[]> {
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch (error) {
+    return Result.err([{ path: '', message: `not valid JSON: ${(error as Error).message}` }])
+  }
+  return parseWith(schema, value)
+}
