--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -46,8 +46,10 @@
     instanceId: settings.instanceId,
     listen: settings.caller,
     configuration,
-    membership,
     scheduler,
+    instancesFor: () => membership.members(),
+    mayAcceptNewWork: () => true,
+    limits: settings.limits,
     answerTtlMs: settings.answerTtlMs
   }))
   kernel.register('operator-listener', new OperatorListener({
--- /dev/null
+++ b/packages/proxy/src/AddressBook.ts
@@ -0,0 +1,70 @@
+import { Result } from 'true-myth'
+import type { ConfigurationSource, InstanceId, MemberRecord, ServiceName } from '@carobpitch/schema'
+import { listInstances, type AddressList } from './addressList.js'
+import type { Reason } from './Reason.js'
+
+/**
+ * Options of `AddressBook`.
+ * @internal
+ */
+export interface AddressBookOptions {
+  instanceId: InstanceId
+  configuration: ConfigurationSource
+  instancesFor: (service: ServiceName) => readonly MemberRecord[]
+  answerTtlMs: number
+}
+
+/**
+ * Gives address lists to callers and remembers until when they may be used.
+ * @internal
+ */
+export class AddressBook {
+  private readonly options: AddressBookOptions
+  private readonly turns = new Map<ServiceName, number>()
+  private lastExpiryAtMs = 0
+  private leaving = false
+
+  constructor (options: AddressBookOptions) {
+    this.options = options
+  }
+
+  /** Lists the instances for a service. Errors name the reason for a 4xx or 503 response. */
+  listFor (service: unknown): Result<AddressList, Reason> {
+    const { configuration, instancesFor, instanceId, answerTtlMs } = this.options
+    if (typeof service !== 'string' || service === '') return Result.err('missing-service')
+    const { services, revision } = configuration.current()
+    if (!Object.hasOwn(services, service)) return Result.err('unknown-service')
+    const name = service as ServiceName
+    const turn = this.turns.get(name) ?? 0
+    this.turns.set(name, turn + 1)
+    const instances = listInstances({
+      members: instancesFor(name),
+      steeredInstances: services[name]?.steeredInstances ?? 1,
+      turn,
+      leaving: this.leaving ? instanceId : undefined
+    })
+    if (instances.length === 0) return Result.err('no-instance')
+    if (instances.some(listed => listed.instanceId === instanceId)) this.lastExpiryAtMs = performance.now() + answerTtlMs
+    return Result.ok({ service, revision, ttlMs: answerTtlMs, instances })
+  }
+
+  /** Keeps this instance off all further lists. */
+  beginLeaving (): void {
+    this.leaving = true
+  }
+
+  /** Whether this instance keeps off the lists. */
+  isLeaving (): boolean {
+    return this.leaving
+  }
+
+  /** When the last list that names this instance expires, on the monotonic clock; 0 if none was given. */
+  lastListExpiresAtMs (): number {
+    return this.lastExpiryAtMs
+  }
+
+  /** Whether this instance is leaving and no list that it gave may still be used. */
+  haveAllListsExpired (): boolean {
+    return this.leaving && performance.now() >= this.lastExpiryAtMs
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/Attempt.ts
@@ -0,0 +1,201 @@
+import type { Readable } from 'node:stream'
+import type { Client, Dispatcher } from 'undici'
+import type { AttemptOutcome } from '@carobpitch/routing'
+import type { Verdict } from '@carobpitch/schema'
+import type { Reason } from './Reason.js'
+import { readResponseHead, type ResponseHead } from './responseHead.js'
+
+/** Largest body of a discarded response that is read to keep its connection. */
+const DISCARDED_BODY_MAX_BYTES = 65_536
+
+/**
+ * How an attempt ended.
+ * @internal
+ */
+export interface AttemptResult {
+  verdict: Verdict
+  /** `undefined` when a complete response was received. */
+  reason: Reason | undefined
+  kind: AttemptOutcome['kind']
+  /** Whether a whole response was received. */
+  isComplete: boolean
+  /** Whether the connection may carry another request. */
+  isReusable: boolean
+}
+
+/**
+ * Receives the response of an attempt.
+ * @internal
+ */
+export interface ResponseSink {
+  /** Takes a response head, or declines it: its body is then read and dropped. */
+  takeHead (head: ResponseHead, verdict: Verdict): boolean
+  /** Takes a part of the body; `false` asks to pause until `Attempt.resume` is called. */
+  takeData (chunk: Buffer): boolean
+  /** Called once at the end of the attempt. */
+  attemptEnded (attempt: Attempt, result: AttemptResult): void
+}
+
+/**
+ * Options of `Attempt`.
+ * @internal
+ */
+export interface AttemptOptions {
+  method: string
+  path: string
+  headers: string[]
+  body: Buffer | Readable | undefined
+  requestId: string
+  /** Statuses by which the target states that the request was not run. */
+  notRunStatuses: readonly number[]
+  sink: ResponseSink
+  /** Asked in the event-loop tick in which the head is written; a reason keeps the request from being sent. */
+  objection: () => Reason | undefined
+}
+
+/**
+ * One attempt to get a response from a target, as a handler of undici's dispatch. The handler interface with raw headers
+ * is used because it keeps repeated headers apart and builds no object for each response.
+ *
+ * The verdict is `not-run` until the head is handed to a connection, `may-have-run` from then on,
+ * and `answered` at the end of a complete response.
+ * @internal
+ */
+export class Attempt implements Dispatcher.DispatchHandler {
+  /** When the head was handed to a connection, on the monotonic clock; 0 before that. */
+  handedOverAtMs = 0
+  /** Head of the final response, once it has arrived. */
+  head: ResponseHead | undefined
+  private readonly options: AttemptOptions
+  private verdict: Verdict = 'not-run'
+  private abortConnection: ((error?: Error) => void) | undefined
+  private resumeConnection: (() => void) | undefined
+  private failure: Pick<AttemptResult, 'reason' | 'kind'> | undefined
+  private isForwarding = false
+  private bodyBytes = 0
+  private isEnded = false
+
+  constructor (options: AttemptOptions) {
+    this.options = options
+  }
+
+  /** Sends the request over a connection. */
+  start (client: Client): void {
+    const { method, path, headers, body } = this.options
+    client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null }, this)
+  }
+
+  /** Ends the attempt and closes its connection, so that a late response reaches nobody. */
+  cancel (reason: Reason, kind: AttemptOutcome['kind']): void {
+    this.fail(reason, kind)
+  }
+
+  /** Continues with a response that was paused. */
+  resume (): void {
+    this.resumeConnection?.()
+  }
+
+  /** @internal */
+  onConnect (abort: (error?: Error) => void): void {
+    // undici calls this right before it writes the head. A second call would be a second run.
+    if (this.isEnded || this.abortConnection !== undefined) {
+      abort()
+      return
+    }
+    this.abortConnection = abort
+    const objection = this.options.objection()
+    if (objection !== undefined) this.fail(objection, 'cancelled')
+    // The head of a streamed body is written together with the first part of the body.
+    else if (this.isBodyAtHand()) this.handOver()
+  }
+
+  /** @internal */
+  onBodySent (): void {
+    this.handOver()
+  }
+
+  /** @internal */
+  onRequestSent (): void {
+    this.handOver()
+  }
+
+  /** @internal */
+  onHeaders (status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+    if (status < 200) return true
+    // A response that precedes its request belongs to another one.
+    if (this.handedOverAtMs === 0) return this.fail('mismatched-response', 'failed')
+    this.resumeConnection = resume
+    const { method, requestId, notRunStatuses, sink } = this.options
+    const head = readResponseHead(method, status, rawHeaders)
+    if (head.requestId !== undefined && head.requestId !== requestId) return this.fail('mismatched-response', 'failed')
+    if (head.framing.kind === 'endless') return this.fail('unframed-response', 'failed')
+    this.head = head
+    if (notRunStatuses.includes(status)) this.verdict = 'not-run'
+    this.isForwarding = sink.takeHead(head, this.verdict === 'not-run' ? 'not-run' : 'answered')
+    return true
+  }
+
+  /** @internal */
+  onData (chunk: Buffer): boolean {
+    this.bodyBytes += chunk.length
+    if (this.isForwarding) return this.options.sink.takeData(chunk)
+    if (this.bodyBytes > DISCARDED_BODY_MAX_BYTES) this.fail('refused-by-target', 'refused')
+    return true
+  }
+
+  /** @internal */
+  onComplete (): void {
+    const framing = this.head?.framing
+    if (framing?.kind === 'length' && framing.lengthBytes !== this.bodyBytes) {
+      this.fail('truncated-response', 'failed')
+      return
+    }
+    // undici closes the connection after a HEAD request, because some servers send a body there.
+    const isReusable = this.head?.closesConnection === false && this.options.method !== 'HEAD'
+    if (this.verdict === 'not-run') this.end({ verdict: 'not-run', reason: 'refused-by-target', kind: 'refused', isComplete: true, isReusable })
+    else this.end({ verdict: 'answered', reason: undefined, kind: 'answered', isComplete: true, isReusable })
+  }
+
+  /** @internal */
+  onError (error: Error & { code?: string }): void {
+    const { reason, kind } = this.failure ?? this.classify(error.code)
+    this.end({ verdict: this.verdict, reason, kind, isComplete: false, isReusable: false })
+  }
+
+  private isBodyAtHand (): boolean {
+    const { body } = this.options
+    return body === undefined || Buffer.isBuffer(body)
+  }
+
+  private handOver (): void {
+    if (this.handedOverAtMs !== 0) return
+    this.handedOverAtMs = performance.now()
+    this.verdict = 'may-have-run'
+  }
+
+  private fail (reason: Reason, kind: AttemptOutcome['kind']): false {
+    if (this.isEnded) return false
+    this.failure = { reason, kind }
+    if (this.abortConnection !== undefined) this.abortConnection()
+    // A failure found while undici reports the end of a response cannot be aborted any more.
+    if (!this.isEnded) this.end({ verdict: this.verdict, reason, kind, isComplete: false, isReusable: false })
+    return false
+  }
+
+  private classify (code: string | undefined): Pick<AttemptResult, 'reason' | 'kind'> {
+    if (this.handedOverAtMs === 0) {
+      if (code === 'CAROBPITCH_CONNECT_TIMEOUT') return { reason: 'connect-timeout', kind: 'connect-failed' }
+      if (code === 'UND_ERR_INVALID_ARG') return { reason: 'invalid-request', kind: 'cancelled' }
+      return { reason: 'connect-failed', kind: 'connect-failed' }
+    }
+    if (this.head !== undefined) return { reason: 'truncated-response', kind: 'failed' }
+    if (code === 'UND_ERR_SOCKET' || code === 'ECONNRESET' || code === 'EPIPE') return { reason: 'connection-lost', kind: 'failed' }
+    return { reason: 'malformed-response', kind: 'failed' }
+  }
+
+  private end (result: AttemptResult): void {
+    if (this.isEnded) return
+    this.isEnded = true
+    this.options.sink.attemptEnded(this, result)
+  }
+}
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -1,13 +1,27 @@
-import { randomUUID } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { Duplex } from 'node:stream'
 import polka from 'polka'
-import { serviceNameSchema, type ConfigurationSource, type InstanceId, type ListenerSettings, type MembershipSource, type ServiceName, type TenantId } from '@carobpitch/schema'
+import { Registry } from 'prom-client'
 import type { Scheduler } from '@carobpitch/routing'
-import { forward } from './forward.js'
-import { DEADLINE_HEADER, INSTANCE_HEADER, REASON_HEADER, REQUEST_ID_HEADER, SERVICE_HEADER, TARGET_HEADER, VERDICT_HEADER } from './headers.js'
+import { settingsSchema, type ConfigurationSource, type InstanceId, type ListenerSettings, type MemberRecord, type ServiceName, type Settings } from '@carobpitch/schema'
+import { AddressBook } from './AddressBook.js'
+import { writeOwnResponse } from './CallerResponse.js'
+import { DeadlineTimer } from './DeadlineTimer.js'
+import { Exchange, type ExchangeContext } from './Exchange.js'
+import { parserFaultOf, type ParserError } from './parserFault.js'
+import { ProxyMetrics } from './ProxyMetrics.js'
+import { refuseConnection } from './refuseConnection.js'
+import type { Reason } from './Reason.js'
 import { TargetPools } from './TargetPools.js'
 
+/** Paths below this prefix belong to carobpitch and are not forwarded. */
+const OWN_PATH_PREFIX = '/.carobpitch/'
+/** Idle time of callers' connections; longer than the lists are valid, so that callers close first. */
+const CALLER_IDLE_TIMEOUT_MS = 60_000
+/** Largest interval between checks for slow senders. */
+const SLOW_SENDER_CHECK_MAX_MS = 500
+
 /**
  * Options of `CallerListener`.
  * @public
@@ -16,9 +30,18 @@
   instanceId: InstanceId
   listen: ListenerSettings
   configuration: ConfigurationSource
-  membership: MembershipSource
-  scheduler: Scheduler
+  scheduler: Pick<Scheduler, 'acquire'>
+  /** Members that serve a service, in steered order: the steered ones, then alternatives. */
+  instancesFor: (service: ServiceName) => readonly MemberRecord[]
+  /** Asked before each dispatch; while it is false, requests are refused as not run. */
+  mayAcceptNewWork: () => boolean
+  /** Takes a token from the service's retry budget. By default no request is sent again. */
+  takeRetryToken?: (service: ServiceName) => boolean
+  limits?: Partial<Settings['limits']>
+  /** Time for which callers may use an address list. */
   answerTtlMs?: number
+  /** Registry that gets the metrics of the request path. */
+  registry?: Registry
 }
 
 /**
@@ -26,23 +49,73 @@
  * @public
  */
 export class CallerListener {
+  /** Registry that holds the metrics of the request path. */
+  readonly registry: Registry
   private readonly options: CallerListenerOptions
-  private readonly pools = new TargetPools()
   private readonly server: Server
+  private readonly timer = new DeadlineTimer()
+  private readonly pools: TargetPools
+  private readonly metrics: ProxyMetrics
+  private readonly addresses: AddressBook
+  private readonly context: ExchangeContext
+  /** The newest exchange of each connection. */
+  private readonly exchanges = new WeakMap<Duplex, Exchange>()
+  private unsubscribe: (() => void) | undefined
+  private inFlight = 0
 
   constructor (options: CallerListenerOptions) {
+    const { instanceId, configuration, scheduler, instancesFor, mayAcceptNewWork, takeRetryToken = () => false, answerTtlMs = 5_000 } = options
+    const limits = { ...DEFAULT_LIMITS, ...options.limits }
     this.options = options
-    this.server = createServer()
+    this.registry = options.registry ?? new Registry()
+    this.pools = new TargetPools({ connectTimeoutMs: limits.connectTimeoutMs, timer: this.timer })
+    this.metrics = new ProxyMetrics(this.registry, () => this.inFlight)
+    this.addresses = new AddressBook({ instanceId, configuration, instancesFor, answerTtlMs })
+    this.context = {
+      instanceId,
+      configuration,
+      scheduler,
+      takeRetryToken,
+      mayAcceptNewWork,
+      mustCloseConnections: () => this.addresses.haveAllListsExpired(),
+      pools: this.pools,
+      timer: this.timer,
+      metrics: this.metrics,
+      bodySizeMaxBytes: limits.bodySizeBytes
+    }
+    this.server = createServer({
+      maxHeaderSize: limits.headerSizeBytes,
+      headersTimeout: limits.headTimeoutMs,
+      requestTimeout: Math.max(limits.requestReceiveTimeoutMs, limits.headTimeoutMs),
+      connectionsCheckingInterval: Math.min(SLOW_SENDER_CHECK_MAX_MS, Math.ceil(limits.headTimeoutMs / 4)),
+      keepAliveTimeout: CALLER_IDLE_TIMEOUT_MS,
+      insecureHTTPParser: false,
+      // Node's own check responds without a verdict; `parseCallerRequest` has the same check.
+      requireHostHeader: false,
+      noDelay: true
+    })
   }
 
   /** Starts to listen. */
   async start (): Promise<void> {
-    const app = polka({ server: this.server })
-    app.get('/.carobpitch/instances', (request, response) => this.answerInstances(request, response))
-    app.all('*', (request, response) => { this.proxy(request, response) })
     const { host, port } = this.options.listen
-    await new Promise<void>(resolve => this.server.listen(port, host, resolve))
-    this.server.on('request', app.handler as never)
+    const own = this.ownPaths()
+    this.server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      // polka is left out of the path of forwarded requests, which need no routing by path.
+      if (request.url?.startsWith(OWN_PATH_PREFIX) === true) own(request, response)
+      else this.forward(request, response)
+    })
+    this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.open(request, response).refuse('unsupported-expectation'))
+    this.server.on('connect', (_request: IncomingMessage, socket: Duplex) => this.refuseOn(socket, 'method-not-forwarded'))
+    this.server.on('clientError', (error: ParserError, socket: Duplex) => this.onClientError(error, socket))
+    this.unsubscribe = this.options.configuration.onChange(configuration => this.pools.retain(configuration))
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject)
+        resolve()
+      })
+    })
   }
 
   /** The port that is listened on. */
@@ -50,67 +123,101 @@
     return (this.server.address() as AddressInfo).port
   }
 
+  /** Requests from callers whose responses are not yet sent. */
+  inFlightCount (): number {
+    return this.inFlight
+  }
+
+  /** Takes this instance off the address lists. Requests are served as before. */
+  beginLeaving (): void {
+    this.addresses.beginLeaving()
+  }
+
+  /** When the last list that names this instance expires, on the monotonic clock; 0 if none was given. */
+  lastListExpiresAtMs (): number {
+    return this.addresses.lastListExpiresAtMs()
+  }
+
+  /** Returns counts and connections for the state dump. */
+  dump (): unknown {
+    return {
+      inFlight: this.inFlight,
+      isLeaving: this.addresses.isLeaving(),
+      lastListExpiresInMs: Math.max(0, this.addresses.lastListExpiresAtMs() - performance.now()),
+      ...this.metrics.dump() as object,
+      connections: this.pools.dump()
+    }
+  }
+
   /** Closes the listener and all connections. */
   async stop (): Promise<void> {
+    this.unsubscribe?.()
+    const closed = new Promise(resolve => this.server.close(resolve))
     this.server.closeAllConnections()
-    await new Promise(resolve => this.server.close(resolve))
+    await closed
     await this.pools.close()
+    this.timer.stop()
   }
 
-  private answerInstances (request: IncomingMessage & { query: Record<string, unknown> }, response: ServerResponse): void {
-    const service = String(request.query.service ?? '')
-    const { answerTtlMs = 5_000, configuration, membership } = this.options
-    const current = configuration.current()
-    if (!(service in current.services)) {
-      refuse(response, 404, 'unknown-service')
-      return
-    }
-    const instances = membership.members()
-      .filter(member => member.state === 'serving')
-      .map(({ instanceId, failureDomain, callerUrl }) => ({ instanceId, failureDomain, url: callerUrl }))
-    response.setHeader('content-type', 'application/json')
-    response.end(JSON.stringify({ service, revision: current.revision, ttlMs: answerTtlMs, instances }))
+  private ownPaths (): (request: IncomingMessage, response: ServerResponse) => void {
+    const app = polka({ onNoMatch: (request, response) => this.refuseOwn(response, request.method === 'GET' ? 'unknown-path' : 'method-not-forwarded') })
+    app.get('/.carobpitch/instances', (request, response) => {
+      const list = this.addresses.listFor(request.query.service)
+      if (list.isErr) {
+        this.refuseOwn(response, list.error)
+        return
+      }
+      const body = JSON.stringify(list.value)
+      response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'cache-control': 'no-store' })
+      response.end(body)
+    })
+    return app.handler as never
   }
 
-  private async proxy (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { configuration, instanceId, scheduler } = this.options
-    response.setHeader(INSTANCE_HEADER, instanceId)
-    const service = serviceNameSchema.safeParse(request.headers[SERVICE_HEADER])
-    const serviceConfiguration = service.success ? configuration.current().services[service.data] : undefined
-    if (!service.success || serviceConfiguration === undefined) {
-      refuse(response, 404, 'unknown-service')
-      return
-    }
-    const deadlineMs = Number(request.headers[DEADLINE_HEADER] ?? serviceConfiguration.requestTimeoutMs)
-    const startedAtMs = performance.now()
-    const controller = new AbortController()
-    response.once('close', () => { if (!response.writableFinished) controller.abort() })
-    const grant = await scheduler.acquire({
-      service: service.data as ServiceName,
-      tenant: 'default' as TenantId,
-      requestClass: serviceConfiguration.requestClass,
-      deadlineAtMs: startedAtMs + deadlineMs,
-      signal: controller.signal,
-      exclude: new Set()
+  private forward (request: IncomingMessage, response: ServerResponse): void {
+    this.open(request, response).start()
+  }
+
+  private open (request: IncomingMessage, response: ServerResponse): Exchange {
+    const exchange = new Exchange(this.context, request, response)
+    this.inFlight += 1
+    this.exchanges.set(request.socket, exchange)
+    response.once('close', () => {
+      this.inFlight -= 1
+      exchange.closed()
     })
-    if (grant.isErr) {
-      refuse(response, 503, grant.error.reason)
+    return exchange
+  }
+
+  private refuseOwn (response: ServerResponse, reason: Reason): void {
+    const { instanceId } = this.options
+    writeOwnResponse(response, reason, { verdict: 'not-run', reason, instanceId, targetId: undefined, attempts: 0, closesConnection: false })
+  }
+
+  /** Responds to a message that Node's parser rejects, unless a response to an earlier request is on its way. */
+  private onClientError (error: ParserError, socket: Duplex): void {
+    const reason = parserFaultOf(error)
+    const exchange = this.exchanges.get(socket)
+    if (reason === undefined || !socket.writable) {
+      if (!socket.writableEnded) socket.destroy()
       return
     }
-    const { target, release } = grant.value
-    response.setHeader(TARGET_HEADER, target.targetId)
-    const requestId = String(request.headers[REQUEST_ID_HEADER] ?? randomUUID())
-    const outcome = await forward({ request, response, requestId, deadlineMs, signal: controller.signal, pool: this.pools.of(target) })
-    release({ kind: outcome.verdict === 'answered' ? 'answered' : 'failed', elapsedMs: performance.now() - startedAtMs })
-    if (outcome.verdict !== 'answered' && !response.headersSent) refuse(response, 502, outcome.reason, outcome.verdict)
-    else if (outcome.verdict !== 'answered') response.destroy()
+    if (exchange === undefined) this.refuseOn(socket, reason)
+    else if (!exchange.request.complete) this.failUnfinished(exchange, reason, socket)
+    else if (exchange.response.closed) this.refuseOn(socket, reason)
+    // A response on the wire now would be taken for that of the earlier request.
+    else exchange.response.once('close', () => socket.destroy())
   }
-}
 
-function refuse (response: ServerResponse, status: number, reason: string, verdict = 'not-run'): void {
-  response.statusCode = status
-  response.setHeader(VERDICT_HEADER, verdict)
-  response.setHeader(REASON_HEADER, reason)
-  response.setHeader('content-type', 'application/json')
-  response.end(JSON.stringify({ verdict, reason }))
+  private failUnfinished (exchange: Exchange, reason: Reason, socket: Duplex): void {
+    if (exchange.hasEnded()) socket.destroy()
+    else exchange.failMessage(reason)
+  }
+
+  private refuseOn (socket: Duplex, reason: Reason): void {
+    this.metrics.countOutcome(undefined, 'not-run', reason)
+    refuseConnection(socket, reason, this.options.instanceId)
+  }
 }
+
+const DEFAULT_LIMITS: Settings['limits'] = settingsSchema.shape.limits.parse(undefined)
--- /dev/null
+++ b/packages/proxy/src/CallerResponse.ts
@@ -0,0 +1,56 @@
+import type { ServerResponse } from 'node:http'
+import type { InstanceId, TargetId, Verdict } from '@carobpitch/schema'
+import { ATTEMPTS_HEADER, INSTANCE_HEADER, REASON_HEADER, TARGET_HEADER, VERDICT_HEADER } from './headers.js'
+import { statusOf, type Reason } from './Reason.js'
+import type { ResponseHead } from './responseHead.js'
+
+/**
+ * What a response says of its request.
+ * @internal
+ */
+export interface ResponseFacts {
+  verdict: Verdict
+  reason: Reason | undefined
+  instanceId: InstanceId
+  targetId: TargetId | undefined
+  attempts: number
+  /** Whether the caller must not send another request over this connection. */
+  closesConnection: boolean
+}
+
+/** Starts a target's response towards the caller. @internal */
+export function writeTargetHead (response: ServerResponse, head: ResponseHead, facts: ResponseFacts): void {
+  const headers = head.forwarded
+  pushFacts(headers, facts)
+  response.writeHead(head.status, headers)
+}
+
+/** Sends a response of carobpitch itself. @internal */
+export function writeOwnResponse (response: ServerResponse, reason: Reason, facts: ResponseFacts): void {
+  const status = statusOf(reason)
+  const body = ownBody(reason, facts.verdict)
+  const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
+  if (status === 405) headers.push('allow', 'GET, HEAD, OPTIONS, POST, PUT, PATCH, DELETE')
+  pushFacts(headers, facts)
+  response.writeHead(status, headers)
+  response.end(body)
+}
+
+/** Breaks off a response so that it cannot look complete, also for callers that read until the connection ends. @internal */
+export function breakOff (response: ServerResponse): void {
+  const { socket } = response
+  if (socket !== null && 'resetAndDestroy' in socket) socket.resetAndDestroy()
+  response.destroy()
+}
+
+/** Body of a response of carobpitch itself. @internal */
+export function ownBody (reason: Reason, verdict: Verdict): string {
+  return `${JSON.stringify({ verdict, reason })}\n`
+}
+
+function pushFacts (headers: string[], { verdict, reason, instanceId, targetId, attempts, closesConnection }: ResponseFacts): void {
+  headers.push(VERDICT_HEADER, verdict, INSTANCE_HEADER, instanceId, ATTEMPTS_HEADER, String(attempts))
+  if (targetId !== undefined) headers.push(TARGET_HEADER, targetId)
+  if (reason !== undefined) headers.push(REASON_HEADER, reason)
+  if (closesConnection) headers.push('connection', 'close')
+}
--- /dev/null
+++ b/packages/proxy/src/Connector.ts
@@ -0,0 +1,53 @@
+import { connect, type Socket } from 'node:net'
+import type { DeadlineTimer, Expiring } from './DeadlineTimer.js'
+
+/**
+ * Raised when a connection to a target does not open in time.
+ * @internal
+ */
+export class ConnectTimeoutError extends Error {
+  readonly code = 'CAROBPITCH_CONNECT_TIMEOUT'
+}
+
+/** Receives an open socket or the reason why there is none. @internal */
+export type ConnectCallback = (error: Error | null, socket: Socket | null) => void
+
+/**
+ * Address of a target.
+ * @internal
+ */
+export interface TargetAddress {
+  host: string
+  port: number
+}
+
+/**
+ * Opens a connection within a time limit. undici's own connector checks its limit only about twice a second,
+ * which is too coarse for limits of 300 ms. The callback is called once, never synchronously.
+ * @internal
+ */
+export function openConnection (address: TargetAddress, timeoutMs: number, timer: DeadlineTimer, callback: ConnectCallback): Socket {
+  const socket = connect({ ...address, noDelay: true, keepAlive: true })
+  let isSettled = false
+  const settle = (error: Error | null): void => {
+    if (isSettled) return
+    isSettled = true
+    timer.remove(expiring, key)
+    socket.off('connect', onConnect)
+    socket.off('error', settle)
+    socket.off('close', onClose)
+    if (error !== null) {
+      socket.on('error', () => {})
+      socket.destroy()
+    }
+    callback(error, error === null ? socket : null)
+  }
+  const onConnect = (): void => settle(null)
+  const onClose = (): void => settle(new Error('connection closed while it opened'))
+  const expiring: Expiring = { expire: () => settle(new ConnectTimeoutError(`connection not open after ${timeoutMs} ms`)) }
+  const key = timer.add(expiring, performance.now() + timeoutMs)
+  socket.once('connect', onConnect)
+  socket.once('error', settle)
+  socket.once('close', onClose)
+  return socket
+}
--- /dev/null
+++ b/packages/proxy/src/Exchange.ts
@@ -0,0 +1,312 @@
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Readable } from 'node:stream'
+import type { Result } from 'true-myth'
+import type { Client } from 'undici'
+import type { AttemptOutcome, Refusal, Scheduler, TargetGrant } from '@carobpitch/routing'
+import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
+import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
+import { breakOff, writeOwnResponse, writeTargetHead, type ResponseFacts } from './CallerResponse.js'
+import type { DeadlineTimer, Expiring } from './DeadlineTimer.js'
+import { mayResend } from './mayResend.js'
+import { parseCallerRequest, type CallerRequest } from './parseCallerRequest.js'
+import type { ProxyMetrics } from './ProxyMetrics.js'
+import { QueuedRequest } from './QueuedRequest.js'
+import type { Reason } from './Reason.js'
+import { readBody } from './RequestBody.js'
+import { attemptHeaders, endToEndHeaders } from './requestHeaders.js'
+import type { ResponseHead } from './responseHead.js'
+import type { TargetConnections } from './TargetConnections.js'
+import type { TargetPools } from './TargetPools.js'
+
+/**
+ * What all exchanges of a listener share.
+ * @internal
+ */
+export interface ExchangeContext {
+  instanceId: InstanceId
+  configuration: ConfigurationSource
+  scheduler: Pick<Scheduler, 'acquire'>
+  takeRetryToken: (service: ServiceName) => boolean
+  mayAcceptNewWork: () => boolean
+  /** Whether callers must not send further requests over their connections. */
+  mustCloseConnections: () => boolean
+  pools: TargetPools
+  timer: DeadlineTimer
+  metrics: ProxyMetrics
+  bodySizeMaxBytes: number
+}
+
+/** An attempt in progress and what it holds. */
+interface RunningAttempt {
+  attempt: Attempt
+  grant: TargetGrant
+  connections: TargetConnections
+  client: Client
+  startedAtMs: number
+}
+
+type Stage = 'reading' | 'queued' | 'attempting' | 'ended'
+
+const NO_TARGETS: ReadonlySet<TargetId> = new Set()
+
+/**
+ * One request of a caller and its response: validation, body, queueing and attempts at targets.
+ * @internal
+ */
+export class Exchange implements ResponseSink, Expiring {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  private readonly context: ExchangeContext
+  private readonly startedAtMs = performance.now()
+  private readonly onDrain = (): void => { this.running?.attempt.resume() }
+  private stage: Stage = 'reading'
+  private parsed: CallerRequest | undefined
+  private deadlineAtMs = 0
+  private timerKey = 0
+  private requestId = ''
+  private headers: string[] = []
+  private body: Buffer | Readable | undefined
+  private queued: QueuedRequest | undefined
+  private running: RunningAttempt | undefined
+  private excluded: Set<TargetId> | undefined
+  private targetId: TargetId | undefined
+  private attempts = 0
+  private targetMs = 0
+  private verdict: Verdict = 'not-run'
+  private isResendDecided = false
+  private mustClose = false
+  /** A reason from outside the attempt, which rules out another one. */
+  private interruption: Reason | undefined
+
+  constructor (context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
+    this.context = context
+    this.request = request
+    this.response = response
+  }
+
+  /** Validates the request and starts to serve it. */
+  start (): void {
+    const { configuration, mayAcceptNewWork, timer, bodySizeMaxBytes } = this.context
+    const { request } = this
+    const parsed = parseCallerRequest(request, configuration.current(), bodySizeMaxBytes)
+    if (parsed.isErr) {
+      this.finish(parsed.error)
+      return
+    }
+    this.parsed = parsed.value
+    if (!mayAcceptNewWork()) {
+      this.finish('isolated')
+      return
+    }
+    const { timeoutMs, requestId, hasBody, bodyLengthBytes } = parsed.value
+    this.requestId = requestId ?? randomUUID()
+    this.headers = endToEndHeaders(request.rawHeaders, request.headers.connection)
+    this.deadlineAtMs = this.startedAtMs + timeoutMs
+    this.timerKey = timer.add(this, this.deadlineAtMs)
+    if (!hasBody) {
+      this.queue()
+      return
+    }
+    readBody({
+      request,
+      lengthBytes: bodyLengthBytes,
+      sizeMaxBytes: bodySizeMaxBytes,
+      onReady: body => {
+        this.body = body
+        if (this.stage === 'reading') this.queue()
+      },
+      onTooLarge: () => this.interrupt('body-too-large')
+    })
+  }
+
+  /** Refuses the request before it is served. */
+  refuse (reason: Reason): void {
+    this.finish(reason)
+  }
+
+  /** Ends the request because its own message is faulty; its connection cannot be used any more. */
+  failMessage (reason: Reason): void {
+    this.mustClose = true
+    this.interrupt(reason)
+  }
+
+  /** Whether the exchange has its final outcome. The response may still be on its way. */
+  hasEnded (): boolean {
+    return this.stage === 'ended'
+  }
+
+  /** The deadline has passed. A response that the caller has not read by then is broken off. */
+  expire (): void {
+    if (this.stage === 'ended') breakOff(this.response)
+    else this.interrupt(this.stage === 'reading' ? 'slow-sender' : 'deadline-exceeded')
+  }
+
+  /** The connection of the response has closed or the response has been sent. */
+  closed (): void {
+    this.context.timer.remove(this, this.timerKey)
+    if (this.stage !== 'ended') this.interrupt('cancelled')
+  }
+
+  /** @internal */
+  takeHead (head: ResponseHead, verdict: Verdict): boolean {
+    if (verdict === 'not-run' && this.mayResendAfter(verdict)) {
+      this.isResendDecided = true
+      return false
+    }
+    const reason = verdict === 'not-run' ? 'refused-by-target' : undefined
+    writeTargetHead(this.response, head, this.facts(combineVerdicts(this.verdict, verdict), reason))
+    return true
+  }
+
+  /** @internal */
+  takeData (chunk: Buffer): boolean {
+    if (this.response.write(chunk)) return true
+    this.response.once('drain', this.onDrain)
+    return false
+  }
+
+  /** @internal */
+  attemptEnded (attempt: Attempt, result: AttemptResult): void {
+    this.verdict = combineVerdicts(this.verdict, result.verdict)
+    this.release(attempt, result)
+    if (this.interruption !== undefined) this.finish(this.interruption)
+    else if (this.response.headersSent) this.endForwarded(result)
+    else if (this.isResendDecided || this.mayResendAfter(result.verdict)) this.queue()
+    else this.finish(result.reason)
+  }
+
+  private queue (): void {
+    this.stage = 'queued'
+    this.isResendDecided = false
+    const queued = new QueuedRequest(this.parsed as CallerRequest, this.deadlineAtMs, this.excluded ?? NO_TARGETS)
+    this.queued = queued
+    this.context.scheduler.acquire(queued).then(result => this.onGrant(result), () => this.finish('no-target'))
+  }
+
+  private onGrant (result: Result<TargetGrant, Refusal>): void {
+    if (this.stage !== 'queued') {
+      if (result.isOk) result.value.release({ kind: 'cancelled', elapsedMs: 0 })
+      return
+    }
+    if (result.isOk) this.attemptAt(result.value)
+    else this.finish(this.lastReason ?? result.error.reason)
+  }
+
+  private attemptAt (grant: TargetGrant): void {
+    const { pools, metrics } = this.context
+    const { method, path, bodyLengthBytes, serviceConfiguration } = this.parsed as CallerRequest
+    const { target } = grant
+    const isStreamed = this.body !== undefined && !Buffer.isBuffer(this.body)
+    const startedAtMs = performance.now()
+    const isResend = this.attempts > 0
+    const attempt = new Attempt({
+      method,
+      path,
+      headers: attemptHeaders(this.headers, {
+        requestId: this.requestId,
+        remainingMs: this.deadlineAtMs - startedAtMs,
+        streamLengthBytes: isStreamed ? bodyLengthBytes : undefined,
+        isResend
+      }),
+      body: this.body,
+      requestId: this.requestId,
+      notRunStatuses: serviceConfiguration.notRunStatuses,
+      sink: this,
+      objection: () => this.objectionTo(grant)
+    })
+    const connections = pools.of(target)
+    const client = connections.take()
+    this.stage = 'attempting'
+    this.targetId = target.targetId
+    this.attempts += 1
+    this.running = { attempt, grant, connections, client, startedAtMs }
+    metrics.countAttempt(isResend)
+    attempt.start(client)
+    connections.openAhead()
+  }
+
+  /** Repeats the checks of dispatch when the head is about to be written, because opening a connection takes time. */
+  private objectionTo ({ target }: TargetGrant): Reason | undefined {
+    if (!this.context.mayAcceptNewWork()) return 'isolated'
+    return target.limit > 0 ? undefined : 'target-withdrawn'
+  }
+
+  private release (attempt: Attempt, { reason, kind, isReusable }: AttemptResult): void {
+    const running = this.running as RunningAttempt
+    this.running = undefined
+    this.lastReason = reason
+    const now = performance.now()
+    const elapsedMs = now - (attempt.handedOverAtMs === 0 ? running.startedAtMs : attempt.handedOverAtMs)
+    if (attempt.handedOverAtMs !== 0) this.targetMs += elapsedMs
+    const outcome: AttemptOutcome = { kind, elapsedMs }
+    const { head } = attempt
+    if (head?.reportedLoad !== undefined) outcome.reportedLoad = head.reportedLoad
+    // A HEAD request asks for the connection to be closed itself.
+    if (head?.closesConnection === true && this.request.method !== 'HEAD') outcome.draining = true
+    running.connections.give(running.client, isReusable)
+    running.grant.release(outcome)
+    this.excluded ??= new Set()
+    this.excluded.add(running.grant.target.targetId)
+  }
+
+  private lastReason: Reason | undefined
+
+  private mayResendAfter (verdict: Verdict): boolean {
+    const { service, isIdempotent, isRetry } = this.parsed as CallerRequest
+    return mayResend({
+      service,
+      verdict,
+      attempts: this.attempts,
+      isIdempotent,
+      isRetry,
+      isBodyWhole: this.body === undefined || Buffer.isBuffer(this.body),
+      isResponseStarted: this.response.headersSent,
+      remainingMs: this.deadlineAtMs - performance.now()
+    }, this.context.takeRetryToken)
+  }
+
+  /** Ends the request for a reason that lies outside its attempt. */
+  private interrupt (reason: Reason): void {
+    if (this.stage === 'ended') return
+    this.interruption = reason
+    if (this.running === undefined) this.finish(reason)
+    else this.running.attempt.cancel(reason, reason === 'deadline-exceeded' ? 'timed-out' : 'cancelled')
+  }
+
+  /** Ends a response whose head has been forwarded. */
+  private endForwarded ({ isComplete, reason }: AttemptResult): void {
+    this.conclude(reason)
+    if (isComplete) this.response.end()
+    else breakOff(this.response)
+    this.dropRestOfBody()
+  }
+
+  /** Ends the request with a response of carobpitch itself. */
+  private finish (reason: Reason | undefined): void {
+    if (this.stage === 'ended') return
+    const finalReason = reason ?? 'no-target'
+    this.conclude(finalReason)
+    if (this.response.headersSent) breakOff(this.response)
+    else if (!this.response.destroyed) writeOwnResponse(this.response, finalReason, this.facts(this.verdict, finalReason))
+    this.dropRestOfBody()
+  }
+
+  private conclude (reason: Reason | undefined): void {
+    this.stage = 'ended'
+    this.queued?.abort()
+    const { metrics } = this.context
+    metrics.countOutcome(this.parsed?.service, this.verdict, reason)
+    if (this.attempts > 0) metrics.observeAddedLatency(performance.now() - this.startedAtMs - this.targetMs)
+  }
+
+  /** Reads what is left of the body, so that the caller gets to read the response and can use its connection again. */
+  private dropRestOfBody (): void {
+    if (!this.request.complete) this.request.resume()
+  }
+
+  private facts (verdict: Verdict, reason: Reason | undefined): ResponseFacts {
+    const { instanceId, mustCloseConnections } = this.context
+    return { verdict, reason, instanceId, targetId: this.targetId, attempts: this.attempts, closesConnection: this.mustClose || mustCloseConnections() }
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/QueuedRequest.ts
@@ -0,0 +1,40 @@
+import type { ScheduleRequest } from '@carobpitch/routing'
+import type { RequestClass, ServiceName, TargetId, TenantId } from '@carobpitch/schema'
+import type { CallerRequest } from './parseCallerRequest.js'
+
+/**
+ * A request as the scheduler sees it. The abort signal is created when it is first asked for,
+ * because most requests get a target at once and never need one.
+ * @internal
+ */
+export class QueuedRequest implements ScheduleRequest {
+  readonly service: ServiceName
+  readonly tenant: TenantId
+  readonly requestClass: RequestClass
+  readonly deadlineAtMs: number
+  readonly exclude: ReadonlySet<TargetId>
+  private controller: AbortController | undefined
+  private isAborted = false
+
+  constructor ({ service, tenant, requestClass }: CallerRequest, deadlineAtMs: number, exclude: ReadonlySet<TargetId>) {
+    this.service = service
+    this.tenant = tenant
+    this.requestClass = requestClass
+    this.deadlineAtMs = deadlineAtMs
+    this.exclude = exclude
+  }
+
+  get signal (): AbortSignal {
+    if (this.controller === undefined) {
+      this.controller = new AbortController()
+      if (this.isAborted) this.controller.abort()
+    }
+    return this.controller.signal
+  }
+
+  /** Tells the scheduler that the request no longer needs a target. */
+  abort (): void {
+    this.isAborted = true
+    this.controller?.abort()
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/Reason.ts
@@ -0,0 +1,60 @@
+import type { RefusalReason } from '@carobpitch/routing'
+
+/**
+ * Why a request did not get a target's complete response. Sent to callers in `carobpitch-reason`.
+ *
+ * - Bad input of the caller: `unknown-path` to `unsupported-expectation`.
+ * - Refusals of the scheduler: see `RefusalReason`.
+ * - Failures at the target: `connect-failed` to `target-withdrawn`.
+ * - `deadline-exceeded`: the caller's deadline passed.
+ * @public
+ */
+export type Reason =
+  | 'unknown-path' | 'unknown-service' | 'unknown-class' | 'missing-service' | 'invalid-tenant'
+  | 'invalid-deadline' | 'invalid-request-id' | 'invalid-request-target' | 'invalid-host' | 'invalid-request'
+  | 'malformed-request' | 'head-too-large' | 'body-too-large' | 'slow-sender' | 'unknown-method'
+  | 'method-not-forwarded' | 'unsupported-expectation'
+  | RefusalReason | 'no-instance' | 'deadline-exceeded'
+  | 'connect-failed' | 'connect-timeout' | 'connection-lost' | 'truncated-response' | 'malformed-response'
+  | 'unframed-response' | 'mismatched-response' | 'refused-by-target' | 'target-withdrawn'
+
+/** Returns the status of a response that carobpitch itself gives for a reason. @public */
+export function statusOf (reason: Reason): number {
+  switch (reason) {
+    case 'unknown-path':
+    case 'unknown-service': return 404
+    case 'missing-service':
+    case 'unknown-class':
+    case 'invalid-tenant':
+    case 'invalid-deadline':
+    case 'invalid-request-id':
+    case 'invalid-request-target':
+    case 'invalid-host':
+    case 'invalid-request':
+    case 'malformed-request': return 400
+    case 'head-too-large': return 431
+    case 'body-too-large': return 413
+    case 'slow-sender': return 408
+    case 'unknown-method': return 501
+    case 'method-not-forwarded': return 405
+    case 'unsupported-expectation': return 417
+    case 'queue-full':
+    case 'tenant-queue-full':
+    case 'deadline-unreachable':
+    case 'no-target':
+    case 'isolated':
+    case 'no-instance':
+    case 'refused-by-target':
+    case 'target-withdrawn': return 503
+    case 'deadline-exceeded': return 504
+    // The caller is gone, so that this status is only seen in metrics.
+    case 'cancelled': return 499
+    case 'connect-failed':
+    case 'connect-timeout':
+    case 'connection-lost':
+    case 'truncated-response':
+    case 'malformed-response':
+    case 'unframed-response':
+    case 'mismatched-response': return 502
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/RequestBody.ts
@@ -0,0 +1,94 @@
+import type { IncomingMessage } from 'node:http'
+import { Readable } from 'node:stream'
+
+/** Bodies up to this size are read whole before a target is asked for, so that a slow sender holds no slot and the body can be sent again. */
+const WHOLE_BODY_MAX_BYTES = 65_536
+
+/** Receives a body that is at hand. @internal */
+export type BodyCallback = (body: Buffer | Readable) => void
+
+/**
+ * Options of `readBody`.
+ * @internal
+ */
+export interface ReadBodyOptions {
+  request: IncomingMessage
+  lengthBytes: number | undefined
+  sizeMaxBytes: number
+  /** Called once, when the body is whole or too large to be read whole. */
+  onReady: BodyCallback
+  /** Called when a chunked body exceeds the limit. */
+  onTooLarge: () => void
+}
+
+/** Reads a small body whole; hands over a larger one as a stream. @internal */
+export function readBody ({ request, lengthBytes, sizeMaxBytes, onReady, onTooLarge }: ReadBodyOptions): void {
+  const chunks: Buffer[] = []
+  let sizeBytes = 0
+  const stream = (): void => {
+    request.off('data', onData)
+    request.off('end', onEnd)
+    request.pause()
+    onReady(new RequestStream(request, chunks, sizeMaxBytes, onTooLarge))
+  }
+  const onData = (chunk: Buffer): void => {
+    chunks.push(chunk)
+    sizeBytes += chunk.length
+    if (sizeBytes > sizeMaxBytes) {
+      request.off('data', onData)
+      request.off('end', onEnd)
+      onTooLarge()
+    } else if (sizeBytes > WHOLE_BODY_MAX_BYTES) stream()
+  }
+  const onEnd = (): void => onReady(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))
+  if (lengthBytes !== undefined && lengthBytes > WHOLE_BODY_MAX_BYTES) {
+    stream()
+    return
+  }
+  request.on('data', onData)
+  request.on('end', onEnd)
+}
+
+/**
+ * The body of a caller's request as a stream of its own. Destroying it leaves the caller's connection open,
+ * so that a failed attempt can still be reported to the caller.
+ */
+class RequestStream extends Readable {
+  private readonly source: IncomingMessage
+  private readonly sizeMaxBytes: number
+  private readonly onTooLarge: () => void
+  private sizeBytes = 0
+  private readonly onData = (chunk: Buffer): void => this.append(chunk)
+  private readonly onEnd = (): void => { this.push(null) }
+
+  constructor (source: IncomingMessage, first: readonly Buffer[], sizeMaxBytes: number, onTooLarge: () => void) {
+    super()
+    this.source = source
+    this.sizeMaxBytes = sizeMaxBytes
+    this.onTooLarge = onTooLarge
+    this.on('error', () => {})
+    for (const chunk of first) {
+      this.sizeBytes += chunk.length
+      this.push(chunk)
+    }
+    source.on('data', this.onData)
+    source.on('end', this.onEnd)
+    source.pause()
+  }
+
+  override _read (): void {
+    this.source.resume()
+  }
+
+  override _destroy (error: Error | null, callback: (error: Error | null) => void): void {
+    this.source.off('data', this.onData)
+    this.source.off('end', this.onEnd)
+    callback(error)
+  }
+
+  private append (chunk: Buffer): void {
+    this.sizeBytes += chunk.length
+    if (this.sizeBytes > this.sizeMaxBytes) this.onTooLarge()
+    else if (!this.push(chunk)) this.source.pause()
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/TargetConnections.ts
@@ -0,0 +1,160 @@
+import type { Socket } from 'node:net'
+import { Client } from 'undici'
+import { openConnection, type ConnectCallback, type TargetAddress } from './Connector.js'
+import type { DeadlineTimer, Expiring } from './DeadlineTimer.js'
+
+/** Idle time after which a connection is closed; below the 5 s after which many servers close theirs. */
+const IDLE_TIMEOUT_MS = 4_000
+/** Margin by which a connection is closed before the time that the target announces in `keep-alive`. */
+const KEEP_ALIVE_MARGIN_MS = 1_000
+/** Largest response head that is accepted from a target. */
+const RESPONSE_HEAD_MAX_BYTES = 32_768
+
+/**
+ * Options of `TargetConnections`.
+ * @internal
+ */
+export interface TargetConnectionsOptions {
+  /** Base URL of the target. */
+  url: string
+  /** Largest number of connections of this instance to the target. */
+  connectionsMax: number
+  connectTimeoutMs: number
+  timer: DeadlineTimer
+}
+
+interface SpareConnection extends Expiring {
+  socket: Socket
+  key: number
+}
+
+/**
+ * The connections of this instance to one target. Each carries one request at a time. While all of them are busy,
+ * one more is opened ahead, so that the next request does not wait for it.
+ * @internal
+ */
+export class TargetConnections {
+  private readonly options: TargetConnectionsOptions
+  private readonly address: TargetAddress
+  private readonly idle: Client[] = []
+  private readonly busy = new Set<Client>()
+  private readonly spares: SpareConnection[] = []
+  private readonly opening = new Set<Socket>()
+  private isClosed = false
+
+  constructor (options: TargetConnectionsOptions) {
+    this.options = options
+    const { hostname, port } = new URL(options.url)
+    this.address = { host: hostname.replace(/^\[|\]$/g, ''), port: Number(port === '' ? 80 : port) }
+  }
+
+  /** Takes a connection for one request: the one used last, because it is the least likely to be closed by the target. */
+  take (): Client {
+    const client = this.idle.pop() ?? this.createClient()
+    this.busy.add(client)
+    return client
+  }
+
+  /** Gives a connection back. One whose request failed or was cancelled must not be used again. */
+  give (client: Client, isReusable: boolean): void {
+    this.busy.delete(client)
+    if (isReusable && !this.isClosed) this.idle.push(client)
+    else client.destroy().catch(() => {})
+  }
+
+  /** Opens a connection ahead when the next request would find none. */
+  openAhead (): void {
+    const spareCount = this.spares.length + this.opening.size
+    const isNeeded = this.idle.length === 0 && spareCount === 0 && this.busy.size < this.options.connectionsMax
+    if (!isNeeded || this.isClosed) return
+    const { connectTimeoutMs, timer } = this.options
+    const opening = openConnection(this.address, connectTimeoutMs, timer, (_error, socket) => {
+      this.opening.delete(opening)
+      if (socket !== null) this.keepSpare(socket)
+    })
+    this.opening.add(opening)
+  }
+
+  /** Counts connections for the state dump. */
+  dump (): { busy: number, idle: number, spare: number } {
+    return { busy: this.busy.size, idle: this.idle.length, spare: this.spares.length }
+  }
+
+  /** Closes the idle connections now and the busy ones as soon as their requests have ended. */
+  retire (): void {
+    this.isClosed = true
+    for (const client of this.idle.splice(0)) client.destroy().catch(() => {})
+    for (const { socket } of this.spares.splice(0)) socket.destroy()
+    for (const socket of this.opening) socket.destroy()
+  }
+
+  /** Closes all connections at once. */
+  async close (): Promise<void> {
+    this.retire()
+    await Promise.all([...this.busy].map(client => client.destroy()))
+  }
+
+  private createClient (): Client {
+    const client = new Client(this.options.url, {
+      pipelining: 1,
+      connect: (_options: unknown, callback: ConnectCallback) => this.connect(callback),
+      // The deadline timer bounds every request as a whole.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      maxHeaderSize: RESPONSE_HEAD_MAX_BYTES
+    } as Client.Options)
+    client.on('disconnect', () => this.forget(client))
+    return client
+  }
+
+  private connect (callback: ConnectCallback): void {
+    const spare = this.takeSpare()
+    // undici expects that the callback is not called synchronously.
+    if (spare !== undefined) process.nextTick(callback, null, spare)
+    else openConnection(this.address, this.options.connectTimeoutMs, this.options.timer, callback)
+  }
+
+  private keepSpare (socket: Socket): void {
+    if (this.isClosed) {
+      socket.destroy()
+      return
+    }
+    const spare: SpareConnection = { socket, key: 0, expire: () => { socket.destroy() } }
+    spare.key = this.options.timer.add(spare, performance.now() + IDLE_TIMEOUT_MS)
+    socket.on('error', () => {})
+    socket.once('close', () => this.dropSpare(spare))
+    socket.unref()
+    this.spares.push(spare)
+  }
+
+  private takeSpare (): Socket | undefined {
+    for (let spare = this.spares.pop(); spare !== undefined; spare = this.spares.pop()) {
+      const { socket, key } = spare
+      this.options.timer.remove(spare, key)
+      // Bytes that arrived before any request belong to no request.
+      const isUsable = !socket.destroyed && !socket.errored && socket.readableLength === 0
+      if (isUsable) {
+        socket.ref()
+        return socket
+      }
+      socket.destroy()
+    }
+    return undefined
+  }
+
+  private dropSpare (spare: SpareConnection): void {
+    this.options.timer.remove(spare, spare.key)
+    const index = this.spares.indexOf(spare)
+    if (index >= 0) this.spares.splice(index, 1)
+  }
+
+  /** Drops a client whose connection has closed while idle, so that a request takes an open one instead. */
+  private forget (client: Client): void {
+    const index = this.idle.indexOf(client)
+    if (index < 0) return
+    this.idle.splice(index, 1)
+    client.destroy().catch(() => {})
+  }
+}
--- a/packages/proxy/src/TargetPools.ts
+++ b/packages/proxy/src/TargetPools.ts
@@ -1,27 +1,62 @@
-import { Pool } from 'undici'
-import type { TargetId } from '@carobpitch/schema'
+import type { Configuration, TargetId } from '@carobpitch/schema'
 import type { TargetView } from '@carobpitch/routing'
+import type { DeadlineTimer } from './DeadlineTimer.js'
+import { TargetConnections } from './TargetConnections.js'
 
 /**
- * Connection pools by target. Each connection carries one request at a time.
+ * Options of `TargetPools`.
+ * @internal
+ */
+export interface TargetPoolsOptions {
+  connectTimeoutMs: number
+  timer: DeadlineTimer
+}
+
+interface TargetPool {
+  url: string
+  connections: TargetConnections
+}
+
+/**
+ * The connections to targets, by target.
  * @internal
  */
 export class TargetPools {
-  private readonly pools = new Map<TargetId, Pool>()
-
-  /** Returns the pool of a target and opens it on first use. */
-  of ({ targetId, configuration }: TargetView): Pool {
-    let pool = this.pools.get(targetId)
-    if (pool === undefined) {
-      pool = new Pool(configuration.url, { connections: configuration.slots, pipelining: 1 })
-      this.pools.set(targetId, pool)
+  private readonly options: TargetPoolsOptions
+  private readonly pools = new Map<TargetId, TargetPool>()
+
+  constructor (options: TargetPoolsOptions) {
+    this.options = options
+  }
+
+  /** Returns the connections of a target. A target whose address has changed gets new ones. */
+  of ({ targetId, configuration }: TargetView): TargetConnections {
+    const { url, slots } = configuration
+    const known = this.pools.get(targetId)
+    if (known !== undefined && known.url === url) return known.connections
+    known?.connections.retire()
+    const connections = new TargetConnections({ ...this.options, url, connectionsMax: slots })
+    this.pools.set(targetId, { url, connections })
+    return connections
+  }
+
+  /** Closes the connections of targets that are no longer configured. */
+  retain ({ targets }: Configuration): void {
+    for (const [targetId, { connections }] of this.pools) {
+      if (Object.hasOwn(targets, targetId)) continue
+      connections.retire()
+      this.pools.delete(targetId)
     }
-    return pool
   }
 
-  /** Closes all pools at once. */
+  /** Counts connections by target for the state dump. */
+  dump (): Record<string, unknown> {
+    return Object.fromEntries([...this.pools].map(([targetId, { connections }]) => [targetId, connections.dump()]))
+  }
+
+  /** Closes all connections at once. */
   async close (): Promise<void> {
-    await Promise.all([...this.pools.values()].map(pool => pool.destroy()))
+    await Promise.all([...this.pools.values()].map(({ connections }) => connections.close()))
     this.pools.clear()
   }
 }
--- /dev/null
+++ b/packages/proxy/src/mayResend.ts
@@ -0,0 +1,36 @@
+import type { ServiceName, Verdict } from '@carobpitch/schema'
+
+/** Attempts of one request, the first one included. Bounds the work that a request can cause. @internal */
+export const ATTEMPTS_MAX = 3
+
+/**
+ * What is known of a request after a failed attempt.
+ * @internal
+ */
+export interface FailedAttempt {
+  service: ServiceName
+  /** Verdict of the attempt that has just failed. */
+  verdict: Verdict
+  /** Attempts made so far. */
+  attempts: number
+  isIdempotent: boolean
+  /** Whether the caller marked the request as a retry. */
+  isRetry: boolean
+  /** Whether the whole body is still at hand. */
+  isBodyWhole: boolean
+  /** Whether any part of a response has reached the caller. */
+  isResponseStarted: boolean
+  remainingMs: number
+}
+
+/**
+ * Decides whether a failed request is sent again. A token is taken only when nothing else speaks against it.
+ * @internal
+ */
+export function mayResend (failed: FailedAttempt, takeRetryToken: (service: ServiceName) => boolean): boolean {
+  if (failed.isResponseStarted || failed.verdict === 'answered') return false
+  if (failed.verdict === 'may-have-run' && !failed.isIdempotent) return false
+  if (failed.isRetry || !failed.isBodyWhole) return false
+  if (failed.attempts >= ATTEMPTS_MAX || failed.remainingMs <= 0) return false
+  return takeRetryToken(failed.service)
+}
--- /dev/null
+++ b/packages/proxy/src/requestHeaders.ts
@@ -0,0 +1,59 @@
+import { DEADLINE_HEADER, REQUEST_ID_HEADER, RETRY_HEADER } from './headers.js'
+import { isHopByHop } from './hopByHop.js'
+
+/** Headers that are set anew for each attempt. */
+const SET_PER_ATTEMPT = new Set([DEADLINE_HEADER, REQUEST_ID_HEADER])
+
+/**
+ * Returns the headers of a caller's request that are passed on to targets, names and values alternating.
+ *
+ * Removed are hop-by-hop headers, those named by `connection`, `expect` (the listener has answered it),
+ * and the framing headers, which follow from the body that is sent.
+ * @internal
+ */
+export function endToEndHeaders (rawHeaders: readonly string[], connection: string | undefined): string[] {
+  const nominated = connection === undefined ? undefined : nominatedBy(connection)
+  const kept: string[] = []
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] as string
+    const key = name.toLowerCase()
+    if (isHopByHop(key) || key === 'content-length' || key === 'expect') continue
+    if (SET_PER_ATTEMPT.has(key) || nominated?.includes(key)) continue
+    kept.push(name, rawHeaders[index + 1] as string)
+  }
+  return kept
+}
+
+/**
+ * What differs between the attempts of one request.
+ * @internal
+ */
+export interface AttemptHeaderValues {
+  requestId: string
+  /** Time left until the deadline. */
+  remainingMs: number
+  /** Length of a streamed body; `undefined` for chunked or absent bodies. */
+  streamLengthBytes: number | undefined
+  /** Whether this attempt follows a failed one. */
+  isResend: boolean
+}
+
+/**
+ * Returns the headers of one attempt. A resend is marked as a retry, so that instances further
+ * down the call chain do not multiply it.
+ * @internal
+ */
+export function attemptHeaders (endToEnd: readonly string[], { requestId, remainingMs, streamLengthBytes, isResend }: AttemptHeaderValues): string[] {
+  const headers = endToEnd.slice()
+  headers.push(REQUEST_ID_HEADER, requestId, DEADLINE_HEADER, String(Math.max(1, Math.floor(remainingMs))))
+  if (streamLengthBytes !== undefined) headers.push('content-length', String(streamLengthBytes))
+  if (isResend) headers.push(RETRY_HEADER, '1')
+  return headers
+}
+
+/** Lists the headers that a connection header names. `host` stays, as every request needs it. */
+function nominatedBy (connection: string): string[] | undefined {
+  const options = connection.toLowerCase()
+  if (options === 'keep-alive' || options === 'close') return undefined
+  return options.split(',').map(option => option.trim()).filter(option => option !== 'host')
+}
--- /dev/null
+++ b/packages/proxy/src/responseHead.ts
@@ -0,0 +1,97 @@
+/** Reads the head of a target's response from undici's raw header pairs. */
+import { ATTEMPTS_HEADER, INSTANCE_HEADER, LOAD_HEADER, REASON_HEADER, REQUEST_ID_HEADER, TARGET_HEADER, VERDICT_HEADER } from './headers.js'
+import { isHopByHop } from './hopByHop.js'
+
+/**
+ * How the end of a response is found.
+ * `endless` responses end with their connection, so that a truncated one looks complete.
+ * @internal
+ */
+export type ResponseFraming =
+  | { kind: 'no-body' }
+  | { kind: 'length', lengthBytes: number }
+  | { kind: 'chunked' }
+  | { kind: 'endless' }
+
+/**
+ * The head of a target's response.
+ * @internal
+ */
+export interface ResponseHead {
+  status: number
+  framing: ResponseFraming
+  /** Names and values, alternating, that are passed on to the caller. */
+  forwarded: string[]
+  /** Value of the request id header, if the target sent one. */
+  requestId: string | undefined
+  /** Load that the target reports, if any. */
+  reportedLoad: number | undefined
+  /** Whether the target closes the connection after the response. */
+  closesConnection: boolean
+}
+
+const NO_BODY: ResponseFraming = { kind: 'no-body' }
+const CHUNKED: ResponseFraming = { kind: 'chunked' }
+const ENDLESS: ResponseFraming = { kind: 'endless' }
+
+/**
+ * Headers that carobpitch sets itself or that are meant for it. A target that calls through carobpitch
+ * may copy them from its own responses, so that they are not passed on.
+ */
+const OWN_HEADERS = new Set([VERDICT_HEADER, REASON_HEADER, INSTANCE_HEADER, TARGET_HEADER, ATTEMPTS_HEADER, LOAD_HEADER])
+
+/** Reads a response head. Values are decoded as latin1, as HTTP/1.1 allows any such octet. @internal */
+export function readResponseHead (method: string, status: number, rawHeaders: readonly Buffer[]): ResponseHead {
+  const head: ResponseHead = { status, framing: ENDLESS, forwarded: [], requestId: undefined, reportedLoad: undefined, closesConnection: false }
+  let contentLength: string | undefined
+  let transferEncoding: string | undefined
+  let connection: string | undefined
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] as Buffer).toString('latin1')
+    const value = (rawHeaders[index + 1] as Buffer).toString('latin1')
+    const key = name.toLowerCase()
+    if (key === 'connection') {
+      connection = connection === undefined ? value.toLowerCase() : `${connection},${value.toLowerCase()}`
+      continue
+    }
+    if (key === 'transfer-encoding') transferEncoding = value.toLowerCase()
+    if (isHopByHop(key)) continue
+    if (key.startsWith('carobpitch-')) {
+      if (key === REQUEST_ID_HEADER) head.requestId = value
+      else if (key === LOAD_HEADER) head.reportedLoad = loadOf(value)
+      if (OWN_HEADERS.has(key)) continue
+    }
+    if (key === 'content-length') contentLength = value
+    head.forwarded.push(name, value)
+  }
+  if (connection !== undefined) {
+    const options = connection.split(',').map(option => option.trim())
+    head.closesConnection = options.includes('close')
+    head.forwarded = withoutNominated(head.forwarded, options)
+  }
+  head.framing = framingOf(method, status, contentLength, transferEncoding)
+  return head
+}
+
+function framingOf (method: string, status: number, contentLength: string | undefined, transferEncoding: string | undefined): ResponseFraming {
+  if (method === 'HEAD' || status === 204 || status === 304) return NO_BODY
+  if (transferEncoding !== undefined) return transferEncoding.trim().endsWith('chunked') ? CHUNKED : ENDLESS
+  if (contentLength === undefined || !/^\d+$/.test(contentLength)) return ENDLESS
+  return { kind: 'length', lengthBytes: Number(contentLength) }
+}
+
+/** Removes the headers that a connection header names, other than those that decide the framing. */
+function withoutNominated (pairs: string[], options: readonly string[]): string[] {
+  const nominated = options.filter(option => option !== 'close' && option !== 'keep-alive' && option !== 'content-length')
+  if (nominated.length === 0) return pairs
+  const kept: string[] = []
+  for (let index = 0; index < pairs.length; index += 2) {
+    if (!nominated.includes((pairs[index] as string).toLowerCase())) kept.push(pairs[index] as string, pairs[index + 1] as string)
+  }
+  return kept
+}
+
+function loadOf (value: string): number | undefined {
+  const load = Number(value)
+  return Number.isFinite(load) && load >= 0 ? load : undefined
+}
