Test that truncated and foreign responses reach no caller

Raw TCP targets close before, within and after the head, one byte short, and send surplus, early, late and unframed responses.

Cause found: breaking off with a reset discards a head that the caller has not read yet. Only HTTP/1.0 callers need the reset; others see the missing rest from the length or the last chunk.

--- a/packages/proxy/src/CallerResponse.ts
+++ b/packages/proxy/src/CallerResponse.ts
@@ -36,10 +36,10 @@
   response.end(body)
 }
 
-/** Breaks off a response so that it cannot look complete, also for callers that read until the connection ends. @internal */
+/** Breaks off a response so that it cannot look complete. An HTTP/1.0 caller may read until the connection ends, so that its connection is reset. @internal */
 export function breakOff (response: ServerResponse): void {
-  const { socket } = response
-  if (socket !== null && 'resetAndDestroy' in socket) socket.resetAndDestroy()
+  const { socket, req } = response
+  if (socket !== null && req.httpVersionMinor === 0) socket.resetAndDestroy()
   response.destroy()
 }
 
--- /dev/null
+++ b/packages/proxy/src/wholeAnswers.test.ts
@@ -0,0 +1,151 @@
+import { expect } from 'chai'
+import { ProxyRig, type SeenResponse } from './testing/ProxyRig.js'
+import { headerOf, RawTarget, rawResponse, type RawBehaviour } from './testing/RawTarget.js'
+
+const RESPONSE = rawResponse('0123456789')
+const HEAD_LENGTH = RESPONSE.indexOf('\r\n\r\n') + 4
+
+describe('whole answers', () => {
+  let target: RawTarget
+  let rig: ProxyRig
+
+  async function start (behaviour: RawBehaviour, service: Record<string, unknown> = {}): Promise<void> {
+    target = new RawTarget(behaviour)
+    await target.start()
+    rig = await ProxyRig.start({ targetUrls: [target.url()], service, takeRetryToken: () => false })
+  }
+
+  afterEach(async () => {
+    await rig.stop()
+    await target.stop()
+    expect(rig.scheduler.openGrants).to.equal(0)
+    expect(rig.listener.inFlightCount()).to.equal(0)
+  })
+
+  describe('when a target closes its connection', () => {
+    for (const [place, length] of [['before the head', 0], ['within the head', 9], ['before the empty line', HEAD_LENGTH - 2]] as const) {
+      it(`gives 502 and may-have-run for a close ${place}, guarding against a false refusal`, async () => {
+        await start(({ socket }) => socket.end(RESPONSE.slice(0, length)))
+        const seen = await rig.call()
+        expect(seen.status).to.equal(502)
+        expect(seen.headers['carobpitch-verdict']).to.equal('may-have-run')
+        expect(rig.scheduler.outcomes[0]?.kind).to.equal('failed')
+      })
+    }
+
+    for (const [place, length] of [['after the head', HEAD_LENGTH], ['within the body', HEAD_LENGTH + 4], ['one byte short', RESPONSE.length - 1]] as const) {
+      it(`destroys the caller's connection for a close ${place}, guarding against a truncated response that looks complete`, async () => {
+        await start(({ socket }) => socket.end(RESPONSE.slice(0, length)))
+        expect(await looksComplete(rig.call())).to.equal(false)
+        expect(rig.scheduler.outcomes[0]?.kind).to.equal('failed')
+      })
+    }
+
+    it('destroys the connection of a chunked response without its last chunk', async () => {
+      await start(({ socket }) => socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n5\r\n01234\r\n'))
+      expect(await looksComplete(rig.call())).to.equal(false)
+    })
+
+    it('resets the connection of an HTTP/1.0 caller, whose response ends with the connection', async () => {
+      await start(({ socket }) => socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n01234\r\n'))
+      const caller = rig.connect()
+      const failed = new Promise(resolve => caller.socket.once('error', resolve))
+      caller.send('GET / HTTP/1.0\r\ncarobpitch-service: chumon\r\n\r\n')
+      expect(await failed).to.have.property('code', 'ECONNRESET')
+    })
+
+    it('gives may-have-run when a reused connection closes as the request is written, guarding against a second run', async () => {
+      await start(({ socket }, index) => index === 0 ? socket.write(RESPONSE) : socket.resetAndDestroy())
+      expect((await rig.call()).status).to.equal(200)
+      const seen = await rig.call({ method: 'POST', body: 'x' })
+      expect(target.requests.map(request => request.connection)).to.deep.equal([0, 0])
+      expect([seen.status, seen.headers['carobpitch-verdict'], seen.headers['carobpitch-reason']]).to.deep.equal([502, 'may-have-run', 'connection-lost'])
+    })
+  })
+
+  describe('when a response does not belong to the request', () => {
+    it('refuses crossed request ids, guarding against the response of another caller', async () => {
+      await start(({ socket }) => socket.write(rawResponse('secret', ['carobpitch-request-id: other'])))
+      const seen = await rig.call({ headers: { 'carobpitch-request-id': 'mine' } })
+      expect([seen.status, seen.headers['carobpitch-reason']]).to.deep.equal([502, 'mismatched-response'])
+      expect(seen.body).not.to.contain('secret')
+      await target.untilClosed(0)
+    })
+
+    it('closes the connection after surplus bytes, guarding against their use as the next response', async () => {
+      await start(({ socket, head }) => {
+        const id = headerOf(head, 'carobpitch-request-id') ?? ''
+        socket.write(rawResponse(id, [`carobpitch-request-id: ${id}`]) + rawResponse('surplus'))
+      })
+      expect((await rig.call({ headers: { 'carobpitch-request-id': 'r1' } })).body).to.equal('r1')
+      expect((await rig.call({ headers: { 'carobpitch-request-id': 'r2' } })).body).to.equal('r2')
+      await target.untilClosed(0)
+    })
+
+    it('closes an idle connection on which a second response arrives later', async () => {
+      await start(({ socket }, index) => socket.write(rawResponse(String(index))))
+      expect((await rig.call()).body).to.equal('0')
+      target.sockets[0]?.write(rawResponse('surplus'))
+      await target.untilClosed(0)
+      expect((await rig.call()).body).to.equal('1')
+    })
+
+    it('refuses a response that arrives before the head of a streamed request is written', async () => {
+      await start(() => {})
+      const seen = rig.call({
+        method: 'POST',
+        headers: { 'content-length': '100000' },
+        onRequest: request => request.flushHeaders()
+      })
+      // One of the two connections is opened ahead.
+      while (target.sockets.length < 2) await new Promise(setImmediate)
+      for (const socket of target.sockets) socket.write(RESPONSE)
+      expect([(await seen).status, (await seen).headers['carobpitch-verdict']]).to.deep.equal([502, 'not-run'])
+    })
+
+    it('never passes on a late response of a cancelled request', async () => {
+      await start(({ socket }, index) => {
+        if (index > 0) socket.write(rawResponse('second'))
+      })
+      const caller = rig.connect().send('GET /first HTTP/1.1\r\nhost: a\r\ncarobpitch-service: chumon\r\n\r\n')
+      await target.untilRequests(1)
+      caller.socket.destroy()
+      await target.untilClosed(0)
+      target.sockets[0]?.write(rawResponse('first'))
+      expect((await rig.call()).body).to.equal('second')
+      expect(target.requests[1]?.connection).not.to.equal(0)
+      expect(rig.scheduler.outcomes[0]?.kind).to.equal('cancelled')
+    })
+  })
+
+  describe('when the end of a response cannot be found', () => {
+    for (const headers of ['', 'transfer-encoding: gzip\r\n', 'connection: close\r\n']) {
+      it(`refuses a response with the framing ${JSON.stringify(headers)}, guarding against truncation that nobody can see`, async () => {
+        await start(({ socket }) => socket.end(`HTTP/1.1 200 OK\r\n${headers}\r\n0123456789`))
+        const seen = await rig.call()
+        expect([seen.status, seen.headers['carobpitch-verdict'], seen.headers['carobpitch-reason']]).to.deep.equal([502, 'may-have-run', 'unframed-response'])
+      })
+    }
+
+    for (const [name, headers] of [['both framings', 'content-length: 10\r\ntransfer-encoding: chunked'], ['two lengths', 'content-length: 10\r\ncontent-length: 5'], ['a negative length', 'content-length: -1']] as const) {
+      it(`refuses a response with ${name}`, async () => {
+        await start(({ socket }) => socket.end(`HTTP/1.1 200 OK\r\n${headers}\r\n\r\n0123456789`))
+        const seen = await rig.call()
+        expect([seen.status, seen.headers['carobpitch-verdict']]).to.deep.equal([502, 'may-have-run'])
+      })
+    }
+
+    for (const [method, status] of [['HEAD', '200 OK'], ['GET', '204 No Content'], ['GET', '304 Not Modified']] as const) {
+      it(`passes on ${method} with ${status}, which has no body`, async () => {
+        await start(({ socket }) => socket.write(`HTTP/1.1 ${status}\r\netag: "1"\r\n\r\n`))
+        const seen = await rig.call({ method })
+        expect([seen.isComplete, seen.headers.etag, seen.headers['carobpitch-verdict']]).to.deep.equal([true, '"1"', 'answered'])
+      })
+    }
+  })
+})
+
+/** A caller sees a broken response either after its head or as a failed request. */
+async function looksComplete (call: Promise<SeenResponse>): Promise<boolean> {
+  return await call.then(seen => seen.isComplete, () => false)
+}
