--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -179,13 +179,21 @@
   }
 
   private open (request: IncomingMessage, response: ServerResponse): Exchange {
+    const { socket } = request
     const exchange = new Exchange(this.context, request, response)
-    this.inFlight += 1
-    this.exchanges.set(request.socket, exchange)
-    response.once('close', () => {
+    const previous = this.exchanges.get(socket)
+    let isClosed = false
+    const onClose = (): void => {
+      if (isClosed) return
+      isClosed = true
       this.inFlight -= 1
       exchange.closed()
-    })
+    }
+    this.inFlight += 1
+    this.exchanges.set(socket, exchange)
+    response.once('close', onClose)
+    // Node emits no `close` for a pipelined response whose turn has not come when the connection closes.
+    if (previous !== undefined && !previous.response.closed) socket.once('close', onClose)
     return exchange
   }
 
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -74,6 +74,7 @@
   private attempts = 0
   private targetMs = 0
   private verdict: Verdict = 'not-run'
+  private lastReason: Reason | undefined
   private isResendDecided = false
   private mustClose = false
   /** A reason from outside the attempt, which rules out another one. */
@@ -150,7 +151,7 @@
 
   /** @internal */
   takeHead (head: ResponseHead, verdict: Verdict): boolean {
-    if (verdict === 'not-run' && this.mayResendAfter(verdict)) {
+    if (verdict === 'not-run' && this.mayResendAfter(verdict, 'refused-by-target')) {
       this.isResendDecided = true
       return false
     }
@@ -172,7 +173,7 @@
     this.release(attempt, result)
     if (this.interruption !== undefined) this.finish(this.interruption)
     else if (this.response.headersSent) this.endForwarded(result)
-    else if (this.isResendDecided || this.mayResendAfter(result.verdict)) this.queue()
+    else if (this.isResendDecided || this.mayResendAfter(result.verdict, result.reason)) this.queue()
     else this.finish(result.reason)
   }
 
@@ -250,13 +251,12 @@
     this.excluded.add(running.grant.target.targetId)
   }
 
-  private lastReason: Reason | undefined
-
-  private mayResendAfter (verdict: Verdict): boolean {
+  private mayResendAfter (verdict: Verdict, reason: Reason | undefined): boolean {
     const { service, isIdempotent, isRetry } = this.parsed as CallerRequest
     return mayResend({
       service,
       verdict,
+      reason,
       attempts: this.attempts,
       isIdempotent,
       isRetry,
--- a/packages/proxy/src/mayResend.ts
+++ b/packages/proxy/src/mayResend.ts
@@ -1,4 +1,5 @@
 import type { ServiceName, Verdict } from '@carobpitch/schema'
+import type { Reason } from './Reason.js'
 
 /** Attempts of one request, the first one included. Bounds the work that a request can cause. @internal */
 export const ATTEMPTS_MAX = 3
@@ -11,6 +12,7 @@
   service: ServiceName
   /** Verdict of the attempt that has just failed. */
   verdict: Verdict
+  reason: Reason | undefined
   /** Attempts made so far. */
   attempts: number
   isIdempotent: boolean
@@ -30,6 +32,7 @@
 export function mayResend (failed: FailedAttempt, takeRetryToken: (service: ServiceName) => boolean): boolean {
   if (failed.isResponseStarted || failed.verdict === 'answered') return false
   if (failed.verdict === 'may-have-run' && !failed.isIdempotent) return false
+  if (failed.reason === 'isolated' || failed.reason === 'invalid-request') return false
   if (failed.isRetry || !failed.isBodyWhole) return false
   if (failed.attempts >= ATTEMPTS_MAX || failed.remainingMs <= 0) return false
   return takeRetryToken(failed.service)
--- a/packages/proxy/src/testing/ProxyRig.ts
+++ b/packages/proxy/src/testing/ProxyRig.ts
@@ -140,9 +140,14 @@
   async until (pattern: RegExp): Promise<string> {
     while (!pattern.test(this.text)) {
       if (this.socket.closed) throw new Error(`connection closed after: ${this.text}`)
-      await new Promise(resolve => {
-        this.socket.once('data', resolve)
-        this.socket.once('close', resolve)
+      await new Promise<void>(resolve => {
+        const onEvent = (): void => {
+          this.socket.off('data', onEvent)
+          this.socket.off('close', onEvent)
+          resolve()
+        }
+        this.socket.on('data', onEvent)
+        this.socket.on('close', onEvent)
       })
     }
     return this.text
