Test deadlines and address lists on a paused clock

Cause found: the time of the hand-over used 0 for 'not yet', which is also a valid time of a paused clock; it is undefined now.

--- a/packages/proxy/src/Attempt.ts
+++ b/packages/proxy/src/Attempt.ts
@@ -62,8 +62,8 @@
  * @internal
  */
 export class Attempt implements Dispatcher.DispatchHandler {
-  /** When the head was handed to a connection, on the monotonic clock; 0 before that. */
-  handedOverAtMs = 0
+  /** When the head was handed to a connection, on the monotonic clock; `undefined` before that. */
+  handedOverAtMs: number | undefined
   /** Head of the final response, once it has arrived. */
   head: ResponseHead | undefined
   private readonly options: AttemptOptions
@@ -123,7 +123,7 @@
   onHeaders (status: number, rawHeaders: Buffer[], resume: () => void): boolean {
     if (status < 200) return true
     // A response that precedes its request belongs to another one.
-    if (this.handedOverAtMs === 0) return this.fail('mismatched-response', 'failed')
+    if (this.handedOverAtMs === undefined) return this.fail('mismatched-response', 'failed')
     this.resumeConnection = resume
     const { method, requestId, notRunStatuses, sink } = this.options
     const head = readResponseHead(method, status, rawHeaders)
@@ -168,7 +168,7 @@
   }
 
   private handOver (): void {
-    if (this.handedOverAtMs !== 0) return
+    if (this.handedOverAtMs !== undefined) return
     this.handedOverAtMs = performance.now()
     this.verdict = 'may-have-run'
   }
@@ -183,7 +183,7 @@
   }
 
   private classify (code: string | undefined): Pick<AttemptResult, 'reason' | 'kind'> {
-    if (this.handedOverAtMs === 0) {
+    if (this.handedOverAtMs === undefined) {
       if (code === 'CAROBPITCH_CONNECT_TIMEOUT') return { reason: 'connect-timeout', kind: 'connect-failed' }
       if (code === 'UND_ERR_INVALID_ARG') return { reason: 'invalid-request', kind: 'cancelled' }
       return { reason: 'connect-failed', kind: 'connect-failed' }
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -238,8 +238,9 @@
     this.running = undefined
     this.lastReason = reason
     const now = performance.now()
-    const elapsedMs = now - (attempt.handedOverAtMs === 0 ? running.startedAtMs : attempt.handedOverAtMs)
-    if (attempt.handedOverAtMs !== 0) this.targetMs += elapsedMs
+    const { handedOverAtMs } = attempt
+    const elapsedMs = now - (handedOverAtMs ?? running.startedAtMs)
+    if (handedOverAtMs !== undefined) this.targetMs += elapsedMs
     const outcome: AttemptOutcome = { kind, elapsedMs }
     const { head } = attempt
     if (head?.reportedLoad !== undefined) outcome.reportedLoad = head.reportedLoad
--- /dev/null
+++ b/packages/proxy/src/leaving.test.ts
@@ -0,0 +1,110 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import type { AddressList } from './addressList.js'
+import { member, ProxyRig } from './testing/ProxyRig.js'
+import { RawTarget, rawResponse } from './testing/RawTarget.js'
+
+const KEPT_ALIVE = 'GET / HTTP/1.1\r\nhost: a\r\ncarobpitch-service: chumon\r\n\r\n'
+
+describe('address lists and leaving', () => {
+  let clock: Clock
+  let target: RawTarget
+  let rig: ProxyRig
+
+  async function start (ids: readonly string[]): Promise<void> {
+    target = new RawTarget(({ socket }) => socket.write(rawResponse('fine')))
+    await target.start()
+    rig = await ProxyRig.start({
+      targetUrls: [target.url()],
+      service: { steeredInstances: 3 },
+      instancesFor: () => ids.map(id => member(id, id.startsWith('leaving') ? 'leaving' : 'serving'))
+    })
+  }
+
+  async function list (service = 'chumon'): Promise<AddressList> {
+    const seen = await rig.call({ path: `/.carobpitch/instances?service=${service}` })
+    return JSON.parse(seen.body) as AddressList
+  }
+
+  async function listIds (): Promise<string[]> {
+    return (await list()).instances.map(({ instanceId }) => instanceId)
+  }
+
+  beforeEach(() => {
+    clock = install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'], now: 1_000_000 })
+    clock.tick(1_000)
+  })
+
+  afterEach(async () => {
+    clock.uninstall()
+    await rig.stop()
+    await target.stop()
+  })
+
+  it('rotates the steered instances and keeps the alternatives last', async () => {
+    await start(['a', 'b', 'c', 'x', 'y'])
+    expect(await listIds()).to.deep.equal(['a', 'b', 'c', 'x', 'y'])
+    expect(await listIds()).to.deep.equal(['b', 'c', 'a', 'x', 'y'])
+    expect(await listIds()).to.deep.equal(['c', 'a', 'b', 'x', 'y'])
+  })
+
+  it('rotates all instances without steering, guarding against load on the first few', async () => {
+    await start(['a', 'b', 'c', 'd', 'e', 'f'])
+    await listIds()
+    expect(await listIds()).to.deep.equal(['b', 'c', 'd', 'e', 'f', 'a'])
+  })
+
+  it('does not name members that are leaving', async () => {
+    await start(['a', 'leaving-b', 'c'])
+    expect(await listIds()).to.deep.equal(['a', 'c'])
+  })
+
+  it('tells revision and time to live, and refuses unknown services', async () => {
+    await start(['a'])
+    expect(await list()).to.include({ service: 'chumon', revision: 1, ttlMs: 5_000 })
+    const seen = await rig.call({ path: '/.carobpitch/instances?service=nothing' })
+    expect([seen.status, seen.headers['carobpitch-verdict']]).to.deep.equal([404, 'not-run'])
+    expect((await rig.call({ path: '/.carobpitch/instances' })).status).to.equal(400)
+    expect((await rig.call({ path: '/.carobpitch/instances', method: 'POST' })).status).to.equal(405)
+  })
+
+  it('remembers until when lists name this instance, and names it no more once it is leaving', async () => {
+    await start(['entry-1', 'b'])
+    expect(rig.listener.lastListExpiresAtMs()).to.equal(0)
+    await list()
+    const expiresAtMs = performance.now() + 5_000
+    expect(rig.listener.lastListExpiresAtMs()).to.equal(expiresAtMs)
+    rig.listener.beginLeaving()
+    clock.tick(1_000)
+    expect(await listIds()).to.deep.equal(['b'])
+    expect(rig.listener.lastListExpiresAtMs()).to.equal(expiresAtMs)
+  })
+
+  it('answers 503 when no other instance is left to name', async () => {
+    await start(['entry-1'])
+    rig.listener.beginLeaving()
+    const seen = await rig.call({ path: '/.carobpitch/instances?service=chumon' })
+    expect([seen.status, seen.headers['carobpitch-reason']]).to.deep.equal([503, 'no-instance'])
+  })
+
+  it('keeps callers\' connections until the lists have expired, then closes them with a response', async () => {
+    await start(['entry-1', 'b'])
+    await list()
+    rig.listener.beginLeaving()
+    const caller = rig.connect().send(KEPT_ALIVE)
+    expect(await caller.until(/fine$/)).not.to.match(/connection: close/i)
+    clock.tick(5_000)
+    caller.send(KEPT_ALIVE)
+    expect(await caller.untilClosed()).to.match(/fine[^]*connection: close[^]*fine$/i)
+  })
+
+  it('counts a request as in flight until its response is sent', async () => {
+    await start(['entry-1'])
+    const caller = rig.connect().send(KEPT_ALIVE)
+    await target.untilRequests(1)
+    expect(rig.listener.inFlightCount()).to.equal(1)
+    await caller.until(/fine$/)
+    while (rig.listener.inFlightCount() > 0) await new Promise(setImmediate)
+    caller.socket.destroy()
+  })
+})
