Add a benchmark of the latency that carobpitch adds

Processor time per request is reported as well, because latency on the shared machine varies by a factor of ten between repetitions.

--- /dev/null
+++ b/packages/testbed/src/bench/addedLatencyLoad.ts
@@ -0,0 +1,106 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Pool, type Dispatcher } from 'undici'
+
+/** Requests before a measurement, so that connections are open and code is compiled. @internal */
+export const WARM_UP_REQUESTS = 200
+const CONNECTIONS = 64
+
+/**
+ * One way of offering load: one caller that waits for each response, or arrivals at a rate.
+ * @internal
+ */
+export type Load = { kind: 'one-caller' } | { kind: 'open-loop', perSecond: number }
+
+/**
+ * Result of one measurement; latencies in microseconds.
+ * @internal
+ */
+export interface LoadResult {
+  histogram: Histogram
+  failures: number
+}
+
+/** Names a load in reports. @internal */
+export function nameOfLoad (load: Load): string {
+  return load.kind === 'one-caller' ? '1 caller' : `${load.perSecond}/s`
+}
+
+/** Offers load to one base URL for a time and records the latencies. @internal */
+export async function offerLoad (url: string, load: Load, durationMs: number): Promise<LoadResult> {
+  const pool = new Pool(url, { connections: load.kind === 'one-caller' ? 1 : CONNECTIONS, pipelining: 1 })
+  const result: LoadResult = { histogram: build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 }), failures: 0 }
+  for (let count = 0; count < WARM_UP_REQUESTS; count += 1) await call(pool)
+  if (load.kind === 'one-caller') await runOneCaller(pool, durationMs, result)
+  else await runOpenLoop(pool, load.perSecond, durationMs, result)
+  await pool.close()
+  return result
+}
+
+async function runOneCaller (pool: Pool, durationMs: number, result: LoadResult): Promise<void> {
+  const endAtMs = performance.now() + durationMs
+  while (performance.now() < endAtMs) {
+    const startedAtMs = performance.now()
+    record(result, await call(pool), startedAtMs)
+  }
+}
+
+/**
+ * Latency counts from the intended arrival, so that a delayed request is not missing from the figures.
+ * Arrivals are polled for at each turn of the event loop, because timers are only accurate to a millisecond.
+ */
+async function runOpenLoop (pool: Pool, perSecond: number, durationMs: number, result: LoadResult): Promise<void> {
+  const endAtMs = performance.now() + durationMs
+  let nextAtMs = performance.now()
+  let pending = 0
+  while (nextAtMs < endAtMs || pending > 0) {
+    while (nextAtMs < endAtMs && performance.now() >= nextAtMs) {
+      const arrivalAtMs = nextAtMs
+      pending += 1
+      call(pool).then(isGood => {
+        pending -= 1
+        record(result, isGood, arrivalAtMs)
+      })
+      nextAtMs += -Math.log(1 - Math.random()) * 1_000 / perSecond
+    }
+    await new Promise(setImmediate)
+  }
+}
+
+function record (result: LoadResult, isGood: boolean, startedAtMs: number): void {
+  if (isGood) result.histogram.recordValue(Math.max(1, Math.round((performance.now() - startedAtMs) * 1_000)))
+  else result.failures += 1
+}
+
+async function call (pool: Pool): Promise<boolean> {
+  return await new Promise(resolve => pool.dispatch({ method: 'GET', path: '/stock/42', headers: REQUEST_HEADERS }, new Call(resolve)))
+}
+
+const REQUEST_HEADERS = ['carobpitch-service', 'menzaiko', 'carobpitch-tenant', 'shop-7', 'accept', 'application/json', 'user-agent', 'bench']
+
+class Call implements Dispatcher.DispatchHandler {
+  private readonly resolve: (isGood: boolean) => void
+  private status = 0
+
+  constructor (resolve: (isGood: boolean) => void) {
+    this.resolve = resolve
+  }
+
+  onConnect (): void {}
+
+  onHeaders (status: number): boolean {
+    this.status = status
+    return true
+  }
+
+  onData (): boolean {
+    return true
+  }
+
+  onComplete (): void {
+    this.resolve(this.status === 200)
+  }
+
+  onError (): void {
+    this.resolve(false)
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/bench/addedLatencyProcesses.ts
@@ -0,0 +1,81 @@
+/**
+ * The processes of the added-latency benchmark other than the daemon, each started by role:
+ * `target`, `pass-through <target url>` and `store <target url>`. Prints its base URL once it listens.
+ */
+import { createServer } from 'node:http'
+import type { AddressInfo, Server } from 'node:net'
+import { gzipSync } from 'node:zlib'
+import polka from 'polka'
+import { Pool } from 'undici'
+import { EtcdStore } from '@carobpitch/store'
+import { StandInStore } from '../StandInStore.js'
+
+/** Connections and slots; enough that no load of the benchmark has to queue. */
+const CONNECTIONS = 64
+const RESPONSE_BODY = JSON.stringify({ item: 'udon', quantity: 12, warehouse: 'fukuoka', note: 'x'.repeat(160) })
+
+const [role, targetUrl = ''] = process.argv.slice(2)
+switch (role) {
+  case 'target':
+    await runTarget()
+    break
+  case 'pass-through':
+    await runPassThrough(targetUrl)
+    break
+  case 'store':
+    await runStore(targetUrl)
+    break
+  default:
+    throw new Error(`unknown role ${role}`)
+}
+
+/** A target that responds at once, so that the measured differences are those of the path before it. */
+async function runTarget (): Promise<void> {
+  const server = createServer((request, response) => {
+    request.resume()
+    const headers = ['content-type', 'application/json', 'content-length', String(RESPONSE_BODY.length)]
+    const requestId = request.headers['carobpitch-request-id']
+    if (requestId !== undefined) headers.push('carobpitch-request-id', String(requestId))
+    response.writeHead(200, headers)
+    response.end(RESPONSE_BODY)
+  })
+  server.keepAliveTimeout = 60_000
+  await listen(server)
+}
+
+/** The least that a proxy of the same libraries does. */
+async function runPassThrough (url: string): Promise<void> {
+  const pool = new Pool(url, { connections: CONNECTIONS, pipelining: 1 })
+  const server = createServer()
+  const app = polka({ server })
+  app.all('*', async (request, response) => {
+    const answer = await pool.request({ method: 'GET', path: request.url ?? '/', headers: { 'x-request': '1' } })
+    response.writeHead(answer.statusCode, answer.headers as Record<string, string>)
+    answer.body.pipe(response)
+  })
+  server.on('request', app.handler as never)
+  server.keepAliveTimeout = 60_000
+  await listen(server)
+}
+
+/** The stand-in store with a configuration of one service and one target. */
+async function runStore (url: string): Promise<void> {
+  const standIn = new StandInStore()
+  await standIn.start()
+  const store = new EtcdStore({ urls: [standIn.url()] })
+  const document = {
+    revision: 1,
+    services: { menzaiko: {} },
+    failureDomains: { fukuoka: {} },
+    targets: { 'menzaiko-1': { service: 'menzaiko', failureDomain: 'fukuoka', url, slots: CONNECTIONS } }
+  }
+  const value = gzipSync(JSON.stringify(document)).toString('base64')
+  await store.compareAndSwap({ key: 'carobpitch/bench/configuration', value, expectedModRevision: 0 })
+  await store.close()
+  console.log(standIn.url())
+}
+
+async function listen (server: Server): Promise<void> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  console.log(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+}
--- /dev/null
+++ b/packages/testbed/src/bench/addedLatencyReport.ts
@@ -0,0 +1,98 @@
+import type { Histogram } from 'hdr-histogram-js'
+
+/** Percentiles in reports. */
+const PERCENTILES = [50, 99, 99.9] as const
+
+/** The compared paths: to the target itself, through a bare proxy, and through the daemon. @internal */
+export const PATHS = ['direct', 'pass-through', 'full'] as const
+/** Name of a compared path. @internal */
+export type PathName = typeof PATHS[number]
+
+/**
+ * One measurement of one path at one load.
+ * @internal
+ */
+export interface Measurement {
+  load: string
+  path: PathName
+  repetition: number
+  histogram: Histogram
+  failures: number
+  /** Processor time of the process called, which varies less than latency on a busy machine. */
+  cpuUsPerRequest: number
+}
+
+/**
+ * A figure over all repetitions: the median, with the lowest and highest. In milliseconds.
+ * @internal
+ */
+export interface Spread {
+  median: number
+  lowest: number
+  highest: number
+}
+
+/**
+ * Figures of one path at one load.
+ * @internal
+ */
+export interface ReportRow {
+  load: string
+  path: PathName
+  requests: number
+  failures: number
+  /** By percentile. */
+  latencyMs: Record<string, Spread>
+  /** Difference to the direct path in the same repetition, by percentile. */
+  addedMs: Record<string, Spread>
+  cpuUsPerRequest: Spread
+}
+
+/** Condenses measurements into one row per load and path. @internal */
+export function reportRows (measurements: readonly Measurement[]): ReportRow[] {
+  const loads = [...new Set(measurements.map(({ load }) => load))]
+  return loads.flatMap(load => PATHS.map(path => rowOf(load, path, measurements.filter(measurement => measurement.load === load))))
+}
+
+/** Formats rows as a Markdown table. @internal */
+export function formatMarkdown (rows: readonly ReportRow[]): string {
+  const columns = ['load', 'path', 'requests', 'failures', ...PERCENTILES.map(name => `p${name} ms`), ...PERCENTILES.map(name => `added p${name} ms`), 'processor time µs']
+  const lines = rows.map(({ load, path, requests, failures, latencyMs, addedMs, cpuUsPerRequest }) => [
+    load, path, String(requests), String(failures),
+    ...PERCENTILES.map(name => formatSpread(latencyMs[name])),
+    ...PERCENTILES.map(name => path === 'direct' ? '' : formatSpread(addedMs[name])),
+    formatSpread(cpuUsPerRequest)
+  ])
+  return [columns, columns.map(() => '---'), ...lines].map(cells => `| ${cells.join(' | ')} |`).join('\n') + '\n'
+}
+
+function rowOf (load: string, path: PathName, measurements: readonly Measurement[]): ReportRow {
+  const own = measurements.filter(measurement => measurement.path === path)
+  const row: ReportRow = { load, path, requests: 0, failures: 0, latencyMs: {}, addedMs: {}, cpuUsPerRequest: spreadOf(own.map(({ cpuUsPerRequest }) => cpuUsPerRequest)) }
+  for (const { histogram, failures } of own) {
+    row.requests += histogram.totalCount
+    row.failures += failures
+  }
+  for (const percentile of PERCENTILES) {
+    row.latencyMs[percentile] = spreadOf(own.map(({ histogram }) => valueMs(histogram, percentile)))
+    row.addedMs[percentile] = spreadOf(own.map(({ histogram, repetition }) => {
+      const direct = measurements.find(measurement => measurement.path === 'direct' && measurement.repetition === repetition)
+      return valueMs(histogram, percentile) - (direct === undefined ? 0 : valueMs(direct.histogram, percentile))
+    }))
+  }
+  return row
+}
+
+function valueMs (histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / 1_000
+}
+
+function spreadOf (values: readonly number[]): Spread {
+  const sorted = [...values].sort((first, second) => first - second)
+  return { median: sorted[Math.floor(sorted.length / 2)] ?? 0, lowest: sorted[0] ?? 0, highest: sorted.at(-1) ?? 0 }
+}
+
+function formatSpread (spread: Spread | undefined): string {
+  if (spread === undefined) return ''
+  return `${spread.median.toFixed(2)} (${spread.lowest.toFixed(2)}–${spread.highest.toFixed(2)})`
+}
