Join small response bodies with their heads

Cause: of the processor time of a forwarded request, the largest part is the two system calls that write the request and the response (writev 10% and write 8% of the active time in a profile of 2,900 requests). A body that is a buffer goes out with writev; a string is joined with the head.

Change: a body of up to 8 KiB that arrives whole is sent as a string.

--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -15,7 +15,7 @@
 import type { Reason } from './Reason.js'
 import { readBody } from './RequestBody.js'
 import { attemptHeaders, endToEndHeaders } from './requestHeaders.js'
-import type { ResponseHead } from './responseHead.js'
+import type { ResponseFraming, ResponseHead } from './responseHead.js'
 import type { TargetConnections } from './TargetConnections.js'
 import type { TargetPools } from './TargetPools.js'
 
@@ -48,6 +48,8 @@
 
 type Stage = 'reading' | 'queued' | 'attempting' | 'ended'
 
+/** Largest body that is joined with its head. Above it, copying costs more than a second buffer. */
+const JOINED_BODY_MAX_BYTES = 8_192
 const NO_TARGETS: ReadonlySet<TargetId> = new Set()
 
 /**
@@ -76,6 +78,8 @@
   private verdict: Verdict = 'not-run'
   private lastReason: Reason | undefined
   private isResendDecided = false
+  private framing: ResponseFraming | undefined
+  private wholeBody: Buffer | undefined
   private mustClose = false
   /** A reason from outside the attempt, which rules out another one. */
   private interruption: Reason | undefined
@@ -157,11 +161,16 @@
     }
     const reason = verdict === 'not-run' ? 'refused-by-target' : undefined
     writeTargetHead(this.response, head, this.facts(combineVerdicts(this.verdict, verdict), reason))
+    this.framing = head.framing
     return true
   }
 
   /** @internal */
   takeData (chunk: Buffer): boolean {
+    if (this.isSmallWhole(chunk)) {
+      this.wholeBody = chunk
+      return true
+    }
     if (this.response.write(chunk)) return true
     this.response.once('drain', this.onDrain)
     return false
@@ -275,10 +284,17 @@
     else this.running.attempt.cancel(reason, reason === 'deadline-exceeded' ? 'timed-out' : 'cancelled')
   }
 
+  /** Whether a chunk is a small response body as a whole. It is sent together with the head. */
+  private isSmallWhole ({ length }: Buffer): boolean {
+    return length <= JOINED_BODY_MAX_BYTES && this.framing?.kind === 'length' && this.framing.lengthBytes === length
+  }
+
   /** Ends a response whose head has been forwarded. */
   private endForwarded ({ isComplete, reason }: AttemptResult): void {
     this.conclude(reason)
-    if (isComplete) this.response.end()
+    // Node joins a string, but not a buffer, with the head into one write.
+    if (isComplete && this.wholeBody !== undefined) this.response.end(this.wholeBody.toString('latin1'), 'latin1')
+    else if (isComplete) this.response.end()
     else breakOff(this.response)
     this.dropRestOfBody()
   }
