--- a/packages/proxy/src/requestHeaders.ts
+++ b/packages/proxy/src/requestHeaders.ts
@@ -1,5 +1,4 @@
 import { DEADLINE_HEADER, REQUEST_ID_HEADER, RETRY_HEADER } from './headers.js'
-import { lowerCaseName } from './headerNames.js'
 import { isHopByHop } from './hopByHop.js'
 
 /** Headers that are set anew for each attempt. */
@@ -17,7 +16,7 @@
   const kept: string[] = []
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] as string
-    const key = lowerCaseName(name)
+    const key = name.toLowerCase()
     if (isHopByHop(key) || key === 'content-length' || key === 'expect') continue
     if (SET_PER_ATTEMPT.has(key) || nominated?.includes(key)) continue
     kept.push(name, rawHeaders[index + 1] as string)
--- a/packages/proxy/src/responseHead.ts
+++ b/packages/proxy/src/responseHead.ts
@@ -1,6 +1,5 @@
 /** Reads the head of a target's response from undici's raw header pairs. */
 import { ATTEMPTS_HEADER, INSTANCE_HEADER, LOAD_HEADER, REASON_HEADER, REQUEST_ID_HEADER, TARGET_HEADER, VERDICT_HEADER } from './headers.js'
-import { lowerCaseName } from './headerNames.js'
 import { isHopByHop } from './hopByHop.js'
 
 /**
@@ -50,7 +49,7 @@
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = (rawHeaders[index] as Buffer).toString('latin1')
     const value = (rawHeaders[index + 1] as Buffer).toString('latin1')
-    const key = lowerCaseName(name)
+    const key = name.toLowerCase()
     if (key === 'connection') {
       connection = connection === undefined ? value.toLowerCase() : `${connection},${value.toLowerCase()}`
       continue
