--- /dev/null
+++ b/packages/routing/src/RetryBudget.ts
@@ -0,0 +1,57 @@
+/** Share of recent requests that may be sent again. */
+const RETRY_SHARE = 0.1
+/** Retries that a service may always make within the window, so that a quiet service can retry at all. */
+const RETRY_FLOOR = 3
+/** Length of the window that counts as recent. */
+const WINDOW_MS = 10_000
+const BUCKET_MS = 1_000
+
+interface Bucket {
+  startedAtMs: number
+  requests: number
+  retries: number
+}
+
+/**
+ * Limits retries to a share of recent traffic, so that retries cannot multiply an overload.
+ * @public
+ */
+export class RetryBudget {
+  private buckets: Bucket[] = []
+
+  /** Counts a request that is not a retry. */
+  noteRequest (): void {
+    this.bucketNow().requests += 1
+  }
+
+  /** Takes the right to one retry, if the budget has one left. */
+  take (): boolean {
+    const bucket = this.bucketNow()
+    const { requests, retries } = this.totals()
+    if (retries >= Math.max(RETRY_FLOOR, Math.floor(requests * RETRY_SHARE))) return false
+    bucket.retries += 1
+    return true
+  }
+
+  /** Requests and retries within the window. */
+  totals (): { requests: number, retries: number } {
+    this.bucketNow()
+    let requests = 0
+    let retries = 0
+    for (const bucket of this.buckets) {
+      requests += bucket.requests
+      retries += bucket.retries
+    }
+    return { requests, retries }
+  }
+
+  private bucketNow (): Bucket {
+    const startedAtMs = Math.floor(performance.now() / BUCKET_MS) * BUCKET_MS
+    const last = this.buckets.at(-1)
+    if (last?.startedAtMs === startedAtMs) return last
+    this.buckets = this.buckets.filter(bucket => bucket.startedAtMs > startedAtMs - WINDOW_MS)
+    const bucket = { startedAtMs, requests: 0, retries: 0 }
+    this.buckets.push(bucket)
+    return bucket
+  }
+}
--- /dev/null
+++ b/packages/routing/src/ServiceTime.ts
@@ -0,0 +1,31 @@
+/** Weight of a new sample. */
+const WEIGHT = 0.05
+
+/**
+ * Smoothed time for which a request of a service occupies a target, and what follows from it for the queue.
+ * @internal
+ */
+export class ServiceTime {
+  private smoothedMs = 0
+  private samples = 0
+
+  /** Takes the time of one request, however it ended. */
+  note (elapsedMs: number): void {
+    this.samples += 1
+    this.smoothedMs += Math.max(WEIGHT, 1 / this.samples) * (elapsedMs - this.smoothedMs)
+  }
+
+  /**
+   * Time until a new request would be complete, if it waits behind `ahead` others
+   * and requests leave at the present drain rate. 0 before the first sample.
+   */
+  estimateMs (ahead: number, capacity: number): number {
+    if (this.samples === 0) return 0
+    return ahead / capacity * this.smoothedMs + this.smoothedMs
+  }
+
+  /** Smoothed time; 0 before the first sample. */
+  meanMs (): number {
+    return this.smoothedMs
+  }
+}
