--- /dev/null
+++ b/packages/routing/src/ColdTurnDetector.ts
@@ -0,0 +1,95 @@
+/** Response time, relative to the usual one, from which a response is evidence of a cold target. */
+const COLD_RATIO = 8
+/** Consecutive pieces of evidence that make a cold turn. */
+const EVIDENCE_MIN = 4
+/**
+ * Pieces of evidence from requests sent after the first one came back. A pause of the target or of this process
+ * delays all requests in flight at once, and these would otherwise count as consecutive.
+ */
+const LATER_EVIDENCE_MIN = 2
+/** Responses after which the usual response time is known. */
+const BASELINE_SAMPLES_MIN = 10
+/** Weight of a new response in the usual response time. */
+const BASELINE_WEIGHT = 0.05
+/** Largest ratio to the baseline with which one response enters it, so that outliers do not raise it. */
+const BASELINE_CLIP = 3
+
+/**
+ * One observed attempt at a warm target.
+ * @public
+ */
+export interface AttemptObservation {
+  /** `refused`: the target stated that it did not run the request. */
+  kind: 'answered' | 'refused'
+  sentAtMs: number
+  receivedAtMs: number
+  /** Requests at the target when the attempt was sent or answered, as far as known; at least 1. */
+  load: number
+  slots: number
+}
+
+/**
+ * Recognises that one warm target has turned cold, from consecutive attempts that were refused without overload or
+ * took several times the usual response time.
+ *
+ * Response times are first divided by the queueing that the target's load explains. A straggler, whose responses are
+ * slower by a smaller factor and spread around it, gives a response below the ratio before the evidence is complete.
+ * @public
+ */
+export class ColdTurnDetector {
+  private baselineMs = 0
+  private samples = 0
+  private evidence = 0
+  private laterEvidence = 0
+  private firstEvidenceAtMs = 0
+
+  /** Takes an observation; returns whether the target has turned cold. */
+  observe (observation: AttemptObservation): boolean {
+    const ratio = this.slownessOf(observation)
+    if (observation.kind === 'answered') this.learn(observation, ratio)
+    if (!this.isEvidence(observation, ratio)) {
+      this.evidence = 0
+      this.laterEvidence = 0
+      return false
+    }
+    if (this.evidence === 0) this.firstEvidenceAtMs = observation.receivedAtMs
+    else if (observation.sentAtMs >= this.firstEvidenceAtMs) this.laterEvidence += 1
+    this.evidence += 1
+    return this.evidence >= EVIDENCE_MIN && this.laterEvidence >= LATER_EVIDENCE_MIN
+  }
+
+  /** Forgets the evidence but keeps the usual response time, after a cold turn was declared. */
+  reset (): void {
+    this.evidence = 0
+    this.laterEvidence = 0
+  }
+
+  /** Usual response time and present evidence. */
+  dump (): { baselineMs: number, evidence: number } {
+    return { baselineMs: this.baselineMs, evidence: this.evidence }
+  }
+
+  private isEvidence ({ kind, load, slots }: AttemptObservation, ratio: number): boolean {
+    // A refusal at more load than the target has slots is ordinary load shedding.
+    if (kind === 'refused') return load <= slots
+    return this.samples > BASELINE_SAMPLES_MIN && ratio >= COLD_RATIO
+  }
+
+  private slownessOf ({ sentAtMs, receivedAtMs, load, slots }: AttemptObservation): number {
+    if (this.baselineMs === 0) return 1
+    const queueing = Math.max(1, load / slots)
+    return (receivedAtMs - sentAtMs) / queueing / this.baselineMs
+  }
+
+  private learn ({ sentAtMs, receivedAtMs }: AttemptObservation, ratio: number): void {
+    this.samples += 1
+    const elapsedMs = receivedAtMs - sentAtMs
+    if (this.samples === 1) {
+      this.baselineMs = elapsedMs
+      return
+    }
+    const weight = Math.max(BASELINE_WEIGHT, 1 / this.samples)
+    const sampleMs = Math.min(ratio, BASELINE_CLIP) * this.baselineMs
+    this.baselineMs += weight * (sampleMs - this.baselineMs)
+  }
+}
