--- /dev/null
+++ b/packages/routing/src/ProbeBudget.ts
@@ -0,0 +1,94 @@
+import type { InstanceId, TargetId } from '@carobpitch/schema'
+import { rankByRendezvous } from './rendezvous.js'
+
+/** Slot time that one probe is counted with. */
+export const PROBE_COST_MS = 6
+/** Share of a target's slot time that all instances together may spend on probes. */
+export const PROBE_SHARE = 0.01
+
+/** Returns the member that measures a target: the same at every instance with the same view. @public */
+export function measurerOf (targetId: TargetId, members: readonly InstanceId[]): InstanceId | undefined {
+  return rankByRendezvous(targetId, members)[0]
+}
+
+/**
+ * Shortest time between two probes of one target by one instance. With it the budget holds even if all instances
+ * believe to be the measurer, because their membership views differ.
+ * @public
+ */
+export function probeIntervalMinMs ({ instancesMax, slots }: { instancesMax: number, slots: number }): number {
+  return instancesMax * PROBE_COST_MS / (PROBE_SHARE * slots)
+}
+
+/**
+ * Options of `ProbeBudget`.
+ * @public
+ */
+export interface ProbeBudgetOptions {
+  instanceId: InstanceId
+  /** Largest number of instances of the deployment. */
+  instancesMax: number
+  /** Members that are believed alive, this instance included. */
+  members: () => readonly InstanceId[]
+}
+
+/**
+ * What the probe budget needs to know of a target.
+ * @public
+ */
+export interface ProbeCandidate {
+  targetId: TargetId
+  slots: number
+  isCold: boolean
+  /** Whether this instance holds the target's claim. Matters only for a cold target. */
+  holdsClaim: boolean
+}
+
+/**
+ * Decides which targets this instance may probe now and counts the cost.
+ * @public
+ */
+export class ProbeBudget {
+  private readonly options: ProbeBudgetOptions
+  private readonly lastProbeAtMs = new Map<TargetId, number>()
+  private probes = 0
+
+  constructor (options: ProbeBudgetOptions) {
+    this.options = options
+  }
+
+  /** Takes the right to probe a target now. */
+  take (candidate: ProbeCandidate): boolean {
+    const nowMs = performance.now()
+    const lastMs = this.lastProbeAtMs.get(candidate.targetId)
+    const intervalMs = probeIntervalMinMs({ instancesMax: this.options.instancesMax, slots: candidate.slots })
+    if (lastMs !== undefined && nowMs - lastMs < intervalMs) return false
+    if (!this.isMeasurer(candidate)) return false
+    this.lastProbeAtMs.set(candidate.targetId, nowMs)
+    this.probes += 1
+    return true
+  }
+
+  /** Slot time spent on probes by this instance since its start. */
+  costMs (): number {
+    return this.probes * PROBE_COST_MS
+  }
+
+  /** Forgets targets that were removed. */
+  retain (targetIds: ReadonlySet<TargetId>): void {
+    for (const id of this.lastProbeAtMs.keys()) {
+      if (!targetIds.has(id)) this.lastProbeAtMs.delete(id)
+    }
+  }
+
+  /** Number and cost of the probes sent. */
+  dump (): { probes: number, costMs: number } {
+    return { probes: this.probes, costMs: this.costMs() }
+  }
+
+  /** A cold target is measured by the holder of its claim alone, because a probe uses its allowance. */
+  private isMeasurer ({ targetId, isCold, holdsClaim }: ProbeCandidate): boolean {
+    if (isCold) return holdsClaim
+    return measurerOf(targetId, this.options.members()) === this.options.instanceId
+  }
+}
--- /dev/null
+++ b/packages/routing/src/Prober.ts
@@ -0,0 +1,75 @@
+import type { TargetId } from '@carobpitch/schema'
+import type { ProbeBudget, ProbeCandidate } from './ProbeBudget.js'
+import type { TargetView } from './TargetView.js'
+
+/** Interval at which targets are considered for a probe. */
+const CONSIDER_INTERVAL_MS = 500
+
+/**
+ * Result of one probe.
+ * @public
+ */
+export interface ProbeResult {
+  kind: 'healthy' | 'draining' | 'failed'
+  reportedLoad?: number
+}
+
+/** Sends one probe to a target; never rejects. @public */
+export type SendProbe = (target: TargetView) => Promise<ProbeResult>
+
+/**
+ * A target that wants a probe.
+ * @internal
+ */
+export interface ProbeWish extends ProbeCandidate {
+  view: TargetView
+}
+
+/**
+ * Options of `Prober`.
+ * @internal
+ */
+export interface ProberOptions {
+  budget: ProbeBudget
+  send: SendProbe
+  /** Targets that want a probe now. */
+  wishes: () => ProbeWish[]
+  onResult: (targetId: TargetId, result: ProbeResult) => void
+}
+
+/**
+ * Sends probes as the budget allows.
+ * @internal
+ */
+export class Prober {
+  private readonly options: ProberOptions
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (options: ProberOptions) {
+    this.options = options
+  }
+
+  start (): void {
+    this.timer ??= setInterval(() => this.probeDue(), CONSIDER_INTERVAL_MS)
+  }
+
+  stop (): void {
+    clearInterval(this.timer)
+    this.timer = undefined
+  }
+
+  private probeDue (): void {
+    for (const wish of this.options.wishes()) {
+      // A probe to a cold target is work that the target has to bear within its allowance.
+      if (wish.isCold && wish.view.inFlight >= wish.view.limit) continue
+      if (this.options.budget.take(wish)) this.probe(wish)
+    }
+  }
+
+  private async probe ({ targetId, isCold, view }: ProbeWish): Promise<void> {
+    if (isCold) view.inFlight += 1
+    const result = await this.options.send(view).catch((): ProbeResult => ({ kind: 'failed' }))
+    if (isCold) view.inFlight -= 1
+    this.options.onResult(targetId, result)
+  }
+}
