Compose the decisions in the Scheduler

The concurrency of each p-queue is the sum over targets of max(limit, in flight): a target that takes no more work does not use up the capacity of others while its last requests end. Limits are recomputed in the tick of each dispatch, because claims end by time.

--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -1,57 +1,29 @@
 import { Result } from 'true-myth'
-import PQueue from 'p-queue'
-import type { ConfigurationSource, RequestClass, ServiceName, TargetId, TenantId } from '@carobpitch/schema'
+import type { Service } from '@carobpitch/kernel'
+import type { ConfigurationSource, InstanceId, ServiceName, TargetId } from '@carobpitch/schema'
+import { AbsenceTracker } from './AbsenceTracker.js'
+import { ProbeBudget } from './ProbeBudget.js'
+import { Prober, type ProbeWish, type SendProbe } from './Prober.js'
 import { chooseLeastInFlight, type RoutingPolicy } from './RoutingPolicy.js'
-import { hasRoom, type TargetView } from './TargetView.js'
+import type { Refusal, ScheduleRequest, TargetGrant } from './ScheduleRequest.js'
+import { ServiceScheduler } from './ServiceScheduler.js'
+import { WarmthTable } from './WarmthTable.js'
+import { NO_WITHDRAWALS, type AnnouncedWithdrawals } from './Withdrawals.js'
 
-/**
- * A request that waits for a target.
- * @public
- */
-export interface ScheduleRequest {
-  service: ServiceName
-  tenant: TenantId
-  requestClass: RequestClass
-  /** Deadline on the monotonic clock (`performance.now()`). */
-  deadlineAtMs: number
-  /** Aborts when the caller goes away. */
-  signal: AbortSignal
-  /** Targets that earlier attempts of this request used. */
-  exclude: ReadonlySet<TargetId>
-}
-
-/** Why a request was refused before it reached a target. Every refusal means that it did not run. @public */
-export type RefusalReason = 'queue-full' | 'tenant-queue-full' | 'deadline-unreachable' | 'no-target' | 'cancelled' | 'isolated'
-
-/**
- * A refusal before any target was contacted.
- * @public
- */
-export interface Refusal {
-  verdict: 'not-run'
-  reason: RefusalReason
-}
-
-/**
- * How an attempt at a target ended.
- * @public
- */
-export interface AttemptOutcome {
-  kind: 'answered' | 'refused' | 'connect-failed' | 'failed' | 'timed-out' | 'cancelled'
-  elapsedMs: number
-  /** Load that the target reported with its response. */
-  reportedLoad?: number
-  /** The target announced that it is draining. */
-  draining?: boolean
-}
+/** Time without any signal from traffic after which a target is probed. */
+const IDLE_BEFORE_PROBE_MS = 5_000
 
 /**
- * The right to send one request to a target. Must be released exactly once.
+ * How a scheduler measures targets that have no traffic.
  * @public
  */
-export interface TargetGrant {
-  target: TargetView
-  release(outcome: AttemptOutcome): void
+export interface ProbingOptions {
+  instanceId: InstanceId
+  /** Largest number of instances of the deployment. */
+  instancesMax: number
+  /** Members that are believed alive, this instance included. */
+  members: () => readonly InstanceId[]
+  send: SendProbe
 }
 
 /**
@@ -60,71 +32,144 @@
  */
 export interface SchedulerOptions {
   configuration: ConfigurationSource
+  /** Shared with membership. Without it, the scheduler keeps a table of its own. */
+  warmth?: WarmthTable
+  /**
+   * Whether this instance holds a cold target's claim; for the scheduler's own table.
+   * The default claims every target, which is right only for a deployment of one instance.
+   */
+  holdsClaim?: (targetId: TargetId) => boolean
   policy?: RoutingPolicy
+  /** Returns a number in [0, 1). */
   random?: () => number
-}
-
-interface ServiceState {
-  queue: PQueue
-  targets: TargetView[]
+  /** Without it, no probes are sent. */
+  probing?: ProbingOptions
 }
 
 /**
  * Queues requests by service and grants each a target that has room.
  * @public
  */
-export class Scheduler {
-  private readonly configuration: ConfigurationSource
-  private readonly policy: RoutingPolicy
-  private readonly random: () => number
-  private readonly services = new Map<ServiceName, ServiceState>()
-
-  constructor ({ configuration, policy = chooseLeastInFlight, random = Math.random }: SchedulerOptions) {
-    this.configuration = configuration
-    this.policy = policy
-    this.random = random
-    configuration.onChange(() => this.rebuild())
-    this.rebuild()
+export class Scheduler implements Service {
+  readonly warmth: WarmthTable
+  private readonly options: SchedulerOptions
+  private readonly absence = new AbsenceTracker()
+  private readonly services = new Map<ServiceName, ServiceScheduler>()
+  private readonly probeBudget: ProbeBudget | undefined
+  private readonly prober: Prober | undefined
+  private withdrawals = NO_WITHDRAWALS
+
+  constructor (options: SchedulerOptions) {
+    const { configuration, probing, holdsClaim = () => true } = options
+    this.options = options
+    this.warmth = options.warmth ?? new WarmthTable({ configuration, holdsClaim })
+    if (probing !== undefined) {
+      const budget = new ProbeBudget(probing)
+      this.probeBudget = budget
+      this.prober = new Prober({
+        budget,
+        send: probing.send,
+        wishes: () => this.probeWishes(),
+        onResult: (targetId, result) => {
+          const service = this.serviceOf(targetId)
+          service?.targets.noteProbe(targetId, result)
+          service?.pump()
+        }
+      })
+    }
+    configuration.onChange(() => this.configure())
+    this.warmth.onChange(({ targetId }) => this.serviceOf(targetId)?.pump())
+    this.configure()
+  }
+
+  /** Starts to send probes, if a way to send them was given. */
+  async start (): Promise<void> {
+    this.prober?.start()
+  }
+
+  /** Stops sending probes. Requests that wait are still served. */
+  async stop (): Promise<void> {
+    this.prober?.stop()
   }
 
   /** Waits for a target. Resolves to a refusal when none can take the request in time. */
   async acquire (request: ScheduleRequest): Promise<Result<TargetGrant, Refusal>> {
-    const state = this.services.get(request.service)
-    if (state === undefined || state.targets.length === 0) return refuse('no-target')
-    return await new Promise(resolve => {
-      state.queue.add(() => new Promise<void>(_resolve => {
-        const candidates = state.targets.filter(hasRoom)
-        const target = this.policy(candidates, this.random)
-        if (target === undefined) {
-          _resolve()
-          resolve(refuse('no-target'))
-          return
-        }
-        target.inFlight += 1
-        resolve(Result.ok({ target, release: () => { target.inFlight -= 1; _resolve() } }))
-      })).catch(() => resolve(refuse('cancelled')))
-    })
+    const service = this.services.get(request.service)
+    if (service === undefined) return Result.err({ verdict: 'not-run', reason: 'no-target' })
+    return await service.acquire(request)
   }
 
-  private rebuild (): void {
-    const { services, failureDomains, targets } = this.configuration.current()
-    for (const name of Object.keys(services) as ServiceName[]) {
-      const state = this.services.get(name) ?? { queue: new PQueue({ concurrency: 1 }), targets: [] }
-      const known = new Map(state.targets.map(view => [view.targetId, view]))
-      state.targets = []
-      for (const [id, configuration] of Object.entries(targets)) {
-        if (configuration.service !== name) continue
-        const targetId = id as TargetId
-        const view = known.get(targetId) ?? { targetId, configuration, inFlight: 0, limit: 0, smoothedLatencyMs: 0, reportedLoad: 0 }
-        const isIn = configuration.state === 'in' && failureDomains[configuration.failureDomain]?.state === 'in'
-        state.targets.push(Object.assign(view, { configuration, limit: isIn ? configuration.slots : 0 }))
-      }
-      state.queue.concurrency = Math.max(1, state.targets.reduce((sum, view) => sum + view.limit, 0))
-      this.services.set(name, state)
+  /** Takes the right to send one request of a service again, if its retry budget has one left. */
+  takeRetryToken (service: ServiceName): boolean {
+    return this.services.get(service)?.retryBudget.take() ?? false
+  }
+
+  /** Sets the targets and domains that announced changes withdraw. They get no new work from this call on. */
+  setAnnouncedWithdrawals (withdrawals: AnnouncedWithdrawals): void {
+    this.withdrawals = withdrawals
+    this.configure()
+  }
+
+  /** Stops new work to a target of which another source, such as the platform's list, says that it leaves. */
+  noteDraining (targetId: TargetId): void {
+    const service = this.serviceOf(targetId)
+    service?.targets.noteDraining(targetId)
+    service?.pump()
+  }
+
+  /** Follows a change of claims at once. Without the call, waiting requests notice it within some milliseconds. */
+  noteClaimsChanged (): void {
+    for (const service of this.services.values()) service.pump()
+  }
+
+  /** Complete state of all decisions. */
+  dump (): unknown {
+    return {
+      services: Object.fromEntries([...this.services].map(([name, service]) => [name, service.dump()])),
+      warmth: this.warmth.dump(),
+      withdrawals: { failureDomains: [...this.withdrawals.failureDomains], targets: [...this.withdrawals.targets] },
+      probing: this.probeBudget?.dump()
     }
   }
-}
 
-function refuse (reason: RefusalReason): Result<TargetGrant, Refusal> {
-  return Result.err({ verdict: 'not-run', reason })
+  private configure (): void {
+    const configuration = this.options.configuration.current()
+    const { warmth, absence } = this
+    const { policy = chooseLeastInFlight, random = Math.random } = this.options
+    for (const [name, service] of this.services) {
+      if (name in configuration.services) continue
+      this.services.delete(name)
+      service.targets.configure(name, configuration, this.withdrawals)
+      service.close()
+    }
+    for (const [id, serviceConfiguration] of Object.entries(configuration.services)) {
+      const name = id as ServiceName
+      const service = this.services.get(name) ?? new ServiceScheduler(serviceConfiguration, { warmth, absence, policy, random })
+      this.services.set(name, service)
+      service.configure(serviceConfiguration)
+      service.targets.configure(name, configuration, this.withdrawals)
+      service.pump()
+    }
+    const targetIds = new Set(Object.keys(configuration.targets) as TargetId[])
+    absence.retain(targetIds)
+    this.probeBudget?.retain(targetIds)
+  }
+
+  private serviceOf (targetId: TargetId): ServiceScheduler | undefined {
+    const target = this.options.configuration.current().targets[targetId]
+    return target === undefined ? undefined : this.services.get(target.service)
+  }
+
+  private probeWishes (): ProbeWish[] {
+    const wishes: ProbeWish[] = []
+    for (const service of this.services.values()) {
+      service.targets.refresh()
+      for (const view of service.targets.views()) {
+        if (!service.targets.needsProbe(view.targetId, IDLE_BEFORE_PROBE_MS)) continue
+        const state = this.warmth.stateOf(view.targetId)
+        wishes.push({ view, targetId: view.targetId, slots: view.configuration.slots, isCold: state !== 'warm', holdsClaim: state === 'warming' })
+      }
+    }
+    return wishes
+  }
 }
--- /dev/null
+++ b/packages/routing/src/ServiceTargets.ts
@@ -0,0 +1,282 @@
+import type { Configuration, ServiceName, TargetId } from '@carobpitch/schema'
+import { AbsenceTracker } from './AbsenceTracker.js'
+import { ColdTurnDetector } from './ColdTurnDetector.js'
+import { EjectionTable } from './EjectionTable.js'
+import type { RoutingPolicy } from './RoutingPolicy.js'
+import type { AttemptOutcome } from './ScheduleRequest.js'
+import { hasRoom, type TargetView } from './TargetView.js'
+import type { WarmthTable } from './WarmthTable.js'
+import { isInService, type AnnouncedWithdrawals } from './Withdrawals.js'
+
+/** Limit of a target in trial after an ejection. */
+const TRIAL_LIMIT = 1
+
+/**
+ * What was known of a target when an attempt was sent to it.
+ * @internal
+ */
+export interface Attempt {
+  readonly view: TargetView
+  readonly epoch: string
+  readonly sentAtMs: number
+  readonly inFlightAtSend: number
+}
+
+/**
+ * Options of `ServiceTargets`.
+ * @internal
+ */
+export interface ServiceTargetsOptions {
+  warmth: WarmthTable
+  absence: AbsenceTracker
+  policy: RoutingPolicy
+  random: () => number
+}
+
+/** What one instance knows of one target beyond its view. */
+interface TargetState {
+  readonly view: TargetView
+  readonly detector: ColdTurnDetector
+  isInService: boolean
+  /** Revision at which the target was last brought in when it was seen draining; undefined if it is not draining. */
+  drainingSinceRevision: number | undefined
+  lastOutcomeAtMs: number
+}
+
+/**
+ * The targets of one service: how many requests each may take, which one takes the next, and what outcomes say of them.
+ * @internal
+ */
+export class ServiceTargets {
+  private readonly options: ServiceTargetsOptions
+  private readonly ejection = new EjectionTable()
+  private states = new Map<TargetId, TargetState>()
+  private steeredInstances = 1
+
+  constructor (options: ServiceTargetsOptions) {
+    this.options = options
+  }
+
+  /** Takes the targets of the service from the configuration. Those that are out get no new work from now on. */
+  configure (service: ServiceName, configuration: Configuration, withdrawals: AnnouncedWithdrawals): void {
+    this.steeredInstances = configuration.services[service]?.steeredInstances ?? 1
+    const states = new Map<TargetId, TargetState>()
+    for (const [id, target] of Object.entries(configuration.targets)) {
+      if (target.service !== service) continue
+      const targetId = id as TargetId
+      const state = this.states.get(targetId) ?? newState(targetId, target)
+      Object.assign(state.view, { configuration: target })
+      state.isInService = isInService(targetId, target, configuration, withdrawals)
+      if ((state.drainingSinceRevision ?? Infinity) < target.broughtInRevision) state.drainingSinceRevision = undefined
+      states.set(targetId, state)
+    }
+    for (const [id, { view }] of this.states) {
+      if (!states.has(id)) view.limit = 0
+    }
+    this.states = states
+    // Targets that are out do not count towards the share that may be ejected.
+    this.ejection.setTargets([...states.values()].filter(state => state.isInService).map(({ view }) => view.targetId))
+    this.refresh()
+  }
+
+  /** Recomputes every limit, because claims, ejections and warmth change between requests. */
+  refresh (): void {
+    for (const state of this.states.values()) state.view.limit = this.limitOf(state)
+  }
+
+  /** Requests that may be in flight now: what the targets bear, plus what is in flight at targets that bear no more. */
+  concurrency (): number {
+    let total = 0
+    for (const { view } of this.states.values()) total += Math.max(view.limit, view.inFlight)
+    return total
+  }
+
+  /** Requests that the admissible targets bear now. */
+  capacity (): number {
+    let total = 0
+    for (const { view } of this.states.values()) total += view.limit
+    return total
+  }
+
+  /** Whether any target has room. */
+  hasRoom (): boolean {
+    for (const { view } of this.states.values()) {
+      if (hasRoom(view)) return true
+    }
+    return false
+  }
+
+  /** Whether a target outside the given set has room now. */
+  hasRoomOutside (exclude: ReadonlySet<TargetId>): boolean {
+    for (const { view } of this.states.values()) {
+      if (hasRoom(view) && !exclude.has(view.targetId)) return true
+    }
+    return false
+  }
+
+  /** Whether a target outside the given set takes work, with or without room now. */
+  isAnyAdmissible (exclude: ReadonlySet<TargetId>): boolean {
+    for (const { view } of this.states.values()) {
+      if (view.limit > 0 && !exclude.has(view.targetId)) return true
+    }
+    return false
+  }
+
+  /** Chooses a target with room and counts an attempt at it. */
+  begin (exclude: ReadonlySet<TargetId>): Attempt | undefined {
+    const candidates: TargetView[] = []
+    for (const { view } of this.states.values()) {
+      if (hasRoom(view) && !exclude.has(view.targetId)) candidates.push(view)
+    }
+    const view = this.options.policy(candidates, this.options.random)
+    if (view === undefined) return undefined
+    view.inFlight += 1
+    return { view, epoch: this.options.warmth.epochOf(view.targetId), sentAtMs: performance.now(), inFlightAtSend: view.inFlight }
+  }
+
+  /** Takes the outcome of an attempt. Returns for how long it occupied the target. */
+  end (attempt: Attempt, outcome: AttemptOutcome): number {
+    const { view } = attempt
+    view.inFlight -= 1
+    const nowMs = performance.now()
+    const heldMs = nowMs - attempt.sentAtMs
+    // A response that the caller reads slowly says nothing about the target, nor does time spent in the queue.
+    const elapsedMs = Math.min(outcome.elapsedMs, heldMs)
+    if (outcome.reportedLoad !== undefined) view.reportedLoad = outcome.reportedLoad
+    const state = this.states.get(view.targetId)
+    if (state?.view !== view) return heldMs
+    state.lastOutcomeAtMs = nowMs
+    if (outcome.draining === true) this.noteDraining(view.targetId)
+    this.learn(state, attempt, { ...outcome, elapsedMs })
+    return heldMs
+  }
+
+  /** Stops new work to a target that was seen draining, until an operator brings it in or a probe finds it back. */
+  noteDraining (targetId: TargetId): void {
+    const state = this.states.get(targetId)
+    if (state === undefined) return
+    state.drainingSinceRevision = state.view.configuration.broughtInRevision
+    state.view.limit = 0
+  }
+
+  /** Takes a probe's result. A target that was draining or absent and responds again has restarted: it is cold. */
+  noteProbe (targetId: TargetId, result: { kind: 'healthy' | 'draining' | 'failed', reportedLoad?: number }): void {
+    const state = this.states.get(targetId)
+    if (state === undefined) return
+    if (result.reportedLoad !== undefined) state.view.reportedLoad = result.reportedLoad
+    switch (result.kind) {
+      case 'draining': this.noteDraining(targetId)
+        break
+      case 'failed': this.options.absence.noteConnectFailure(targetId)
+        break
+      case 'healthy': this.noteReturn(state)
+        break
+    }
+  }
+
+  /** Whether a target needs a probe: it shows no signal by traffic, or it is expected to return. */
+  needsProbe (targetId: TargetId, idleAfterMs: number): boolean {
+    const state = this.states.get(targetId)
+    if (state === undefined || !state.isInService) return false
+    if (state.drainingSinceRevision !== undefined || this.options.absence.isAbsent(targetId)) return true
+    return state.view.inFlight === 0 && performance.now() - state.lastOutcomeAtMs >= idleAfterMs
+  }
+
+  /** The views of all targets. */
+  views (): TargetView[] {
+    return [...this.states.values()].map(({ view }) => view)
+  }
+
+  /** State of every target. */
+  dump (): unknown {
+    const targets = [...this.states.values()].map(({ view, detector, isInService, drainingSinceRevision }) => [view.targetId, {
+      inFlight: view.inFlight,
+      limit: view.limit,
+      smoothedLatencyMs: view.smoothedLatencyMs,
+      reportedLoad: view.reportedLoad,
+      isInService,
+      isDraining: drainingSinceRevision !== undefined,
+      coldTurn: detector.dump()
+    }])
+    return { targets: Object.fromEntries(targets), ejection: this.ejection.dump() }
+  }
+
+  private limitOf ({ view, isInService, drainingSinceRevision }: TargetState): number {
+    if (!isInService || drainingSinceRevision !== undefined) return 0
+    const warmLimit = this.options.warmth.limitOf(view.targetId)
+    switch (this.ejection.stateOf(view.targetId)) {
+      case 'in': return warmLimit
+      case 'trial': return Math.min(TRIAL_LIMIT, warmLimit)
+      case 'ejected': return 0
+    }
+  }
+
+  private learn (state: TargetState, attempt: Attempt, outcome: AttemptOutcome): void {
+    const { targetId } = state.view
+    const { warmth, absence } = this.options
+    switch (outcome.kind) {
+      case 'cancelled': return
+      case 'connect-failed':
+        absence.noteConnectFailure(targetId)
+        this.noteFailure(state, attempt)
+        return
+      case 'failed':
+      case 'timed-out':
+        this.noteFailure(state, attempt)
+        return
+      case 'refused':
+        this.noteFailure(state, attempt)
+        this.watchForColdTurn(state, attempt, outcome)
+        return
+      case 'answered':
+        if (absence.noteResponse(targetId)) warmth.noteColdTurn(targetId, attempt.epoch)
+        warmth.noteSuccess(targetId, attempt.epoch)
+        this.ejection.noteSuccess(targetId, outcome.elapsedMs)
+        state.view.smoothedLatencyMs = this.ejection.latencyMsOf(targetId)
+        this.watchForColdTurn(state, attempt, outcome)
+    }
+  }
+
+  private noteFailure ({ view }: TargetState, { epoch }: Attempt): void {
+    this.options.warmth.noteFailure(view.targetId, epoch)
+    this.ejection.noteFailure(view.targetId)
+  }
+
+  private watchForColdTurn ({ view, detector }: TargetState, attempt: Attempt, outcome: AttemptOutcome): void {
+    const { warmth } = this.options
+    const isCurrent = warmth.epochOf(view.targetId) === attempt.epoch
+    if (!isCurrent || warmth.stateOf(view.targetId) !== 'warm') return
+    const { slots } = view.configuration
+    // Without a report, the other instances that callers are steered to are taken to send as much as this one.
+    const load = outcome.reportedLoad === undefined ? attempt.inFlightAtSend * this.steeredInstances : outcome.reportedLoad + 1
+    const hasTurned = detector.observe({
+      kind: outcome.kind === 'refused' ? 'refused' : 'answered',
+      sentAtMs: attempt.sentAtMs,
+      receivedAtMs: attempt.sentAtMs + outcome.elapsedMs,
+      load: Math.max(load, attempt.inFlightAtSend),
+      slots
+    })
+    if (!hasTurned) return
+    detector.reset()
+    warmth.noteColdTurn(view.targetId, attempt.epoch)
+  }
+
+  private noteReturn (state: TargetState): void {
+    const { targetId } = state.view
+    const wasAbsent = this.options.absence.noteResponse(targetId)
+    const wasDraining = state.drainingSinceRevision !== undefined
+    state.drainingSinceRevision = undefined
+    state.lastOutcomeAtMs = performance.now()
+    if (wasAbsent || wasDraining) this.options.warmth.noteColdTurn(targetId, this.options.warmth.epochOf(targetId))
+  }
+}
+
+function newState (targetId: TargetId, configuration: TargetView['configuration']): TargetState {
+  return {
+    view: { targetId, configuration, inFlight: 0, limit: 0, smoothedLatencyMs: 0, reportedLoad: 0 },
+    detector: new ColdTurnDetector(),
+    isInService: false,
+    drainingSinceRevision: undefined,
+    lastOutcomeAtMs: performance.now()
+  }
+}
