--- /dev/null
+++ b/packages/routing/src/ColdTurnDetector.test.ts
@@ -0,0 +1,68 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { ColdTurnDetector } from './ColdTurnDetector.js'
+import { PROPERTY_SEED } from './testFixtures.js'
+
+/** Feeds responses one after the other and returns the index of the one that made the cold turn. */
+function feed (detector: ColdTurnDetector, times: readonly number[], load = 1): number | undefined {
+  let nowMs = 0
+  for (const [index, elapsedMs] of times.entries()) {
+    const sentAtMs = nowMs
+    nowMs += elapsedMs
+    if (detector.observe({ kind: 'answered', sentAtMs, receivedAtMs: nowMs, load, slots: 3 })) return index
+  }
+  return undefined
+}
+
+function exponential (uniform: number, meanMs: number): number {
+  return -Math.log(1 - uniform) * meanMs
+}
+
+describe('ColdTurnDetector', () => {
+  let detector: ColdTurnDetector
+
+  beforeEach(() => {
+    detector = new ColdTurnDetector()
+    feed(detector, Array.from({ length: 30 }, () => 10))
+  })
+
+  it('recognises a cold turn within six requests, guarding against full load on a cold target', () => {
+    expect(feed(detector, Array.from({ length: 20 }, () => 120))).to.be.at.most(5)
+  })
+
+  it('recognises refusals below the load of the slots, guarding against a cold target that refuses quickly', () => {
+    const verdicts = [0, 1, 2, 3, 4].map(index => detector.observe({ kind: 'refused', sentAtMs: 1_000 + index * 10, receivedAtMs: 1_005 + index * 10, load: 1, slots: 3 }))
+    expect(verdicts).to.deep.equal([false, false, false, true, true])
+  })
+
+  it('takes refusals at more load than slots for load shedding, guarding against cold starts under mere overload', () => {
+    const verdicts = Array.from({ length: 20 }, (_, index) => detector.observe({ kind: 'refused', sentAtMs: 1_000 + index * 10, receivedAtMs: 1_005 + index * 10, load: 5, slots: 3 }))
+    expect(verdicts).to.not.include(true)
+  })
+
+  it('ignores up to three slow responses in a row, guarding against a cold start after one hiccup', () => {
+    for (const count of [1, 2, 3]) expect(feed(detector, [...Array.from({ length: count }, () => 500), 10])).to.equal(undefined)
+  })
+
+  it('ignores a pause that delays all requests in flight, guarding against a cold start after a garbage collection', () => {
+    const verdicts = Array.from({ length: 9 }, (_, index) => detector.observe({ kind: 'answered', sentAtMs: 1_000 + index, receivedAtMs: 1_300 + index, load: 1, slots: 3 }))
+    expect(verdicts).to.not.include(true)
+  })
+
+  it('ignores a straggler five times slower with exponential service times, guarding against stragglers taken out of service', () => {
+    const uniforms = fc.array(fc.double({ min: 0, max: 0.999_999, noNaN: true, noDefaultInfinity: true }), { minLength: 60, maxLength: 60 })
+    let turns = 0
+    const runs = 200
+    fc.assert(fc.property(uniforms, values => {
+      const straggler = new ColdTurnDetector()
+      feed(straggler, Array.from({ length: 30 }, () => 10))
+      // fast-check prefers extreme values, so the uniform values are spread evenly before use.
+      if (feed(straggler, values.map((value, index) => exponential((value + index * 0.618) % 1, 50))) !== undefined) turns += 1
+    }), { seed: PROPERTY_SEED, numRuns: runs })
+    expect(turns / runs).to.be.at.most(0.02)
+  })
+
+  it('accounts for queueing at the target, guarding against a cold start of a target that is merely loaded', () => {
+    expect(feed(detector, Array.from({ length: 20 }, () => 150), 9)).to.equal(undefined)
+  })
+})
