Add the peer transport

PeerLinks gives typed clients over kept-alive connections with one deadline for the whole exchange.

The global fetch was ruled out for the client, because its connections can neither be bounded nor counted; the transport uses node:http with an agent instead. Tests over real sockets cover the credential, the size bound, the time-out and connection reuse.

--- /dev/null
+++ b/packages/membership/src/transport/PeerServer.test.ts
@@ -0,0 +1,70 @@
+import { initTRPC } from '@trpc/server'
+import { expect } from 'chai'
+import { z } from 'zod'
+import { EventLog } from '@carobpitch/kernel'
+import { PeerLinks } from './PeerLinks.js'
+import { PeerServer } from './PeerServer.js'
+
+const TOKEN = 'peer-token-for-tests'
+const t = initTRPC.create()
+const router = t.router({
+  echo: t.procedure.input(z.string()).mutation(({ input }) => input),
+  never: t.procedure.mutation(() => new Promise<string>(() => {}))
+})
+
+describe('PeerServer', () => {
+  const server = new PeerServer({ listen: { host: '127.0.0.1', port: 0 }, token: TOKEN, log: new EventLog({ silent: true }), requestSizeMaxBytes: 10_000 })
+  const links = new PeerLinks({ token: TOKEN, timeoutMs: 5_000 })
+  let peerUrl: string
+
+  before(async () => {
+    server.mount('test', router)
+    await server.start()
+    peerUrl = `http://127.0.0.1:${server.port()}`
+  })
+
+  after(async () => {
+    await links.stop()
+    await server.stop()
+  })
+
+  it('serves a typed call over one kept-alive connection, guarding against a connection per message', async () => {
+    const client = links.client<typeof router>({ peerUrl }, 'test')
+    for (const text of ['a', 'b', 'c']) expect(await client.echo.mutate(text)).to.equal(text)
+    expect(server.dump()).to.include({ connections: 1 })
+  })
+
+  it('refuses an unknown credential, guarding against messages from outside the deployment', async () => {
+    const stranger = new PeerLinks({ token: 'another-token-for-tests' })
+    const outcome = await rejectionOf(stranger.client<typeof router>({ peerUrl }, 'test').echo.mutate('a'))
+    expect(outcome).to.be.instanceOf(Error)
+    expect((await fetch(`${peerUrl}/test/echo`, { method: 'POST', body: '"a"' })).status).to.equal(401)
+    expect(server.requestCounts.get('refused')).to.equal(2)
+    await stranger.stop()
+  })
+
+  it('refuses a request that is too large, guarding against memory exhaustion', async () => {
+    const outcome = await rejectionOf(links.client<typeof router>({ peerUrl }, 'test').echo.mutate('x'.repeat(20_000)))
+    expect(outcome).to.be.instanceOf(Error)
+    expect(await links.client<typeof router>({ peerUrl }, 'test').echo.mutate('still serving')).to.equal('still serving')
+  })
+
+  it('gives up on a peer that does not answer, guarding against calls that wait forever', async () => {
+    const outcome = await rejectionOf(links.client<typeof router>({ peerUrl }, 'test', 100).never.mutate())
+    expect(String(outcome)).to.contain('within 100 ms')
+  })
+
+  it('answers 404 for an unknown router', async () => {
+    const response = await fetch(`${peerUrl}/unknown/echo`, { method: 'POST', headers: { authorization: `Bearer ${TOKEN}` } })
+    expect(response.status).to.equal(404)
+  })
+})
+
+async function rejectionOf (promise: Promise<unknown>): Promise<unknown> {
+  try {
+    await promise
+    return undefined
+  } catch (error) {
+    return error
+  }
+}
--- /dev/null
+++ b/packages/membership/src/transport/PeerServer.ts
@@ -0,0 +1,148 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http'
+import type { AnyRouter } from '@trpc/server'
+import type { EventLog, Service } from '@carobpitch/kernel'
+import type { ListenerSettings } from '@carobpitch/schema'
+import { createBearerCheck } from './bearer.js'
+
+/** Larger than a compressed configuration of the target size and a full warmth snapshot. @internal */
+export const PEER_REQUEST_SIZE_MAX_BYTES = 2_097_152
+/** Longer than the time between two pings from the same member in a deployment of 60 members. */
+const KEEP_ALIVE_MS = 65_000
+const REQUEST_RECEIVE_TIMEOUT_MS = 5_000
+const HEADER_SIZE_MAX_BYTES = 8_192
+
+/**
+ * Options of `PeerServer`.
+ * @public
+ */
+export interface PeerServerOptions {
+  listen: ListenerSettings
+  /** Shared bearer credential of the instances. */
+  token: string
+  log: EventLog
+  requestSizeMaxBytes?: number
+}
+
+/**
+ * Peer listener: serves trpc routers to other instances, each under its own path prefix.
+ * Requests without the shared credential are refused before their body is read.
+ * @public
+ */
+export class PeerServer implements Service {
+  /** Requests by router name; `refused` counts those without the credential. */
+  readonly requestCounts = new Map<string, number>()
+  private readonly options: Required<PeerServerOptions>
+  private readonly routers = new Map<string, AnyRouter>()
+  private readonly isAuthorized: (authorization: string | undefined) => boolean
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  private closedSocketBytes = 0
+
+  constructor (options: PeerServerOptions) {
+    this.options = { requestSizeMaxBytes: PEER_REQUEST_SIZE_MAX_BYTES, ...options }
+    this.isAuthorized = createBearerCheck(options.token)
+    this.server = createServer({
+      maxHeaderSize: HEADER_SIZE_MAX_BYTES,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: REQUEST_RECEIVE_TIMEOUT_MS,
+      headersTimeout: REQUEST_RECEIVE_TIMEOUT_MS
+    }, (request, response) => { this.handle(request, response) })
+    this.server.on('connection', (socket: Socket) => this.track(socket))
+  }
+
+  /**
+   * Serves a trpc router under `/<name>`.
+   * @throws Error when the name is taken, which is a programming error.
+   */
+  mount (name: string, router: AnyRouter): void {
+    if (this.routers.has(name)) throw new Error(`peer router ${name} is already mounted`)
+    this.routers.set(name, router)
+  }
+
+  /** Starts to listen. Rejects when the address is in use. */
+  async start (): Promise<void> {
+    const { host, port } = this.options.listen
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+    this.options.log.info('peer.listening', { host, port: this.port() })
+  }
+
+  /** Closes the listener and its connections. */
+  async stop (): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve))
+    this.server.closeAllConnections()
+    await closed
+  }
+
+  /** Port that the listener is bound to. */
+  port (): number {
+    return (this.server.address() as AddressInfo).port
+  }
+
+  /** Bytes received and sent on all connections so far. */
+  transferredBytes (): number {
+    let bytes = this.closedSocketBytes
+    for (const socket of this.sockets) bytes += socket.bytesRead + socket.bytesWritten
+    return bytes
+  }
+
+  dump (): unknown {
+    return {
+      routers: [...this.routers.keys()],
+      connections: this.sockets.size,
+      requestCounts: Object.fromEntries(this.requestCounts),
+      transferredBytes: this.transferredBytes()
+    }
+  }
+
+  private track (socket: Socket): void {
+    this.sockets.add(socket)
+    socket.once('close', () => {
+      this.sockets.delete(socket)
+      this.closedSocketBytes += socket.bytesRead + socket.bytesWritten
+    })
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.sendDate = false
+    if (!this.isAuthorized(request.headers.authorization)) {
+      this.count('refused')
+      this.options.log.warn('peer.refused', { address: request.socket.remoteAddress })
+      refuse(response, 401, 'unknown credential')
+      return
+    }
+    const [name = '', path = ''] = splitPath(request.url ?? '')
+    const router = this.routers.get(name)
+    if (router === undefined) {
+      refuse(response, 404, 'unknown router')
+      return
+    }
+    this.count(name)
+    await nodeHTTPRequestHandler({
+      router,
+      path,
+      req: request,
+      res: response,
+      maxBodySize: this.options.requestSizeMaxBytes
+    })
+  }
+
+  private count (name: string): void {
+    this.requestCounts.set(name, (this.requestCounts.get(name) ?? 0) + 1)
+  }
+}
+
+function splitPath (url: string): [string, string] {
+  const path = url.split('?', 1)[0] ?? ''
+  const slash = path.indexOf('/', 1)
+  return slash < 0 ? [path.slice(1), ''] : [path.slice(1, slash), path.slice(slash + 1)]
+}
+
+function refuse (response: ServerResponse, status: number, reason: string): void {
+  response.writeHead(status, { 'content-type': 'application/json', connection: 'close' })
+  response.end(JSON.stringify({ error: reason }))
+}
--- /dev/null
+++ b/packages/membership/src/transport/peerFetch.ts
@@ -0,0 +1,77 @@
+import { request, type Agent, type IncomingMessage } from 'node:http'
+
+/**
+ * The part of a fetch response that the trpc client reads.
+ * @internal
+ */
+export interface PeerResponse {
+  ok: boolean
+  status: number
+  json(): Promise<unknown>
+}
+
+/**
+ * Options of a peer request, as the trpc client passes them.
+ * @internal
+ */
+export interface PeerRequestInit {
+  method?: string
+  headers?: unknown
+  body?: unknown
+  signal?: AbortSignal | null
+}
+
+/**
+ * Options of `createPeerFetch`.
+ * @internal
+ */
+export interface PeerFetchOptions {
+  agent: Agent
+  timeoutMs: number
+  /** Largest response that is read. */
+  responseSizeMaxBytes: number
+}
+
+/**
+ * Returns a fetch function over a keep-alive agent. It is used in place of the global `fetch`, which offers
+ * no control over the number of connections and no count of their bytes.
+ * @internal
+ */
+export function createPeerFetch ({ agent, timeoutMs, responseSizeMaxBytes }: PeerFetchOptions): (url: unknown, init?: PeerRequestInit) => Promise<PeerResponse> {
+  return (url, init = {}) => new Promise((resolve, reject) => {
+    const body = typeof init.body === 'string' ? Buffer.from(init.body) : undefined
+    const headers = { ...(init.headers as Record<string, string>), ...(body === undefined ? {} : { 'content-length': String(body.length) }) }
+    const outgoing = request(String(url), { agent, method: init.method ?? 'GET', headers, signal: init.signal ?? undefined })
+    const deadline = setTimeout(() => outgoing.destroy(new Error(`peer did not answer within ${timeoutMs} ms`)), timeoutMs)
+    const settle = (action: () => void): void => {
+      clearTimeout(deadline)
+      action()
+    }
+    outgoing.on('error', error => settle(() => reject(error)))
+    outgoing.on('response', incoming => {
+      readText(incoming, responseSizeMaxBytes).then(
+        text => settle(() => resolve(toResponse(incoming.statusCode ?? 0, text))),
+        (error: Error) => {
+          outgoing.destroy()
+          settle(() => reject(error))
+        }
+      )
+    })
+    outgoing.end(body)
+  })
+}
+
+async function readText (incoming: IncomingMessage, sizeMaxBytes: number): Promise<string> {
+  const chunks: Buffer[] = []
+  let sizeBytes = 0
+  for await (const chunk of incoming) {
+    sizeBytes += (chunk as Buffer).length
+    if (sizeBytes > sizeMaxBytes) throw new Error(`peer answered more than ${sizeMaxBytes} bytes`)
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+function toResponse (status: number, text: string): PeerResponse {
+  return { ok: status >= 200 && status < 300, status, json: async () => JSON.parse(text) as unknown }
+}
