Add failure detection and freshness

Instances need a live view for steering and claims, and a rule that stops an instance whose knowledge of the configuration may be out of date.

Membership is a SWIM failure detector: one ping per second to a member of a shuffled round, one to a store reader, indirect pings, a suspicion period and incarnations. Updates have a total order (incarnation, then alive, suspect, dead, left), so all instances reach the same view.

Freshness counts contacts from the time before the question was sent, so an answer buffered during a freeze counts as old, and does not count a peer that is ahead until its revision is adopted.

A member whose lease expired leaves the known members only when it is dead and the removing instance is in contact with a majority of the members known before. Removing it at once was ruled out: a minority that can read the store would shrink its majority to itself and could commit while the other side still serves. If more than half of the fleet is replaced under new ids within one lease, an operator has to forget the old members (forgetMember).

--- /dev/null
+++ b/packages/membership/src/detection/Membership.ts
@@ -0,0 +1,426 @@
+import type { EventLog, Service } from '@carobpitch/kernel'
+import type { InstanceId, MemberRecord, MembershipSource } from '@carobpitch/schema'
+import type { Freshness } from '../freshness/Freshness.js'
+import { shuffle, type RandomSource } from '../random.js'
+import { MemberTable } from './MemberTable.js'
+import type { MemberUpdate } from './memberUpdate.js'
+import { UPDATES_PER_PING_MAX, type IndirectPing, type MembershipSnapshot, type PingMessage } from './messages.js'
+import type { PingHandler, PingTransport } from './PingTransport.js'
+import { chooseStoreReaders } from './storeReaders.js'
+
+const TICK_MS = 200
+const PING_INTERVAL_MS = 1_000
+const INDIRECT_PINGS = 3
+/** Suspicion period per decimal order of the membership, so that a refutation has time to spread. */
+const SUSPICION_MS = 3_000
+/** A tick this late means that the process was paused or the machine is overloaded. */
+const PAUSE_MS = 1_000
+/** One round in this many goes to a dead member, so that a healed partition is noticed from both sides. */
+const DEAD_ROUND = 3
+/** A store reader that answers with older knowledge than this is passed over for another one. */
+const READER_AGE_MAX_MS = 1_500
+const READER_TRIES = 3
+const PURGE_INTERVAL_MS = 60_000
+
+/**
+ * A small value carried on each ping in both directions.
+ * @public
+ */
+export interface Piggyback {
+  /** Value to send; `undefined` sends nothing. */
+  provide(): unknown
+  /** Takes the value of another member. Must check its form. */
+  receive(from: MemberRecord, value: unknown): void
+}
+
+/**
+ * Options of `Membership`.
+ * @public
+ */
+export interface MembershipOptions {
+  self: MemberRecord
+  transport: PingTransport
+  freshness: Freshness
+  /** Revision of the adopted configuration. */
+  adoptedRevision: () => number
+  log: EventLog
+  random?: RandomSource
+}
+
+/**
+ * The members as this instance sees them: a SWIM failure detector with constant load per member,
+ * whose pings also carry the age of each member's knowledge and small values of other parts.
+ * @public
+ */
+export class Membership implements MembershipSource, PingHandler, Service {
+  private readonly options: Required<MembershipOptions>
+  private readonly table: MemberTable
+  private readonly listeners = new Set<() => void>()
+  private readonly piggybacks = new Map<string, Piggyback>()
+  private readonly contactsInFlight = new Set<InstanceId>()
+  private readonly counters = { pings: 0, failedPings: 0, indirectPings: 0, answeredPings: 0, majorityPings: 0 }
+  private round: InstanceId[] = []
+  private roundCount = 0
+  private timer: NodeJS.Timeout | undefined
+  private lastTickMs = 0
+  private nextPingMs = 0
+  private nextReaderPingMs = 0
+  private nextPurgeMs = 0
+  private readers: InstanceId[] | undefined
+  private expiredLeases = new Set<InstanceId>()
+
+  constructor (options: MembershipOptions) {
+    this.options = { random: Math.random, ...options }
+    this.table = new MemberTable(options.self)
+  }
+
+  /** Starts to ping. The first rounds are spread over one interval. */
+  async start (): Promise<void> {
+    const nowMs = performance.now()
+    this.lastTickMs = nowMs
+    this.nextPingMs = nowMs + this.options.random() * PING_INTERVAL_MS
+    this.nextReaderPingMs = nowMs + this.options.random() * PING_INTERVAL_MS
+    this.scheduleTick()
+  }
+
+  /** Stops to ping; peers can still ask until the peer listener closes. */
+  async stop (): Promise<void> {
+    clearTimeout(this.timer)
+    this.timer = undefined
+  }
+
+  /** Members believed alive, this instance included. A suspected member counts as alive until its time to refute has passed. */
+  members (): readonly MemberRecord[] {
+    return this.table.withStatus('alive', 'suspect')
+  }
+
+  /**
+   * Members that count for a majority: all that have not left by a planned stop and whose lease was not seen to expire.
+   * A member that merely does not answer still counts.
+   */
+  knownMembers (): readonly MemberRecord[] {
+    return this.table.withStatus('alive', 'suspect', 'dead')
+  }
+
+  /** This instance's own record. */
+  self (): MemberRecord {
+    return this.table.self()
+  }
+
+  /** Whether this instance is one of those that read the store. */
+  isStoreReader (): boolean {
+    return this.storeReaders().includes(this.self().instanceId)
+  }
+
+  /** Members that read the store, as this instance sees it. */
+  storeReaders (): readonly InstanceId[] {
+    this.readers ??= chooseStoreReaders(this.members().map(({ instanceId }) => instanceId))
+    return this.readers
+  }
+
+  onChange (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+
+  /** Carries a small value on each ping in both directions. */
+  addPiggyback (name: string, piggyback: Piggyback): void {
+    this.piggybacks.set(name, piggyback)
+  }
+
+  /** Tells the others that this instance is leaving, or that it has left. */
+  setOwnState (state: MemberRecord['state']): void {
+    this.table.updateSelf({ state })
+    this.changed()
+  }
+
+  /** Raises the own incarnation above one that is on record elsewhere, such as in the registry. */
+  raiseIncarnation (above: number): void {
+    if (above < this.self().incarnation) return
+    this.table.updateSelf({}, above + 1)
+  }
+
+  /** Learns members from the registry, the platform's list or a snapshot. */
+  learn (updates: readonly MemberUpdate[]): void {
+    let hasChanged = false
+    for (const update of updates) hasChanged = this.applyUpdate(update) || hasChanged
+    if (hasChanged) this.changed()
+  }
+
+  /**
+   * Notes that a member's lease in the store has expired. The member leaves the known members once it is dead and this
+   * instance is in contact with a majority: a minority that can read the store must not shrink its own majority.
+   */
+  noteLeaseExpired (instanceId: InstanceId): void {
+    if (this.table.get(instanceId) !== undefined) this.expiredLeases.add(instanceId)
+  }
+
+  /** Notes that a member has a lease after all. */
+  noteLeaseHeld (instanceId: InstanceId): void {
+    this.expiredLeases.delete(instanceId)
+  }
+
+  /** Removes a member on an operator's decision, for example after most instances were replaced at once. */
+  forgetMember (instanceId: InstanceId): boolean {
+    const entry = this.table.get(instanceId)
+    if (entry === undefined || entry.status !== 'dead') return false
+    this.markLeft(instanceId, 'operator')
+    this.changed()
+    return true
+  }
+
+  /** Tells members directly that this instance has left, as the last step of a planned stop. */
+  async announceLeft (): Promise<void> {
+    this.table.leave()
+    const own: MemberUpdate = { record: this.self(), status: 'left' }
+    const others = shuffle(this.others('alive'), this.options.random).slice(0, UPDATES_PER_PING_MAX)
+    const message = { ...this.message(), updates: [own] }
+    await Promise.all(others.map(({ peerUrl }) => this.options.transport.ping(peerUrl, message)))
+  }
+
+  handlePing (message: PingMessage): PingMessage {
+    this.counters.answeredPings += 1
+    this.absorb(message)
+    return this.message(message.from.instanceId)
+  }
+
+  async handleIndirectPing ({ instanceId, peerUrl }: IndirectPing): Promise<boolean> {
+    const answer = await this.options.transport.ping(peerUrl, this.message())
+    return answer.isOk && answer.value.from.instanceId === instanceId
+  }
+
+  snapshot (): MembershipSnapshot {
+    this.table.noteAdoptedRevision(this.options.adoptedRevision())
+    return { members: this.table.all().map(({ record, status }) => ({ record, status })) }
+  }
+
+  /** Pulls the members from a peer. Returns whether it answered. */
+  async joinThrough (peerUrl: string): Promise<boolean> {
+    const snapshot = await this.options.transport.snapshot(peerUrl)
+    if (snapshot.isErr) return false
+    this.learn(snapshot.value.members)
+    const sentAtMs = performance.now()
+    const answer = await this.options.transport.ping(peerUrl, this.message())
+    if (answer.isOk) this.accept(answer.value, sentAtMs)
+    return answer.isOk
+  }
+
+  dump (): unknown {
+    return {
+      self: this.self(),
+      members: this.table.all().map(({ record, status, statusSinceMs }) => ({ ...record, status, statusAgeMs: performance.now() - statusSinceMs })),
+      storeReaders: this.storeReaders(),
+      expiredLeases: [...this.expiredLeases],
+      piggybacks: [...this.piggybacks.keys()],
+      counters: { ...this.counters }
+    }
+  }
+
+  private scheduleTick (): void {
+    this.timer = setTimeout(() => {
+      this.tick()
+      this.scheduleTick()
+    }, TICK_MS)
+  }
+
+  private tick (): void {
+    const nowMs = performance.now()
+    if (nowMs - this.lastTickMs > PAUSE_MS) this.resumeAfterPause(nowMs)
+    this.lastTickMs = nowMs
+    const dead = this.table.expireSuspicions(nowMs, this.suspicionMs())
+    for (const instanceId of dead) this.options.log.warn('member.dead', { member: instanceId })
+    if (dead.length > 0) this.changed()
+    this.removeExpired()
+    this.pingMajority()
+    if (nowMs >= this.nextPingMs) {
+      this.nextPingMs = nowMs + PING_INTERVAL_MS
+      this.pingNext()
+    }
+    if (nowMs >= this.nextReaderPingMs) {
+      this.nextReaderPingMs = nowMs + PING_INTERVAL_MS
+      this.pingStoreReader()
+    }
+    if (nowMs >= this.nextPurgeMs) {
+      this.nextPurgeMs = nowMs + PURGE_INTERVAL_MS
+      this.table.purge(nowMs)
+    }
+  }
+
+  /** After a pause the others have had no chance to refute a suspicion, and this instance may itself be taken for dead. */
+  private resumeAfterPause (nowMs: number): void {
+    this.options.log.warn('membership.resumed', { pausedMs: Math.round(nowMs - this.lastTickMs) })
+    this.table.restartSuspicions(nowMs)
+    this.table.updateSelf({})
+    this.nextPingMs = nowMs
+    this.nextReaderPingMs = nowMs
+  }
+
+  private suspicionMs (): number {
+    return SUSPICION_MS * Math.max(1, Math.log10(this.table.all().length))
+  }
+
+  private pingNext (): void {
+    const next = this.nextInRound()
+    if (next !== undefined) this.probe(next)
+  }
+
+  /** Visits every member once per round in random order, which bounds the time until a failure is noticed. */
+  private nextInRound (): MemberRecord | undefined {
+    this.roundCount += 1
+    const dead = this.others('dead')
+    if (dead.length > 0 && (this.roundCount % DEAD_ROUND === 0 || this.others('alive', 'suspect').length === 0)) {
+      return dead[Math.floor(this.options.random() * dead.length)]
+    }
+    for (let tries = 0; tries < 2; tries += 1) {
+      for (let id = this.round.pop(); id !== undefined; id = this.round.pop()) {
+        const entry = this.table.get(id)
+        if (entry?.status === 'alive' || entry?.status === 'suspect') return entry.record
+      }
+      this.round = shuffle(this.others('alive', 'suspect').map(({ instanceId }) => instanceId), this.options.random)
+    }
+    return undefined
+  }
+
+  private async probe (member: MemberRecord): Promise<void> {
+    const isDead = this.table.get(member.instanceId)?.status === 'dead'
+    if (await this.ping(member) || isDead) return
+    const helpers = shuffle(this.others('alive').filter(({ instanceId }) => instanceId !== member.instanceId), this.options.random).slice(0, INDIRECT_PINGS)
+    this.counters.indirectPings += helpers.length
+    const request = { instanceId: member.instanceId, peerUrl: member.peerUrl }
+    const answers = await Promise.all(helpers.map(({ peerUrl }) => this.options.transport.indirectPing(peerUrl, request)))
+    if (answers.some(answer => answer.isOk && answer.value)) return
+    this.suspect(member.instanceId)
+  }
+
+  private suspect (instanceId: InstanceId): void {
+    const entry = this.table.get(instanceId)
+    if (entry === undefined || entry.status !== 'alive' || this.timer === undefined) return
+    this.table.apply({ record: entry.record, status: 'suspect' })
+    this.options.log.warn('member.suspected', { member: instanceId, incarnation: entry.record.incarnation })
+  }
+
+  /** Asks a store reader for the age of its knowledge, and another one when the first does not help. */
+  private async pingStoreReader (): Promise<void> {
+    const ownId = this.self().instanceId
+    if (this.isStoreReader() && this.options.freshness.ageMs() < READER_AGE_MAX_MS) return
+    const readers = shuffle(this.storeReaders().filter(id => id !== ownId), this.options.random).slice(0, READER_TRIES)
+    for (const id of readers) {
+      const entry = this.table.get(id)
+      if (entry !== undefined) await this.ping(entry.record)
+      if (this.options.freshness.ageMs() < READER_AGE_MAX_MS) return
+    }
+  }
+
+  /** Keeps contact with a majority while knowledge from the store is old, or while a known member may have to be removed. */
+  private pingMajority (): void {
+    const { freshness } = this.options
+    if (!freshness.wantsMajority() && !this.hasRemovable()) return
+    const candidates = shuffle(this.others('alive', 'suspect'), this.options.random).map(({ instanceId }) => instanceId)
+    for (const id of freshness.chooseContacts(candidates, this.contactsInFlight)) {
+      const record = this.table.get(id)?.record
+      if (record === undefined) continue
+      this.counters.majorityPings += 1
+      this.contactsInFlight.add(id)
+      this.ping(record).finally(() => this.contactsInFlight.delete(id))
+    }
+  }
+
+  private async ping (member: MemberRecord): Promise<boolean> {
+    this.counters.pings += 1
+    const about = this.table.get(member.instanceId)?.status === 'alive' ? undefined : member.instanceId
+    const sentAtMs = performance.now()
+    const answer = await this.options.transport.ping(member.peerUrl, this.message(about))
+    if (answer.isErr || answer.value.from.instanceId !== member.instanceId) {
+      this.counters.failedPings += 1
+      return false
+    }
+    this.accept(answer.value, sentAtMs)
+    return true
+  }
+
+  private accept (answer: PingMessage, sentAtMs: number): void {
+    this.absorb(answer)
+    const { from, ageMs } = answer
+    this.options.freshness.noteContact({ from: from.instanceId, sentAtMs, ageMs, adoptedRevision: from.adoptedRevision })
+  }
+
+  private absorb ({ from, updates, piggyback }: PingMessage): void {
+    // The updates come last, because the sender may report that it has left.
+    this.learn([{ record: from, status: 'alive' }, ...updates])
+    for (const [name, value] of Object.entries(piggyback)) this.piggybacks.get(name)?.receive(from, value)
+  }
+
+  /** Builds a message; `about` names a member that must learn how it is seen, so that it can refute. */
+  private message (about?: InstanceId): PingMessage {
+    this.table.noteAdoptedRevision(this.options.adoptedRevision())
+    const piggyback: Record<string, unknown> = {}
+    for (const [name, { provide }] of this.piggybacks) {
+      const value = provide()
+      if (value !== undefined) piggyback[name] = value
+    }
+    const ageMs = this.options.freshness.ageMs()
+    return {
+      from: this.self(),
+      updates: this.updatesFor(about),
+      ...(Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {}),
+      piggyback
+    }
+  }
+
+  private updatesFor (about: InstanceId | undefined): MemberUpdate[] {
+    const doubted = about === undefined ? undefined : this.table.get(about)
+    if (doubted === undefined || doubted.status === 'alive') return this.table.takeUpdates(UPDATES_PER_PING_MAX)
+    const { record, status } = doubted
+    const others = this.table.takeUpdates(UPDATES_PER_PING_MAX - 1).filter(update => update.record.instanceId !== about)
+    return [{ record, status }, ...others]
+  }
+
+  private applyUpdate (update: MemberUpdate): boolean {
+    const { record, status } = update
+    const before = this.table.get(record.instanceId)?.status
+    const outcome = this.table.apply(update)
+    if (outcome === 'ignored') return false
+    if (outcome === 'refuted') {
+      this.options.log.warn('membership.refuted', { status, incarnation: this.self().incarnation })
+      return true
+    }
+    if (before !== status) this.options.log.info(`member.${status === 'suspect' ? 'suspected' : status}`, { member: record.instanceId, incarnation: record.incarnation })
+    if (status === 'left') this.options.freshness.forget(record.instanceId)
+    return true
+  }
+
+  private removableMembers (): InstanceId[] {
+    return [...this.expiredLeases].filter(id => this.table.get(id)?.status === 'dead')
+  }
+
+  private hasRemovable (): boolean {
+    return this.expiredLeases.size > 0 && this.removableMembers().length > 0
+  }
+
+  private removeExpired (): void {
+    if (this.expiredLeases.size === 0) return
+    const removable = this.removableMembers()
+    if (removable.length === 0 || !this.options.freshness.hasMajority()) return
+    for (const id of removable) this.markLeft(id, 'lease-expired')
+    this.changed()
+  }
+
+  private markLeft (instanceId: InstanceId, reason: string): void {
+    const entry = this.table.get(instanceId)
+    if (entry === undefined) return
+    this.table.apply({ record: entry.record, status: 'left' })
+    this.expiredLeases.delete(instanceId)
+    this.options.freshness.forget(instanceId)
+    this.options.log.info('member.left', { member: instanceId, reason })
+  }
+
+  private others (...statuses: Array<MemberUpdate['status']>): MemberRecord[] {
+    const ownId = this.self().instanceId
+    return this.table.withStatus(...statuses).filter(({ instanceId }) => instanceId !== ownId)
+  }
+
+  private changed (): void {
+    this.readers = undefined
+    for (const listener of this.listeners) listener()
+  }
+}
--- /dev/null
+++ b/packages/membership/src/detection/PingTransport.ts
@@ -0,0 +1,31 @@
+import type { Result } from 'true-myth'
+import type { IndirectPing, MembershipSnapshot, PingMessage } from './messages.js'
+
+/**
+ * A failed exchange with a peer.
+ * @public
+ */
+export interface PeerFailure {
+  reason: string
+}
+
+/**
+ * How the failure detector reaches other members. The daemon uses trpc; tests use an in-memory network.
+ * @public
+ */
+export interface PingTransport {
+  ping(peerUrl: string, message: PingMessage): Promise<Result<PingMessage, PeerFailure>>
+  /** Asks a member to ping another one; the value says whether that one answered. */
+  indirectPing(peerUrl: string, request: IndirectPing): Promise<Result<boolean, PeerFailure>>
+  snapshot(peerUrl: string): Promise<Result<MembershipSnapshot, PeerFailure>>
+}
+
+/**
+ * What a member answers to the messages of the failure detector.
+ * @public
+ */
+export interface PingHandler {
+  handlePing(message: PingMessage): PingMessage
+  handleIndirectPing(request: IndirectPing): Promise<boolean>
+  snapshot(): MembershipSnapshot
+}
--- /dev/null
+++ b/packages/membership/src/detection/membershipRouter.ts
@@ -0,0 +1,52 @@
+import { initTRPC } from '@trpc/server'
+import { Result } from 'true-myth'
+import type { PeerLinks } from '../transport/PeerLinks.js'
+import { indirectPingSchema, membershipSnapshotSchema, pingMessageSchema } from './messages.js'
+import type { PeerFailure, PingHandler, PingTransport } from './PingTransport.js'
+
+/** Name under which the router is mounted. @public */
+export const MEMBERSHIP_ROUTER = 'membership'
+/** Shorter than the ping interval, so that a failed ping and its indirect pings fit between two rounds. */
+const PING_TIMEOUT_MS = 400
+const INDIRECT_PING_TIMEOUT_MS = 900
+const SNAPSHOT_TIMEOUT_MS = 2_000
+
+const t = initTRPC.create()
+
+/** Builds the trpc router of the failure detector. @public */
+
+/**
+ *
+ */
+export function createMembershipRouter (handler: PingHandler) {
+  return t.router({
+    ping: t.procedure.input(pingMessageSchema).mutation(({ input }) => handler.handlePing(input)),
+    indirectPing: t.procedure.input(indirectPingSchema).mutation(({ input }) => handler.handleIndirectPing(input)),
+    snapshot: t.procedure.query(() => handler.snapshot())
+  })
+}
+
+/** Type of the failure detector's router. @public */
+export type MembershipRouter = ReturnType<typeof createMembershipRouter>
+
+/** Reaches other members through trpc. Answers are validated, because a peer may run another version. @public */
+export function createTrpcPingTransport (links: PeerLinks): PingTransport {
+  const client = (peerUrl: string, timeoutMs: number) => links.client<MembershipRouter>({ peerUrl }, MEMBERSHIP_ROUTER, timeoutMs)
+  return {
+    ping: (peerUrl, message) => settle(async () =>
+      pingMessageSchema.parse(await client(peerUrl, PING_TIMEOUT_MS).ping.mutate(message))),
+    indirectPing: (peerUrl, request) => settle(async () =>
+      Boolean(await client(peerUrl, INDIRECT_PING_TIMEOUT_MS).indirectPing.mutate(request))),
+    snapshot: peerUrl => settle(async () =>
+      membershipSnapshotSchema.parse(await client(peerUrl, SNAPSHOT_TIMEOUT_MS).snapshot.query()))
+  }
+}
+
+/** Turns a rejected exchange into a value. @internal */
+export async function settle<Value> (exchange: () => Promise<Value>): Promise<Result<Value, PeerFailure>> {
+  try {
+    return Result.ok(await exchange())
+  } catch (error) {
+    return Result.err({ reason: (error as Error).message })
+  }
+}
--- /dev/null
+++ b/packages/membership/src/detection/storeReaders.ts
@@ -0,0 +1,19 @@
+import type { InstanceId } from '@carobpitch/schema'
+import { rankByRendezvous } from '../rendezvous.js'
+
+const READERS_MIN = 3
+const READER_KEY = 'store-reader'
+
+/** Number of members that read the store. Grows with the square root of the membership. @public */
+export function storeReaderCount (memberCount: number): number {
+  return Math.min(memberCount, Math.max(READERS_MIN, Math.ceil(Math.sqrt(memberCount))))
+}
+
+/**
+ * Chooses the members that read the store. The same for every instance with the same view;
+ * a member that joins or leaves changes at most one reader beyond itself.
+ * @public
+ */
+export function chooseStoreReaders (members: readonly InstanceId[]): InstanceId[] {
+  return rankByRendezvous(READER_KEY, members).slice(0, storeReaderCount(members.length))
+}
--- /dev/null
+++ b/packages/membership/src/testing/FakeNetwork.ts
@@ -0,0 +1,79 @@
+import { Result } from 'true-myth'
+import type { PeerFailure, PingHandler, PingTransport } from '../detection/PingTransport.js'
+
+/**
+ * In-memory network between members for tests on a paused clock. Delivers after a delay, drops between groups
+ * and holds messages of frozen members until they resume.
+ * @internal
+ */
+export class FakeNetwork {
+  readonly delayMs: number
+  readonly timeoutMs: number
+  messages = 0
+  private readonly handlers = new Map<string, PingHandler>()
+  private readonly groups = new Map<string, number>()
+  private readonly frozen = new Set<string>()
+
+  constructor ({ delayMs = 2, timeoutMs = 400 } = {}) {
+    this.delayMs = delayMs
+    this.timeoutMs = timeoutMs
+  }
+
+  /** Connects a member. */
+  attach (peerUrl: string, handler: PingHandler): void {
+    this.handlers.set(peerUrl, handler)
+  }
+
+  /** Removes a member as a crash does. */
+  detach (peerUrl: string): void {
+    this.handlers.delete(peerUrl)
+  }
+
+  /** Drops all messages between members of different groups. */
+  partition (...groups: string[][]): void {
+    this.groups.clear()
+    groups.forEach((urls, index) => urls.forEach(url => this.groups.set(url, index)))
+  }
+
+  /** Makes a member silent without closing its connections. */
+  freeze (peerUrl: string): void {
+    this.frozen.add(peerUrl)
+  }
+
+  resume (peerUrl: string): void {
+    this.frozen.delete(peerUrl)
+  }
+
+  /** The transport of one member. */
+  transportOf (ownUrl: string): PingTransport {
+    return {
+      ping: (url, message) => this.deliver(ownUrl, url, async handler => structuredClone(handler.handlePing(structuredClone(message)))),
+      indirectPing: (url, request) => this.deliver(ownUrl, url, handler => handler.handleIndirectPing(request), this.timeoutMs * 2),
+      snapshot: url => this.deliver(ownUrl, url, async handler => structuredClone(handler.snapshot()))
+    }
+  }
+
+  private isReachable (from: string, to: string): boolean {
+    if (this.frozen.has(to) || this.frozen.has(from)) return false
+    return this.handlers.has(to) && this.groups.get(from) === this.groups.get(to)
+  }
+
+  private async deliver<Answer> (from: string, to: string, handle: (handler: PingHandler) => Promise<Answer>, timeoutMs = this.timeoutMs): Promise<Result<Answer, PeerFailure>> {
+    this.messages += 1
+    const expired = sleep(timeoutMs).then((): Result<Answer, PeerFailure> => Result.err({ reason: 'timeout' }))
+    return Promise.race([expired, this.exchange(from, to, handle)])
+  }
+
+  private async exchange<Answer> (from: string, to: string, handle: (handler: PingHandler) => Promise<Answer>): Promise<Result<Answer, PeerFailure>> {
+    await sleep(this.delayMs)
+    if (!this.isReachable(from, to)) return new Promise(() => {})
+    const answer = await handle(this.handlers.get(to) as PingHandler)
+    await sleep(this.delayMs)
+    if (!this.isReachable(from, to)) return new Promise(() => {})
+    return Result.ok(answer)
+  }
+}
+
+function sleep (delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs))
+}
