Harden the store adapter and extend the stand-in store

Watches now use their own pools, report their end exactly once and end when idle for 60 s. onOpen tells when a read misses no later change. A 4xx status is a rejection without effect. Failed calls are counted.

The stand-in store rejects writes under unknown leases as etcd does, answers bad requests with 400 instead of an unhandled rejection, and offers late effects, lost answers by path, mute and cancelled watches, malformed answers and deletions in stale reads.

--- a/packages/store/src/EtcdStore.ts
+++ b/packages/store/src/EtcdStore.ts
@@ -1,13 +1,18 @@
 import { Result } from 'true-myth'
-import { Pool } from 'undici'
+import { Agent, Pool } from 'undici'
 import type { z } from 'zod'
 import {
-  decodeText, encodeText, etcdKeepAliveSchema, etcdKeyValueSchema, etcdLeaseSchema, etcdRangeSchema, etcdTxnSchema,
-  etcdWatchSchema, prefixRangeEnd
+  encodeText, etcdEmptySchema, etcdKeepAliveSchema, etcdLeaseSchema, etcdRangeSchema, etcdTxnSchema, prefixRangeEnd
 } from './etcdMessages.js'
 import type {
   KeyValueStore, Lease, StoredValue, StoreFailure, SwapOptions, SwapOutcome, Watch, WatchListener
 } from './KeyValueStore.js'
+import { toStoredValue, WatchStream } from './WatchStream.js'
+
+const CONNECTIONS_MAX = 4
+/** A watch without any message for this long is opened again, because a connection can break without notice. */
+const WATCH_IDLE_TIMEOUT_MS = 60_000
+const STATUS_NOT_FOUND = 404
 
 /**
  * Options of `EtcdStore`.
@@ -17,6 +22,24 @@
   /** Base URLs of the service; a failed call moves on to the next one for later calls. */
   urls: string[]
   requestTimeoutMs?: number
+  watchIdleTimeoutMs?: number
+}
+
+/**
+ * Calls made so far by kind, for the store's call budget. Each opened watch counts as one call.
+ * @public
+ */
+export interface StoreCallCounts {
+  read: number
+  write: number
+  lease: number
+  watch: number
+  /** Calls of any kind that failed. */
+  failed: number
+}
+
+interface CallFailure extends StoreFailure {
+  statusCode?: number
 }
 
 /**
@@ -24,15 +47,22 @@
  * @public
  */
 export class EtcdStore implements KeyValueStore {
+  readonly callCounts: StoreCallCounts = { read: 0, write: 0, lease: 0, watch: 0, failed: 0 }
   private readonly pools: Pool[]
+  private readonly watchPools: Pool[]
   private readonly requestTimeoutMs: number
+  private readonly watchIdleTimeoutMs: number
+  private readonly watches = new Set<WatchStream>()
   private poolIndex = 0
-  /** Calls made so far by kind, for the store's call budget. */
-  readonly callCounts = { read: 0, write: 0, lease: 0, watch: 0 }
+  private lastFailure: string | undefined
 
-  constructor ({ urls, requestTimeoutMs = 1_000 }: EtcdStoreOptions) {
-    this.pools = urls.map(url => new Pool(url, { connections: 4, connect: { timeout: requestTimeoutMs } }))
+  constructor ({ urls, requestTimeoutMs = 1_000, watchIdleTimeoutMs = WATCH_IDLE_TIMEOUT_MS }: EtcdStoreOptions) {
+    const connect: Agent.Options['connect'] = { timeout: requestTimeoutMs }
+    this.pools = urls.map(url => new Pool(url, { connections: CONNECTIONS_MAX, connect }))
+    // A watch occupies its connection, so that watches in the pool of calls would block the calls.
+    this.watchPools = urls.map(url => new Pool(url, { connections: null, connect }))
     this.requestTimeoutMs = requestTimeoutMs
+    this.watchIdleTimeoutMs = watchIdleTimeoutMs
   }
 
   async get (key: string): Promise<Result<StoredValue | undefined, StoreFailure>> {
@@ -79,29 +109,64 @@
 
   async revokeLease (leaseId: string): Promise<Result<void, StoreFailure>> {
     this.callCounts.lease += 1
-    const answer = await this.call('/v3/lease/revoke', { ID: leaseId }, etcdRangeSchema)
-    return answer.map(() => undefined)
+    const answer = await this.call('/v3/lease/revoke', { ID: leaseId }, etcdEmptySchema)
+    const hasAlreadyEnded = answer.isErr && answer.error.statusCode === STATUS_NOT_FOUND
+    return hasAlreadyEnded ? Result.ok(undefined) : answer.map(() => undefined)
   }
 
   watch (prefix: string, listener: WatchListener): Watch {
     this.callCounts.watch += 1
-    const controller = new AbortController()
-    this.readWatch(prefix, listener, controller.signal)
-    return { close: () => controller.abort() }
+    const index = this.poolIndex
+    const stream: WatchStream = new WatchStream({
+      prefix,
+      listener: {
+        onOpen: () => listener.onOpen?.(),
+        onEvent: event => listener.onEvent(event),
+        onEnd: reason => {
+          // A watch that this process closed is no longer in the set and says nothing about the endpoint.
+          if (this.watches.delete(stream)) this.moveOnFrom(index)
+          listener.onEnd(reason)
+        }
+      },
+      openTimeoutMs: this.requestTimeoutMs,
+      idleTimeoutMs: this.watchIdleTimeoutMs
+    })
+    this.watches.add(stream)
+    stream.run(this.watchPools[index] as Pool)
+    return {
+      close: () => {
+        this.watches.delete(stream)
+        stream.close()
+      }
+    }
   }
 
-  /** Closes all connections. */
+  /** Closes all connections. Calls in flight fail and watches end. */
   async close (): Promise<void> {
-    await Promise.all(this.pools.map(pool => pool.destroy()))
+    const streams = [...this.watches]
+    this.watches.clear()
+    for (const stream of streams) stream.close()
+    await Promise.all([...this.pools, ...this.watchPools].map(pool => pool.destroy()))
   }
 
-  private pool (): Pool {
-    return this.pools[this.poolIndex % this.pools.length] as Pool
+  dump (): unknown {
+    return { callCounts: { ...this.callCounts }, openWatches: this.watches.size, endpointIndex: this.poolIndex, lastFailure: this.lastFailure }
   }
 
-  private async call<Schema extends z.ZodType> (path: string, body: unknown, schema: Schema): Promise<Result<z.infer<Schema>, StoreFailure>> {
+  private async call<Schema extends z.ZodType> (path: string, body: unknown, schema: Schema): Promise<Result<z.infer<Schema>, CallFailure>> {
+    const index = this.poolIndex
+    const answer = await this.exchange(this.pools[index] as Pool, path, body, schema)
+    if (answer.isErr) {
+      this.callCounts.failed += 1
+      this.lastFailure = `${path}: ${answer.error.reason}`
+      if (answer.error.effect === 'unknown' || answer.error.statusCode === undefined) this.moveOnFrom(index)
+    }
+    return answer
+  }
+
+  private async exchange<Schema extends z.ZodType> (pool: Pool, path: string, body: unknown, schema: Schema): Promise<Result<z.infer<Schema>, CallFailure>> {
     try {
-      const { statusCode, body: answer } = await this.pool().request({
+      const { statusCode, body: answer } = await pool.request({
         method: 'POST',
         path,
         headers: { 'content-type': 'application/json' },
@@ -110,60 +175,35 @@
       })
       const text = await answer.text()
       if (statusCode !== 200) {
-        this.poolIndex += 1
-        return Result.err({ effect: 'unknown', reason: `store answered status ${statusCode}` })
+        return Result.err({ effect: isRejection(statusCode) ? 'none' : 'unknown', reason: `store answered status ${statusCode}`, statusCode })
       }
-      return Result.ok(schema.parse(JSON.parse(text)))
+      const parsed = schema.safeParse(JSON.parse(text))
+      if (parsed.success) return Result.ok(parsed.data)
+      const paths = parsed.error.issues.map(issue => issue.path.join('.')).join(', ')
+      return Result.err({ effect: 'unknown', reason: `store answered in an unknown form at: ${paths}` })
     } catch (error) {
-      this.poolIndex += 1
       return Result.err({ effect: effectOf(error), reason: (error as Error).message })
     }
   }
 
-  private async readWatch (prefix: string, listener: WatchListener, signal: AbortSignal): Promise<void> {
-    try {
-      const { statusCode, body } = await this.pool().request({
-        method: 'POST',
-        path: '/v3/watch',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ create_request: { key: encodeText(prefix), range_end: prefixRangeEnd(prefix) } }),
-        bodyTimeout: 0,
-        signal
-      })
-      if (statusCode !== 200) throw new Error(`store answered status ${statusCode}`)
-      let pending = ''
-      for await (const chunk of body.setEncoding('utf8')) {
-        const lines = (pending + String(chunk)).split('\n')
-        pending = lines.pop() ?? ''
-        for (const line of lines) emitWatchLine(line, listener)
-      }
-      listener.onEnd('watch stream ended')
-    } catch (error) {
-      listener.onEnd((error as Error).message)
-    }
+  /** Moves on to the next endpoint, once for all calls that failed together. */
+  private moveOnFrom (index: number): void {
+    if (this.poolIndex === index) this.poolIndex = (index + 1) % this.pools.length
   }
 }
 
-/** Only a connection that never opened proves that the store did not see the request. */
-function effectOf (error: unknown): StoreFailure['effect'] {
-  const code = (error as { code?: string }).code
-  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' ? 'none' : 'unknown'
+/** The store rejects a request that it understood with 4xx, for example a write under a lease that has ended. */
+function isRejection (statusCode: number): boolean {
+  return statusCode >= 400 && statusCode < 500 && statusCode !== 408 && statusCode !== 499
 }
 
-function toStoredValue (pair: z.infer<typeof etcdKeyValueSchema>): StoredValue {
-  return { key: decodeText(pair.key), value: decodeText(pair.value), modRevision: Number(pair.mod_revision) }
-}
+const NEVER_SENT_CODES: ReadonlySet<string | undefined> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
-function toLease (lease: z.infer<typeof etcdLeaseSchema>): Lease {
-  return { leaseId: lease.ID, ttlMs: Number(lease.TTL) * 1_000 }
+/** Only a connection that never opened proves that the store did not see the request. */
+function effectOf (error: unknown): StoreFailure['effect'] {
+  return NEVER_SENT_CODES.has((error as { code?: string }).code) ? 'none' : 'unknown'
 }
 
-function emitWatchLine (line: string, listener: WatchListener): void {
-  if (line.trim() === '') return
-  const { result } = etcdWatchSchema.parse(JSON.parse(line))
-  for (const { type, kv } of result.events) {
-    const value = toStoredValue(kv)
-    if (type === 'PUT') listener.onEvent({ kind: 'put', value })
-    else listener.onEvent({ kind: 'delete', key: value.key, modRevision: value.modRevision })
-  }
+function toLease (lease: z.infer<typeof etcdLeaseSchema>): Lease {
+  return { leaseId: lease.ID, ttlMs: Math.max(0, Number(lease.TTL)) * 1_000 }
 }
--- a/packages/store/src/KeyValueStore.ts
+++ b/packages/store/src/KeyValueStore.ts
@@ -66,8 +66,10 @@
  * @public
  */
 export interface WatchListener {
+  /** The store has confirmed the watch: a read that starts now misses no later change. */
+  onOpen?(): void
   onEvent(event: WatchEvent): void
-  /** The watch has ended, by a failure or by `close`. */
+  /** The watch has ended, by a failure, by the idle limit or by `close`. Called exactly once. */
   onEnd(reason: string): void
 }
 
@@ -94,7 +96,7 @@
   grantLease(ttlMs: number): Promise<Result<Lease, StoreFailure>>
   /** Extends a lease. A time to live of 0 means that it has expired. */
   renewLease(leaseId: string): Promise<Result<Lease, StoreFailure>>
-  /** Ends a lease and deletes its keys. */
+  /** Ends a lease and deletes its keys. Succeeds when the lease has already ended. */
   revokeLease(leaseId: string): Promise<Result<void, StoreFailure>>
   /** Watches all keys with a prefix. */
   watch(prefix: string, listener: WatchListener): Watch
--- /dev/null
+++ b/packages/store/src/WatchStream.ts
@@ -0,0 +1,98 @@
+import type { Dispatcher } from 'undici'
+import { decodeText, encodeText, etcdWatchSchema, prefixRangeEnd, type EtcdKeyValue } from './etcdMessages.js'
+import type { StoredValue, WatchListener } from './KeyValueStore.js'
+
+/** Larger than any event, since a value holds at most 1 MB before base64. */
+const LINE_SIZE_MAX_CHARACTERS = 4_194_304
+
+/**
+ * Options of `WatchStream`.
+ * @internal
+ */
+export interface WatchStreamOptions {
+  prefix: string
+  listener: WatchListener
+  /** Time for the store to begin its answer. */
+  openTimeoutMs: number
+  /** Time without any message after which the stream is taken for broken. */
+  idleTimeoutMs: number
+}
+
+/**
+ * Reads one watch stream of the etcd v3 JSON gateway. Ends when the stream ends, fails, stays idle or is cancelled
+ * by the store, and reports the end exactly once.
+ * @internal
+ */
+export class WatchStream {
+  private readonly options: WatchStreamOptions
+  private readonly controller = new AbortController()
+  private hasEnded = false
+
+  constructor (options: WatchStreamOptions) {
+    this.options = options
+  }
+
+  /** Opens the stream and reads it until it ends. */
+  async run (dispatcher: Dispatcher): Promise<void> {
+    try {
+      await this.read(dispatcher)
+      this.end('watch stream ended')
+    } catch (error) {
+      this.end((error as Error).message)
+    }
+  }
+
+  /** Ends the stream. */
+  close (): void {
+    this.controller.abort()
+    this.end('closed')
+  }
+
+  private async read (dispatcher: Dispatcher): Promise<void> {
+    const { prefix, openTimeoutMs, idleTimeoutMs } = this.options
+    const { statusCode, body } = await dispatcher.request({
+      method: 'POST',
+      path: '/v3/watch',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ create_request: { key: encodeText(prefix), range_end: prefixRangeEnd(prefix) } }),
+      headersTimeout: openTimeoutMs,
+      bodyTimeout: idleTimeoutMs,
+      signal: this.controller.signal
+    })
+    try {
+      if (statusCode !== 200) throw new Error(`store answered status ${statusCode}`)
+      let pending = ''
+      for await (const chunk of body.setEncoding('utf8')) {
+        const lines = (pending + String(chunk)).split('\n')
+        pending = lines.pop() ?? ''
+        if (pending.length > LINE_SIZE_MAX_CHARACTERS) throw new Error('watch message is too large')
+        for (const line of lines) this.emit(line)
+      }
+    } finally {
+      body.destroy()
+    }
+  }
+
+  private emit (line: string): void {
+    if (line.trim() === '' || this.hasEnded) return
+    const { result } = etcdWatchSchema.parse(JSON.parse(line))
+    if (result.canceled) throw new Error(`store cancelled the watch: ${result.cancel_reason}`)
+    if (result.created) this.options.listener.onOpen?.()
+    for (const { type, kv } of result.events) {
+      const value = toStoredValue(kv)
+      if (type === 'PUT') this.options.listener.onEvent({ kind: 'put', value })
+      else this.options.listener.onEvent({ kind: 'delete', key: value.key, modRevision: value.modRevision })
+    }
+  }
+
+  private end (reason: string): void {
+    if (this.hasEnded) return
+    this.hasEnded = true
+    this.options.listener.onEnd(reason)
+  }
+}
+
+/** Converts a key-value pair of the gateway. @internal */
+export function toStoredValue (pair: EtcdKeyValue): StoredValue {
+  return { key: decodeText(pair.key), value: decodeText(pair.value), modRevision: Number(pair.mod_revision) }
+}
--- a/packages/store/src/etcdMessages.ts
+++ b/packages/store/src/etcdMessages.ts
@@ -1,28 +1,36 @@
 /** Messages of the etcd v3 JSON gateway. Keys and values are base64, 64-bit integers are decimal strings. */
 import { z } from 'zod'
 
+const integerSchema = z.string().regex(/^-?\d+$/, 'must be a decimal integer')
+
 /** A key-value pair in an answer. @internal */
 export const etcdKeyValueSchema = z.object({
   key: z.string(),
   value: z.string().default(''),
-  mod_revision: z.string().default('0')
+  mod_revision: integerSchema.default('0')
 })
+/** A key-value pair in an answer. @internal */
+export type EtcdKeyValue = z.infer<typeof etcdKeyValueSchema>
 /** Answer to a range request. @internal */
 export const etcdRangeSchema = z.object({ kvs: z.array(etcdKeyValueSchema).default([]) })
+/** Answer of which no field is used. @internal */
+export const etcdEmptySchema = z.object({})
 /** Answer to a transaction. @internal */
 export const etcdTxnSchema = z.object({
-  header: z.object({ revision: z.string() }),
+  header: z.object({ revision: integerSchema }),
   succeeded: z.boolean().default(false),
   responses: z.array(z.object({ response_range: etcdRangeSchema.optional() })).default([])
 })
 /** Answer to a lease grant. @internal */
-export const etcdLeaseSchema = z.object({ ID: z.string(), TTL: z.string().default('0') })
+export const etcdLeaseSchema = z.object({ ID: z.string(), TTL: integerSchema.default('0') })
 /** Answer to a lease keep-alive. @internal */
 export const etcdKeepAliveSchema = z.object({ result: etcdLeaseSchema })
 /** One message of a watch stream. @internal */
 export const etcdWatchSchema = z.object({
   result: z.object({
+    created: z.boolean().default(false),
     canceled: z.boolean().default(false),
+    cancel_reason: z.string().default(''),
     events: z.array(z.object({ type: z.enum(['PUT', 'DELETE']).default('PUT'), kv: etcdKeyValueSchema })).default([])
   })
 })
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,2 @@
 export * from './KeyValueStore.js'
-export { EtcdStore, type EtcdStoreOptions } from './EtcdStore.js'
+export { EtcdStore, type EtcdStoreOptions, type StoreCallCounts } from './EtcdStore.js'
--- a/packages/testbed/src/StandInStore.ts
+++ b/packages/testbed/src/StandInStore.ts
@@ -5,6 +5,8 @@
   value: string
   modRevision: number
   leaseId: string | undefined
+  /** Marks a deletion in the history of a key. */
+  isDeletion?: boolean
 }
 
 interface Watcher {
@@ -19,7 +21,7 @@
 }
 
 // The body's form depends on the path; each handler states the one it reads.
-// eslint-disable-next-line @typescript-eslint/no-explicit-any
+
 type StoreRequest = any
 
 interface RangeRequest {
@@ -34,20 +36,53 @@
 export interface StoreFaults {
   /** Closes every connection without an answer, before any effect. */
   down: boolean
-  /** Delay before each answer. */
+  /** Delay before each answer, after the effect. */
   delayMs: number
+  /** Delay before each effect. A caller may have given up by then, and the write still takes effect. */
+  delayEffectMs: number
   /** Number of coming writes that take effect but whose answer is lost. */
   loseAnswers: number
-  /** Answers reads with the state as of this revision, if set. */
+  /** Loses only answers to requests under this path, if set. */
+  loseAnswersTo: string | undefined
+  /** Answers reads with the state before this revision, if set. */
   staleBeforeRevision: number | undefined
+  /** Keeps watches open but sends no events. */
+  muteWatches: boolean
+  /** Number of coming answers that hold JSON of another form. */
+  malformAnswers: number
+}
+
+/** Answers that state that a request was understood and rejected. */
+class Rejection extends Error {
+  readonly statusCode: number
+
+  constructor (statusCode: number, message: string) {
+    super(message)
+    this.statusCode = statusCode
+  }
 }
 
+const STATUS_BAD_REQUEST = 400
+const STATUS_NOT_FOUND = 404
+/** Versions kept per key for stale reads. */
+const HISTORY_LENGTH_MAX = 20
+
 /**
  * Stand-in for the platform's key-value service: the part of the etcd v3 JSON gateway that carobpitch uses.
  * @public
  */
 export class StandInStore {
-  readonly faults: StoreFaults = { down: false, delayMs: 0, loseAnswers: 0, staleBeforeRevision: undefined }
+  readonly faults: StoreFaults = {
+    down: false,
+    delayMs: 0,
+    delayEffectMs: 0,
+    loseAnswers: 0,
+    loseAnswersTo: undefined,
+    staleBeforeRevision: undefined,
+    muteWatches: false,
+    malformAnswers: 0
+  }
+
   /** Calls received by path. */
   readonly callCounts = new Map<string, number>()
   private readonly entries = new Map<string, Entry>()
@@ -96,6 +131,34 @@
     this.server.closeAllConnections()
   }
 
+  /** Cancels all watches with a message, as the store does after a compaction. */
+  cancelWatches (): void {
+    for (const { response } of this.watchers) {
+      response.write(`${JSON.stringify({ result: { ...this.header(), canceled: true, cancel_reason: 'compacted' } })}\n`)
+    }
+  }
+
+  /** Number of open watches. */
+  watchCount (): number {
+    return this.watchers.size
+  }
+
+  /** Decoded value of a key, for checks in tests. */
+  valueOf (key: string): string | undefined {
+    const entry = this.entries.get(Buffer.from(key).toString('base64'))
+    return entry === undefined ? undefined : Buffer.from(entry.value, 'base64').toString('utf8')
+  }
+
+  /** Lease of a key, for checks in tests. */
+  leaseOf (key: string): string | undefined {
+    return this.entries.get(Buffer.from(key).toString('base64'))?.leaseId
+  }
+
+  /** Revision of the last write. */
+  currentRevision (): number {
+    return this.revision
+  }
+
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = request.url ?? ''
     this.callCounts.set(path, (this.callCounts.get(path) ?? 0) + 1)
@@ -109,21 +172,42 @@
       request.socket.destroy()
       return
     }
-    const body = JSON.parse(Buffer.concat(chunks).toString('utf8') || '{}') as StoreRequest
-    if (path === '/v3/watch') {
-      this.openWatch(body, response)
-      return
-    }
-    const answer = this.apply(path, body)
-    if (this.faults.delayMs > 0) await new Promise(resolve => setTimeout(resolve, this.faults.delayMs))
-    if (path !== '/v3/kv/range' && this.faults.loseAnswers > 0) {
-      this.faults.loseAnswers -= 1
+    await pause(this.faults.delayEffectMs)
+    const { statusCode, answer } = this.answer(path, Buffer.concat(chunks).toString('utf8'), response)
+    if (statusCode === undefined) return
+    await pause(this.faults.delayMs)
+    if (this.losesAnswer(path)) {
       request.socket.destroy()
       return
     }
-    response.statusCode = answer === undefined ? 404 : 200
+    response.statusCode = statusCode
     response.setHeader('content-type', 'application/json')
-    response.end(JSON.stringify(answer ?? { error: `unknown path ${path}` }))
+    response.end(JSON.stringify(answer))
+  }
+
+  /** Applies a request. There is no status when the request opened a watch, whose stream stays open. */
+  private answer (path: string, text: string, response: ServerResponse): { statusCode?: number, answer?: unknown } {
+    try {
+      const body = JSON.parse(text || '{}') as StoreRequest
+      if (path === '/v3/watch') {
+        this.openWatch(body, response)
+        return {}
+      }
+      const answer = this.apply(path, body)
+      if (this.faults.malformAnswers === 0) return { statusCode: 200, answer }
+      this.faults.malformAnswers -= 1
+      return { statusCode: 200, answer: { header: 'unexpected', kvs: 'unexpected' } }
+    } catch (error) {
+      const statusCode = error instanceof Rejection ? error.statusCode : STATUS_BAD_REQUEST
+      return { statusCode, answer: { error: (error as Error).message } }
+    }
+  }
+
+  private losesAnswer (path: string): boolean {
+    const { loseAnswers, loseAnswersTo } = this.faults
+    if (path === '/v3/kv/range' || loseAnswers === 0 || (loseAnswersTo !== undefined && loseAnswersTo !== path)) return false
+    this.faults.loseAnswers -= 1
+    return true
   }
 
   private apply (path: string, body: StoreRequest): unknown {
@@ -133,26 +217,31 @@
       case '/v3/lease/grant': return this.grant(body)
       case '/v3/lease/keepalive': return this.keepAlive(body)
       case '/v3/lease/revoke':
+        if (!this.leases.has(String(body.ID))) throw new Rejection(STATUS_NOT_FOUND, 'requested lease not found')
         this.expireLease(String(body.ID))
         return this.header()
-      default: return undefined
+      default: throw new Rejection(STATUS_NOT_FOUND, `unknown path ${path}`)
     }
   }
 
   private range ({ key, range_end: rangeEnd }: RangeRequest): unknown {
     const kvs = []
-    for (const [entryKey, entry] of this.entries) {
-      if (!isInRange(entryKey, key, rangeEnd ?? '')) continue
-      const visible = this.visibleEntry(entryKey, entry)
-      if (visible !== undefined) kvs.push(toKv(entryKey, visible))
+    for (const [entryKey, entry] of this.visibleEntries()) {
+      if (isInRange(entryKey, key, rangeEnd ?? '')) kvs.push(toKv(entryKey, entry))
     }
+    kvs.sort((a, b) => Buffer.from(a.key, 'base64').compare(Buffer.from(b.key, 'base64')))
     return { ...this.header(), kvs, count: String(kvs.length) }
   }
 
-  private visibleEntry (key: string, entry: Entry): Entry | undefined {
+  private visibleEntries (): Iterable<[string, Entry]> {
     const limit = this.faults.staleBeforeRevision
-    if (limit === undefined) return entry
-    return this.history.get(key)?.findLast(({ modRevision }) => modRevision < limit)
+    if (limit === undefined) return this.entries
+    const visible = new Map<string, Entry>()
+    for (const [key, versions] of this.history) {
+      const version = versions.findLast(({ modRevision }) => modRevision < limit)
+      if (version !== undefined && version.isDeletion !== true) visible.set(key, version)
+    }
+    return visible
   }
 
   private transact (body: { compare?: Array<{ key: string, mod_revision: string }>, success?: unknown[], failure?: unknown[] }): unknown {
@@ -177,19 +266,25 @@
   }
 
   private put (key: string, value: string, leaseId: string | undefined): void {
+    if (leaseId !== undefined && !this.leases.has(leaseId)) throw new Rejection(STATUS_NOT_FOUND, 'requested lease not found')
     this.revision += 1
     const entry = { value, modRevision: this.revision, leaseId }
     this.entries.set(key, entry)
-    this.history.set(key, [...(this.history.get(key) ?? []).slice(-20), entry])
+    this.remember(key, entry)
     this.notify(key, { type: 'PUT', kv: toKv(key, entry) })
   }
 
   private delete (key: string): void {
     if (!this.entries.delete(key)) return
     this.revision += 1
+    this.remember(key, { value: '', modRevision: this.revision, leaseId: undefined, isDeletion: true })
     this.notify(key, { type: 'DELETE', kv: { key, mod_revision: String(this.revision) } })
   }
 
+  private remember (key: string, version: Entry): void {
+    this.history.set(key, [...(this.history.get(key) ?? []).slice(1 - HISTORY_LENGTH_MAX), version])
+  }
+
   private grant ({ TTL }: { TTL: string }): unknown {
     const leaseId = String(this.leaseCounter += 1)
     const ttlMs = Number(TTL) * 1_000
@@ -211,11 +306,12 @@
     const watcher = { key, rangeEnd, response }
     this.watchers.add(watcher)
     response.once('close', () => this.watchers.delete(watcher))
+    response.setHeader('content-type', 'application/json')
     response.write(`${JSON.stringify({ result: { ...this.header(), created: true } })}\n`)
   }
 
   private notify (key: string, event: unknown): void {
-    if (this.faults.down) return
+    if (this.faults.down || this.faults.muteWatches) return
     const line = `${JSON.stringify({ result: { ...this.header(), events: [event] } })}\n`
     for (const watcher of this.watchers) {
       if (isInRange(key, watcher.key, watcher.rangeEnd)) watcher.response.write(line)
@@ -227,6 +323,10 @@
   }
 }
 
+async function pause (delayMs: number): Promise<void> {
+  if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs))
+}
+
 /** Compares decoded keys, because base64 does not keep the byte order. */
 function isInRange (key: string, start: string, end: string): boolean {
   if (end === '') return key === start
