Add the member registry, the instance lease and joining

Instances register under one lease whose renewal interval grows with the membership (5 renewals/s over the fleet), and start from the registry, seeds or the platform's list, whichever answers.

The lease deadline is on the monotonic clock, measured from before the renewal was sent and shortened by 1% for clock drift. Two renewals per lease until it is replaced keeps the rate at 5/s or less and still tolerates one failed renewal.

Only store readers keep a watch; it is listed again when the watch confirms that it is open and every 30 s. Members that are absent from the registry leave the known members only through the majority rule of Membership, so that a store outage in which all leases lapse does not shrink the fleet. Retries back off up to members x 0.1 s with jitter.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -7,3 +7,8 @@
 export type { PeerFailure, PingTransport } from './detection/PingTransport.js'
 export { Freshness, FRESHNESS_LIMIT_MS, isMajority, type FreshnessOptions, type PeerContact } from './freshness/Freshness.js'
 export type { RandomSource } from './random.js'
+export { LeaseKeeper, type HeldLease, type LeaseKeeperOptions, type LeaseListener } from './registry/LeaseKeeper.js'
+export { leaseLengthMs, renewalIntervalMs } from './registry/leaseTimes.js'
+export { Registry, type RegistryOptions } from './registry/Registry.js'
+export { JoinProcess, type JoinProcessOptions, type JoinState } from './registry/JoinProcess.js'
+export { instanceListSchema, readInstanceList } from './registry/instanceList.js'
