Add operations, declarations and their application to a configuration

Cause: operators state intents; nothing yet turns an intent into a configuration document.

A target that a change brings in, by whatever operation, takes the new revision as its epoch and starts cold; one that was in already keeps its epoch. A declaration keeps states it does not name.

Ruled out: marking the epoch in each operation, because moving a target out of an absent failure domain and a removed and re-added id were missed; partial() for changes, because zod fills defaults and so resets unnamed fields.

--- /dev/null
+++ b/packages/control/src/ConfigurationDraft.ts
@@ -0,0 +1,171 @@
+import type {
+  Configuration, Declaration, DeclaredTarget, FailureDomainId, Operation, ServiceName, TargetConfiguration, TargetId, Violation
+} from '@carobpitch/schema'
+
+/**
+ * A configuration document under change. Collects violations instead of stopping at the first one.
+ * @internal
+ */
+export class ConfigurationDraft {
+  readonly violations: Violation[] = []
+  readonly document: Configuration
+  private readonly base: Configuration
+
+  constructor (base: Configuration) {
+    this.base = base
+    this.document = { ...structuredClone(base), revision: base.revision + 1 }
+  }
+
+  /** Applies one operation; `path` names it in violations. */
+  apply (operation: Operation, path: string): void {
+    switch (operation.kind) {
+      case 'take-domain-out': return this.setDomainState(operation.failureDomain, 'out', path)
+      case 'return-domain': return this.setDomainState(operation.failureDomain, 'in', path)
+      case 'add-domain': return this.addDomain(operation.failureDomain, path)
+      case 'remove-domain': return this.removeDomain(operation.failureDomain, path)
+      case 'take-targets-out': return this.setTargetStates(operation.targets, 'out', path)
+      case 'bring-targets-in': return this.setTargetStates(operation.targets, 'in', path)
+      case 'add-target': return this.addTarget(operation.targetId, operation.target, path)
+      case 'change-target': return this.changeTarget(operation.targetId, operation.change, path)
+      case 'remove-target': return this.removeTarget(operation.targetId, path)
+      case 'add-service': return this.addService(operation, path)
+      case 'change-service': return this.changeService(operation, path)
+      case 'remove-service': return this.removeService(operation.service, path)
+      case 'apply-declaration': return this.applyDeclaration(operation.declaration, path)
+    }
+  }
+
+  /**
+   * Gives every target that the change brings in the new revision as its epoch, so that it starts cold.
+   * Targets that were in already keep their epoch: an intent without effect must not turn warm targets cold.
+   */
+  markBroughtIn (): void {
+    for (const [id, target] of Object.entries(this.document.targets) as Array<[TargetId, TargetConfiguration]>) {
+      if (!isTargetIn(this.document, target)) continue
+      const before = ownValue(this.base.targets, id)
+      const stays = before !== undefined && isTargetIn(this.base, before) && !isOtherBackEnd(before, target)
+      if (!stays) target.broughtInRevision = this.document.revision
+    }
+  }
+
+  private setDomainState (id: FailureDomainId, state: 'in' | 'out', path: string): void {
+    const domain = ownValue(this.document.failureDomains, id)
+    if (domain === undefined) return this.reject(`${path}.failureDomain`, `unknown failure domain ${id}`)
+    domain.state = state
+  }
+
+  private addDomain (id: FailureDomainId, path: string): void {
+    if (Object.hasOwn(this.document.failureDomains, id)) return this.reject(`${path}.failureDomain`, `failure domain ${id} exists already`)
+    this.document.failureDomains[id] = { state: 'in' }
+  }
+
+  private removeDomain (id: FailureDomainId, path: string): void {
+    if (!Object.hasOwn(this.document.failureDomains, id)) return this.reject(`${path}.failureDomain`, `unknown failure domain ${id}`)
+    const users = this.targetIdsWhere(target => target.failureDomain === id)
+    if (users.length > 0) return this.reject(`${path}.failureDomain`, `failure domain ${id} still has targets: ${users.join(', ')}`)
+    delete this.document.failureDomains[id]
+  }
+
+  private setTargetStates (ids: readonly TargetId[], state: 'in' | 'out', path: string): void {
+    ids.forEach((id, index) => {
+      const target = ownValue(this.document.targets, id)
+      if (target === undefined) return this.reject(`${path}.targets.${index}`, `unknown target ${id}`)
+      target.state = state
+    })
+  }
+
+  private addTarget (id: TargetId, { state = 'in', ...target }: DeclaredTarget, path: string): void {
+    if (Object.hasOwn(this.document.targets, id)) return this.reject(`${path}.targetId`, `target ${id} exists already`)
+    this.checkReferences(target, `${path}.target`)
+    this.document.targets[id] = { ...target, state, broughtInRevision: this.document.revision }
+  }
+
+  private changeTarget (id: TargetId, change: Partial<TargetConfiguration>, path: string): void {
+    const target = ownValue(this.document.targets, id)
+    if (target === undefined) return this.reject(`${path}.targetId`, `unknown target ${id}`)
+    const changed = { ...target, ...definedOnly(change) }
+    this.checkReferences(changed, `${path}.change`)
+    this.document.targets[id] = changed
+  }
+
+  private removeTarget (id: TargetId, path: string): void {
+    if (!Object.hasOwn(this.document.targets, id)) return this.reject(`${path}.targetId`, `unknown target ${id}`)
+    delete this.document.targets[id]
+  }
+
+  private addService ({ service, configuration }: Operation & { kind: 'add-service' }, path: string): void {
+    if (Object.hasOwn(this.document.services, service)) return this.reject(`${path}.service`, `service ${service} exists already`)
+    this.document.services[service] = configuration
+  }
+
+  private changeService ({ service, change }: Operation & { kind: 'change-service' }, path: string): void {
+    const configuration = ownValue(this.document.services, service)
+    if (configuration === undefined) return this.reject(`${path}.service`, `unknown service ${service}`)
+    this.document.services[service] = { ...configuration, ...definedOnly(change) }
+  }
+
+  private removeService (service: ServiceName, path: string): void {
+    if (!Object.hasOwn(this.document.services, service)) return this.reject(`${path}.service`, `unknown service ${service}`)
+    const users = this.targetIdsWhere(target => target.service === service)
+    if (users.length > 0) return this.reject(`${path}.service`, `service ${service} still has targets: ${users.join(', ')}`)
+    delete this.document.services[service]
+  }
+
+  /** Makes the document equal to the declaration, keeping the states that the declaration does not name. */
+  private applyDeclaration (declaration: Declaration, path: string): void {
+    this.document.services = structuredClone(declaration.services)
+    for (const id of Object.keys(this.document.targets) as TargetId[]) {
+      if (!Object.hasOwn(declaration.targets, id)) delete this.document.targets[id]
+    }
+    for (const id of Object.keys(this.document.failureDomains) as FailureDomainId[]) {
+      if (!Object.hasOwn(declaration.failureDomains, id)) delete this.document.failureDomains[id]
+    }
+    for (const [key, { state }] of Object.entries(declaration.failureDomains)) {
+      const id = key as FailureDomainId
+      if (!Object.hasOwn(this.document.failureDomains, id)) this.document.failureDomains[id] = { state: 'in' }
+      if (state !== undefined) this.setDomainState(id, state, path)
+    }
+    for (const [key, declared] of Object.entries(declaration.targets)) {
+      this.declareTarget(key as TargetId, declared, `${path}.declaration.targets.${key}`)
+    }
+  }
+
+  private declareTarget (id: TargetId, declared: DeclaredTarget, path: string): void {
+    if (!Object.hasOwn(this.document.targets, id)) return this.addTarget(id, declared, path)
+    const { state, ...change } = declared
+    this.changeTarget(id, change, path)
+    if (state !== undefined) this.setTargetStates([id], state, path)
+  }
+
+  private checkReferences ({ service, failureDomain }: Pick<TargetConfiguration, 'service' | 'failureDomain'>, path: string): void {
+    if (!Object.hasOwn(this.document.services, service)) this.reject(`${path}.service`, `unknown service ${service}`)
+    if (!Object.hasOwn(this.document.failureDomains, failureDomain)) this.reject(`${path}.failureDomain`, `unknown failure domain ${failureDomain}`)
+  }
+
+  private targetIdsWhere (matches: (target: TargetConfiguration) => boolean): string[] {
+    return Object.entries(this.document.targets).filter(([, target]) => matches(target)).map(([id]) => id)
+  }
+
+  private reject (path: string, message: string): void {
+    this.violations.push({ path, message })
+  }
+}
+
+/** Returns a record's own value; ids such as `constructor` are valid and must not find inherited properties. @internal */
+export function ownValue<Key extends string, Value> (record: Partial<Record<Key, Value>>, key: Key): Value | undefined {
+  return Object.hasOwn(record, key) ? record[key] : undefined
+}
+
+/** Whether a target may receive new work under a configuration. @public */
+export function isTargetIn (configuration: Configuration, target: TargetConfiguration): boolean {
+  return target.state === 'in' && ownValue(configuration.failureDomains, target.failureDomain)?.state === 'in'
+}
+
+/** Whether a target now stands for a different back end. @internal */
+export function isOtherBackEnd (before: TargetConfiguration, after: TargetConfiguration): boolean {
+  return before.url !== after.url || before.service !== after.service
+}
+
+function definedOnly<Part extends object> (part: Part): Part {
+  return Object.fromEntries(Object.entries(part).filter(([, value]) => value !== undefined)) as Part
+}
--- /dev/null
+++ b/packages/control/src/applyOperations.ts
@@ -0,0 +1,29 @@
+import { Result } from 'true-myth'
+import { parseWith, configurationSchema, type Configuration, type Operation, type Violation } from '@carobpitch/schema'
+import { ConfigurationDraft } from './ConfigurationDraft.js'
+
+/**
+ * Applies operations in order to a configuration and returns the document of the next revision.
+ * The result is validated as a whole; all violations are reported at once, with the index of their operation.
+ * @public
+ */
+export function applyOperations (base: Configuration, operations: readonly Operation[]): Result<Configuration, Violation[]> {
+  const draft = new ConfigurationDraft(base)
+  operations.forEach((operation, index) => draft.apply(operation, `operations.${index}`))
+  if (draft.violations.length > 0) return Result.err(draft.violations)
+  draft.markBroughtIn()
+  return parseWith(configurationSchema, draft.document)
+}
+
+/**
+ * Whether two documents mean the same to instances; revision and history are not compared.
+ * @public
+ */
+export function isSameIntent (first: Configuration, second: Configuration): boolean {
+  return fingerprint(first) === fingerprint(second)
+}
+
+function fingerprint ({ services, failureDomains, targets }: Configuration): string {
+  return JSON.stringify([services, failureDomains, targets].map(part => Object.entries(part).sort(([first], [second]) => first < second ? -1 : 1)
+    .map(([id, value]) => [id, Object.entries(value).sort(([first], [second]) => first < second ? -1 : 1)])))
+}
--- /dev/null
+++ b/packages/control/src/configurationCodec.ts
@@ -0,0 +1,28 @@
+import { gunzipSync, gzipSync } from 'node:zlib'
+import { Result } from 'true-myth'
+import { configurationSchema, parseJsonWith, type Configuration, type Violation } from '@carobpitch/schema'
+
+/** Largest stored value. The platform's store holds values up to 1 MB. @public */
+export const STORED_SIZE_MAX_BYTES = 1_000_000
+
+/** Largest JSON document that is decompressed. Bounds the memory that a hostile or broken value can take. */
+const JSON_SIZE_MAX_BYTES = 16_777_216
+
+/** Encodes a configuration as stored and sent: base64 of gzip of JSON. @public */
+export function encodeConfiguration (configuration: Configuration): string {
+  return gzipSync(JSON.stringify(configuration)).toString('base64')
+}
+
+/** Decodes and validates a stored or received configuration. @public */
+export function decodeConfiguration (value: string): Result<Configuration, Violation[]> {
+  if (value.length > STORED_SIZE_MAX_BYTES) {
+    return Result.err([{ path: '', message: `value of ${value.length} bytes exceeds ${STORED_SIZE_MAX_BYTES} bytes` }])
+  }
+  let text: string
+  try {
+    text = gunzipSync(Buffer.from(value, 'base64'), { maxOutputLength: JSON_SIZE_MAX_BYTES }).toString('utf8')
+  } catch (error) {
+    return Result.err([{ path: '', message: `not a gzip value: ${(error as Error).message}` }])
+  }
+  return parseJsonWith(configurationSchema, text)
+}
--- /dev/null
+++ b/packages/control/src/withdrawals.ts
@@ -0,0 +1,29 @@
+import type { Configuration, FailureDomainId, TargetConfiguration, TargetId, Withdrawals } from '@carobpitch/schema'
+import { isOtherBackEnd, ownValue } from './ConfigurationDraft.js'
+
+/**
+ * Returns what a change withdraws from new work: failure domains and targets that are in before and not after.
+ * A target whose address or service changes withdraws its old back end.
+ * @public
+ */
+export function withdrawalsOf (before: Configuration, after: Configuration): Withdrawals {
+  const failureDomains = (Object.keys(before.failureDomains) as FailureDomainId[])
+    .filter(id => before.failureDomains[id]?.state === 'in' && ownValue(after.failureDomains, id)?.state !== 'in')
+  const targets = (Object.entries(before.targets) as Array<[TargetId, TargetConfiguration]>)
+    .filter(([id, target]) => target.state === 'in' && isWithdrawn(target, ownValue(after.targets, id)))
+    .map(([id]) => id)
+  return { failureDomains, targets }
+}
+
+function isWithdrawn (before: TargetConfiguration, after: TargetConfiguration | undefined): boolean {
+  if (after === undefined || after.state === 'out') return true
+  return isOtherBackEnd(before, after)
+}
+
+/** Returns the union of several withdrawals. @internal */
+export function mergeWithdrawals (parts: readonly Withdrawals[]): Withdrawals {
+  return {
+    failureDomains: [...new Set(parts.flatMap(part => part.failureDomains))],
+    targets: [...new Set(parts.flatMap(part => part.targets))]
+  }
+}
