--- /dev/null
+++ b/packages/control/src/Committer.ts
@@ -0,0 +1,201 @@
+import { randomBytes } from 'node:crypto'
+import type { EventLog } from '@carobpitch/kernel'
+import { RECENT_CHANGES_MAX, type ChangeId, type ChangeRecord, type Configuration, type InstanceId, type Plan } from '@carobpitch/schema'
+import { attemptIdSchema, type Announcement } from './Announcement.js'
+import type { AnnouncementBook } from './AnnouncementBook.js'
+import { announceToMajority, type AnnounceResult } from './announceToMajority.js'
+import { applyOperations } from './applyOperations.js'
+import { interveningChanges, recordOf } from './changeStatus.js'
+import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
+import { encodeConfiguration, STORED_SIZE_MAX_BYTES } from './configurationCodec.js'
+import type { ConfigurationStore, StoredConfiguration, StoredConfigurationProblem } from './ConfigurationStore.js'
+import type { ConfirmOutcome } from './ConfirmOutcome.js'
+import type { ControlMembership } from './ControlMembership.js'
+import type { ControlPeers } from './ControlPeers.js'
+import type { InForceTracker } from './InForceTracker.js'
+import type { PlanStore } from './PlanStore.js'
+import { withdrawalsOf } from './withdrawals.js'
+
+/**
+ * Time after the start of an announcement within which the write must be sent. With the store's request timeout
+ * it stays below `ANNOUNCEMENT_HOLD_MS`, after which members may take the change for not written.
+ * @public
+ */
+export const COMMIT_DEADLINE_MS = 3_000
+
+/** Attempts to read the outcome of a write whose answer was lost. */
+const RESOLVE_ATTEMPTS = 4
+/** Pause between these attempts. */
+const RESOLVE_PAUSE_MS = 500
+
+/** Options of `Committer`. @internal */
+export interface CommitterOptions {
+  instanceId: InstanceId
+  configurationStore: ConfigurationStore
+  plans: PlanStore
+  adopter: ConfigurationAdopter
+  announcements: AnnouncementBook
+  membership: ControlMembership
+  peers: ControlPeers
+  tracker: InForceTracker
+  log: EventLog
+}
+
+interface Candidate {
+  plan: Plan
+  record: ChangeRecord
+  value: string
+  announcement: Announcement
+  /** Store revision that the write replaces. */
+  modRevision: number
+}
+
+/**
+ * Confirms plans: re-reads the configuration, announces the change, writes it by compare-and-swap and
+ * resolves a lost answer by the change id. The write is sent once per confirmation.
+ * @internal
+ */
+export class Committer {
+  private readonly options: CommitterOptions
+
+  constructor (options: CommitterOptions) {
+    this.options = options
+  }
+
+  /** Confirms a plan in the name of an operator. */
+  async confirm (changeId: ChangeId, operator: string): Promise<ConfirmOutcome> {
+    const outcome = await this.attempt(changeId, operator)
+    const { kind, effect } = outcome
+    if (effect === 'accepted') this.options.log.info('change.accepted', { changeId, operator, revision: outcome.record.revision })
+    else this.options.log.warn('change.not-accepted', { changeId, operator, kind, effect })
+    return outcome
+  }
+
+  private async attempt (changeId: ChangeId, operator: string): Promise<ConfirmOutcome> {
+    const { plans, configurationStore } = this.options
+    const stored = await configurationStore.read()
+    if (stored.isErr) return refuseFor(stored.error)
+    const accepted = recordOf(stored.value.configuration, changeId)
+    if (accepted !== undefined) return this.accept(accepted, stored.value.value)
+    const plan = await plans.get(changeId)
+    if (plan.isErr) return { kind: 'store-unavailable', effect: 'none', reason: plan.error.reason }
+    if (plan.value === undefined) return { kind: 'unknown-plan', effect: 'none', changeId }
+    const refusal = this.checkBase(plan.value, stored.value)
+    if (refusal !== undefined) return refusal
+    return await this.announceAndWrite(plan.value, stored.value, operator)
+  }
+
+  /** Compares the plan's base with the newest revision known here, which a stale read does not show. */
+  private checkBase (plan: Plan, stored: StoredConfiguration): ConfirmOutcome | undefined {
+    const adopted = this.options.adopter.current()
+    const newest = stored.configuration.revision >= adopted.revision ? stored.configuration : adopted
+    const { baseRevision } = plan
+    if (newest.revision !== baseRevision) return outdated(baseRevision, newest)
+    if (stored.configuration.revision === baseRevision) return undefined
+    return { kind: 'store-unavailable', effect: 'none', reason: `the store shows revision ${stored.configuration.revision}, revision ${adopted.revision} is in force; try again` }
+  }
+
+  private async announceAndWrite (plan: Plan, stored: StoredConfiguration, operator: string): Promise<ConfirmOutcome> {
+    const { configuration, modRevision } = stored
+    const applied = applyOperations(configuration, plan.operations)
+    if (applied.isErr) return { kind: 'invalid', effect: 'none', violations: applied.error }
+    const record = recordFor(plan, applied.value.revision, operator)
+    const document = { ...applied.value, recentChanges: [record, ...configuration.recentChanges].slice(0, RECENT_CHANGES_MAX) }
+    const value = encodeConfiguration(document)
+    if (value.length > STORED_SIZE_MAX_BYTES) {
+      return { kind: 'too-large', effect: 'none', reason: `the configuration would take ${value.length} bytes, the store allows ${STORED_SIZE_MAX_BYTES}` }
+    }
+    const announcement: Announcement = {
+      attemptId: attemptIdSchema.parse(randomBytes(8).toString('hex')),
+      changeId: plan.changeId,
+      baseRevision: plan.baseRevision,
+      withdrawals: withdrawalsOf(configuration, applied.value)
+    }
+    return await this.commit({ plan, record, value, announcement, modRevision })
+  }
+
+  private async commit (candidate: Candidate): Promise<ConfirmOutcome> {
+    const { announcements, membership, instanceId, peers, configurationStore } = this.options
+    const { announcement, value, modRevision } = candidate
+    const startedAtMs = performance.now()
+    announcements.accept(announcement)
+    const announced = await announceToMajority({ announcement, instanceId, members: membership.knownMembers(), peers })
+    if (announced.kind !== 'majority') return await this.concludeUnannounced(candidate, announced)
+    // The check and the write are in one tick, so that a pause of the process before it is noticed.
+    if (performance.now() - startedAtMs > COMMIT_DEADLINE_MS) {
+      return this.abort(announcement, { kind: 'store-unavailable', effect: 'none', reason: 'this instance was paused between announcement and write; try again' })
+    }
+    const swap = await configurationStore.swap(value, modRevision)
+    if (swap.isErr) {
+      if (swap.error.effect === 'none') return this.abort(announcement, { kind: 'store-unavailable', effect: 'none', reason: swap.error.reason })
+      return await this.resolveLostAnswer(candidate, swap.error.reason)
+    }
+    if (swap.value.kind === 'swapped') return this.accept(candidate.record, value)
+    return this.concludeFrom(candidate, configurationStore.decode(swap.value.current))
+  }
+
+  /** A member that knows a newer revision may know this very change, confirmed through another instance. */
+  private async concludeUnannounced (candidate: Candidate, announced: Exclude<AnnounceResult, { kind: 'majority' }>): Promise<ConfirmOutcome> {
+    const { announcement, plan } = candidate
+    if (announced.kind === 'no-majority') return this.abort(announcement, { ...announced, effect: 'none' })
+    const stored = await this.options.configurationStore.read()
+    if (stored.isOk && stored.value.configuration.revision > plan.baseRevision) return this.concludeFrom(candidate, stored)
+    const adopted = this.options.adopter.current()
+    const currentRevision = Math.max(announced.adoptedRevision, adopted.revision)
+    return this.abort(announcement, { ...outdated(plan.baseRevision, adopted), currentRevision })
+  }
+
+  /** Reads the key back until it shows the change, another change, or the attempts are used up. */
+  private async resolveLostAnswer (candidate: Candidate, reason: string): Promise<ConfirmOutcome> {
+    const { log, configurationStore } = this.options
+    log.warn('change.answer-lost', { changeId: candidate.plan.changeId, reason })
+    for (let attempt = 1; attempt <= RESOLVE_ATTEMPTS; attempt += 1) {
+      const stored = await configurationStore.read()
+      // The base revision proves nothing yet: the write may still be on its way to the store.
+      if (stored.isOk && stored.value.configuration.revision > candidate.plan.baseRevision) return this.concludeFrom(candidate, stored)
+      if (attempt < RESOLVE_ATTEMPTS) await new Promise(resolve => setTimeout(resolve, RESOLVE_PAUSE_MS))
+    }
+    return { kind: 'outcome-unknown', effect: 'unknown', changeId: candidate.plan.changeId, reason }
+  }
+
+  private concludeFrom (candidate: Candidate, stored: Awaited<ReturnType<ConfigurationStore['read']>>): ConfirmOutcome {
+    const { announcement, plan } = candidate
+    if (stored.isErr) return this.abort(announcement, refuseFor(stored.error))
+    const { configuration, value } = stored.value
+    const record = recordOf(configuration, plan.changeId)
+    if (record !== undefined) return this.accept(record, value)
+    if (value !== undefined) this.options.adopter.offer(value, 'store')
+    return this.abort(announcement, outdated(plan.baseRevision, configuration))
+  }
+
+  private accept (record: ChangeRecord, value: string | undefined): ConfirmOutcome {
+    const { adopter, tracker } = this.options
+    if (value !== undefined) adopter.offer(value, 'commit')
+    return { kind: 'accepted', effect: 'accepted', changeId: record.changeId, record, progress: tracker.track(record.revision) }
+  }
+
+  /** Tells every member that the attempt failed. Members that miss it learn from pings or their own read. */
+  private abort (announcement: Announcement, outcome: ConfirmOutcome): ConfirmOutcome {
+    const { announcements, membership, instanceId, peers } = this.options
+    announcements.abort(announcement.attemptId, outcome.kind)
+    for (const member of membership.knownMembers()) {
+      if (member.instanceId !== instanceId) peers.abort(member, announcement.attemptId)
+    }
+    return outcome
+  }
+}
+
+function recordFor ({ changeId, summary }: Plan, revision: number, operator: string): ChangeRecord {
+  return { changeId, revision, operator: operator.slice(0, 200), summary, acceptedAtEpochMs: Date.now() }
+}
+
+function outdated (baseRevision: number, newest: Configuration): ConfirmOutcome & { kind: 'outdated' } {
+  return { kind: 'outdated', effect: 'none', baseRevision, currentRevision: newest.revision, intervening: interveningChanges(newest, baseRevision) }
+}
+
+function refuseFor (problem: StoredConfigurationProblem): ConfirmOutcome {
+  switch (problem.kind) {
+    case 'store-unavailable': return { kind: 'store-unavailable', effect: 'none', reason: problem.reason }
+    case 'invalid-document': return { kind: 'invalid-document', effect: 'none', violations: problem.violations }
+  }
+}
--- /dev/null
+++ b/packages/control/src/ConfigurationAdopter.ts
@@ -0,0 +1,100 @@
+import type { EventLog } from '@carobpitch/kernel'
+import type { AdoptionRefusal, Configuration, ConfigurationHolder, Violation } from '@carobpitch/schema'
+import { decodeConfiguration, encodeConfiguration } from './configurationCodec.js'
+
+/** Where a candidate configuration came from. @public */
+export type AdoptionSource = 'store' | 'watch' | 'push' | 'snapshot' | 'commit'
+
+/** Result of offering a candidate. @public */
+export type AdoptionOutcome =
+  | { kind: 'adopted', revision: number }
+  | { kind: 'not-newer', revision: number, adoptedRevision: number }
+  | { kind: 'invalid', violations: Violation[] }
+
+/** Options of `ConfigurationAdopter`. @internal */
+export interface ConfigurationAdopterOptions {
+  holder: ConfigurationHolder
+  log: EventLog
+  onOutcome?: (outcome: AdoptionOutcome, source: AdoptionSource) => void
+}
+
+interface EncodedConfiguration {
+  revision: number
+  value: string
+}
+
+/**
+ * Offers encoded configurations to the holder, which adopts only valid documents of a higher revision,
+ * and keeps the encoded form of the adopted one for peers.
+ * @internal
+ */
+export class ConfigurationAdopter {
+  private readonly holder: ConfigurationHolder
+  private readonly log: EventLog
+  private readonly onOutcome: (outcome: AdoptionOutcome, source: AdoptionSource) => void
+  private encoded: EncodedConfiguration | undefined
+  private lastRejection: { source: AdoptionSource, violations: Violation[] } | undefined
+
+  constructor ({ holder, log, onOutcome = () => {} }: ConfigurationAdopterOptions) {
+    this.holder = holder
+    this.log = log
+    this.onOutcome = onOutcome
+  }
+
+  /** The adopted configuration. */
+  current (): Configuration {
+    return this.holder.current()
+  }
+
+  /** Decodes, validates and adopts a candidate if it is newer. */
+  offer (value: string, source: AdoptionSource): AdoptionOutcome {
+    const outcome = this.decideOn(value)
+    switch (outcome.kind) {
+      case 'adopted':
+        this.encoded = { revision: outcome.revision, value }
+        this.log.info('configuration.adopted', { revision: outcome.revision, source, changeId: this.current().recentChanges[0]?.changeId })
+        break
+      case 'not-newer':
+        this.log.debug('configuration.not-newer', { revision: outcome.revision, adoptedRevision: outcome.adoptedRevision, source })
+        break
+      case 'invalid':
+        this.noteRejection(outcome.violations, source)
+        break
+    }
+    this.onOutcome(outcome, source)
+    return outcome
+  }
+
+  /** Encoded form of the adopted configuration; undefined before the first adoption. */
+  encodedCurrent (): string | undefined {
+    const { revision } = this.current()
+    if (revision === 0) return undefined
+    if (this.encoded?.revision !== revision) this.encoded = { revision, value: encodeConfiguration(this.current()) }
+    return this.encoded.value
+  }
+
+  dump (): unknown {
+    return { adoptedRevision: this.current().revision, encodedSizeBytes: this.encoded?.value.length, lastRejection: this.lastRejection }
+  }
+
+  private decideOn (value: string): AdoptionOutcome {
+    const decoded = decodeConfiguration(value)
+    if (decoded.isErr) return { kind: 'invalid', violations: decoded.error }
+    const adopted = this.holder.adopt(decoded.value)
+    if (adopted.isOk) return { kind: 'adopted', revision: adopted.value.revision }
+    return outcomeOf(adopted.error)
+  }
+
+  private noteRejection (violations: Violation[], source: AdoptionSource): void {
+    this.lastRejection = { source, violations }
+    const first = violations[0]
+    this.log.error('configuration.rejected', { source, violations: violations.length, path: first?.path, message: first?.message })
+  }
+}
+
+function outcomeOf (refusal: AdoptionRefusal): AdoptionOutcome {
+  switch (refusal.kind) {
+    case 'not-newer': return { kind: 'not-newer', revision: refusal.candidateRevision, adoptedRevision: refusal.adoptedRevision }
+    case 'invalid': return { kind: 'invalid', violations: refusal.violations }
+  }
+}
--- /dev/null
+++ b/packages/control/src/ConfigurationStore.ts
@@ -0,0 +1,60 @@
+import { Result } from 'true-myth'
+import { EMPTY_CONFIGURATION, type Configuration, type Violation } from '@carobpitch/schema'
+import type { KeyValueStore, StoreFailure, StoredValue, SwapOutcome } from '@carobpitch/store'
+import { decodeConfiguration } from './configurationCodec.js'
+
+/** Why the stored configuration could not be read. @internal */
+export type StoredConfigurationProblem =
+  | { kind: 'store-unavailable', reason: string }
+  | { kind: 'invalid-document', violations: Violation[] }
+
+/** The configuration as stored. @internal */
+export interface StoredConfiguration {
+  configuration: Configuration
+  /** Encoded form; undefined when the key is absent. */
+  value: string | undefined
+  modRevision: number
+}
+
+/** Options of `ConfigurationStore`. @internal */
+export interface ConfigurationStoreOptions {
+  store: KeyValueStore
+  key: string
+}
+
+/**
+ * Reads and writes the configuration key. An absent key stands for the empty configuration.
+ * @internal
+ */
+export class ConfigurationStore {
+  private readonly store: KeyValueStore
+  readonly key: string
+  private lastDecoded: StoredConfiguration | undefined
+
+  constructor ({ store, key }: ConfigurationStoreOptions) {
+    this.store = store
+    this.key = key
+  }
+
+  /** Reads the key. A value whose store revision was seen before is not decoded again. */
+  async read (): Promise<Result<StoredConfiguration, StoredConfigurationProblem>> {
+    const stored = await this.store.get(this.key)
+    if (stored.isErr) return Result.err({ kind: 'store-unavailable', reason: stored.error.reason })
+    return this.decode(stored.value)
+  }
+
+  /** Decodes a value as read, watched or returned by a conflicting write. */
+  decode (stored: StoredValue | undefined): Result<StoredConfiguration, StoredConfigurationProblem> {
+    if (stored === undefined) return Result.ok({ configuration: EMPTY_CONFIGURATION, value: undefined, modRevision: 0 })
+    if (this.lastDecoded?.modRevision === stored.modRevision) return Result.ok(this.lastDecoded)
+    const decoded = decodeConfiguration(stored.value)
+    if (decoded.isErr) return Result.err({ kind: 'invalid-document', violations: decoded.error })
+    this.lastDecoded = { configuration: decoded.value, value: stored.value, modRevision: stored.modRevision }
+    return Result.ok(this.lastDecoded)
+  }
+
+  /** Writes the key if its store revision is still the expected one. */
+  async swap (value: string, expectedModRevision: number): Promise<Result<SwapOutcome, StoreFailure>> {
+    return await this.store.compareAndSwap({ key: this.key, value, expectedModRevision })
+  }
+}
--- /dev/null
+++ b/packages/control/src/ConfirmOutcome.ts
@@ -0,0 +1,18 @@
+import type { ChangeId, ChangeRecord, InstanceId, Violation } from '@carobpitch/schema'
+import type { InForceProgress } from './InForceTracker.js'
+
+/**
+ * Result of confirming a plan. `effect` says whether the change took effect: `accepted`, `none` (it certainly
+ * did not, by this confirmation) or `unknown` (it may have; `status` tells once the store answers).
+ * @public
+ */
+export type ConfirmOutcome =
+  | { kind: 'accepted', effect: 'accepted', changeId: ChangeId, record: ChangeRecord, progress: InForceProgress }
+  | { kind: 'unknown-plan', effect: 'none', changeId: ChangeId }
+  | { kind: 'outdated', effect: 'none', baseRevision: number, currentRevision: number, intervening: ChangeRecord[] }
+  | { kind: 'store-unavailable', effect: 'none', reason: string }
+  | { kind: 'invalid-document', effect: 'none', violations: Violation[] }
+  | { kind: 'invalid', effect: 'none', violations: Violation[] }
+  | { kind: 'too-large', effect: 'none', reason: string }
+  | { kind: 'no-majority', effect: 'none', acknowledged: number, needed: number, missing: InstanceId[] }
+  | { kind: 'outcome-unknown', effect: 'unknown', changeId: ChangeId, reason: string }
--- /dev/null
+++ b/packages/control/src/ControlPeerHandlers.ts
@@ -0,0 +1,56 @@
+import type { ServiceLoad } from '@carobpitch/schema'
+import type { Announcement, AnnouncementAnswer, AttemptId } from './Announcement.js'
+import type { AnnouncementBook } from './AnnouncementBook.js'
+import type { AdoptionOutcome, ConfigurationAdopter } from './ConfigurationAdopter.js'
+import type { ConfigurationSnapshot, PushAnswer } from './ControlPeers.js'
+
+/** Options of `ControlPeerHandlers`. @internal */
+export interface ControlPeerHandlersOptions {
+  adopter: ConfigurationAdopter
+  announcements: AnnouncementBook
+  localLoad: () => ServiceLoad[]
+}
+
+/**
+ * Answers the calls of peers.
+ * @public
+ */
+export class ControlPeerHandlers {
+  private readonly options: ControlPeerHandlersOptions
+
+  constructor (options: ControlPeerHandlersOptions) {
+    this.options = options
+  }
+
+  /** Takes an announcement and treats what it withdraws as out. */
+  announce (announcement: Announcement): AnnouncementAnswer {
+    return this.options.announcements.accept(announcement)
+  }
+
+  /** Drops an announcement whose change was not written. */
+  abort (attemptId: AttemptId): void {
+    this.options.announcements.abort(attemptId, 'told by the committing instance')
+  }
+
+  /** Adopts a pushed configuration if it is newer. */
+  pushConfiguration (value: string): PushAnswer {
+    const outcome = this.options.adopter.offer(value, 'push')
+    return { adoptedRevision: this.options.adopter.current().revision, problem: problemOf(outcome) }
+  }
+
+  /** Returns the adopted configuration and the open announcements. */
+  snapshot (): ConfigurationSnapshot {
+    const { adopter, announcements } = this.options
+    return { revision: adopter.current().revision, value: adopter.encodedCurrent(), announcements: announcements.announcements() }
+  }
+
+  /** Returns the load at this instance. */
+  load (): ServiceLoad[] {
+    return this.options.localLoad()
+  }
+}
+
+function problemOf (outcome: AdoptionOutcome): string | undefined {
+  if (outcome.kind !== 'invalid') return undefined
+  return `the document is invalid: ${outcome.violations.slice(0, 3).map(({ path, message }) => `${path}: ${message}`).join('; ')}`
+}
--- /dev/null
+++ b/packages/control/src/ControlPeers.ts
@@ -0,0 +1,38 @@
+import type { Result } from 'true-myth'
+import type { MemberRecord, ServiceLoad } from '@carobpitch/schema'
+import type { Announcement, AnnouncementAnswer, AttemptId } from './Announcement.js'
+
+/** Time after which a call to a peer counts as failed. @public */
+export const PEER_CALL_TIMEOUT_MS = 1_000
+
+/** A call to a peer that was not answered. @public */
+export interface PeerFailure {
+  reason: string
+}
+
+/** A peer's answer to a pushed configuration. @public */
+export interface PushAnswer {
+  adoptedRevision: number
+  /** Why the pushed document was not adopted although it is newer. */
+  problem?: string
+}
+
+/** A peer's configuration and open announcements. @public */
+export interface ConfigurationSnapshot {
+  revision: number
+  /** Encoded configuration; absent before the first adoption. */
+  value?: string
+  announcements: Announcement[]
+}
+
+/**
+ * Calls to other instances. Every call settles within `PEER_CALL_TIMEOUT_MS`.
+ * @public
+ */
+export interface ControlPeers {
+  announce(member: MemberRecord, announcement: Announcement): Promise<Result<AnnouncementAnswer, PeerFailure>>
+  abort(member: MemberRecord, attemptId: AttemptId): Promise<Result<void, PeerFailure>>
+  pushConfiguration(member: MemberRecord, value: string): Promise<Result<PushAnswer, PeerFailure>>
+  snapshot(member: MemberRecord): Promise<Result<ConfigurationSnapshot, PeerFailure>>
+  load(member: MemberRecord): Promise<Result<ServiceLoad[], PeerFailure>>
+}
--- /dev/null
+++ b/packages/control/src/InForceTracker.ts
@@ -0,0 +1,191 @@
+import type { EventLog } from '@carobpitch/kernel'
+import type { InstanceId, MemberRecord } from '@carobpitch/schema'
+import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
+import type { ControlMembership } from './ControlMembership.js'
+import type { ControlPeers } from './ControlPeers.js'
+
+/** Age of knowledge beyond which a member without contact to the majority accepts no new work. @public */
+export const FRESHNESS_LIMIT_MS = 2_500
+
+/** Interval between attempts to reach members that have not confirmed. */
+const PUSH_INTERVAL_MS = 250
+/** Time after which pushing ends; a status request starts it again. */
+const TRACK_LIMIT_MS = 60_000
+/** Number of revisions whose progress is kept. */
+const TRACKS_MAX = 20
+
+/** A member that has not confirmed a revision. @public */
+export interface WaitingMember {
+  instanceId: InstanceId
+  reason: string
+}
+
+/** How far a revision is in force. @public */
+export interface InForceProgress {
+  revision: number
+  /** Every known member has confirmed or can no longer serve, and more than half have confirmed. */
+  inForce: boolean
+  confirmed: InstanceId[]
+  /** Members that have been unreachable for longer than the freshness limit, so that they accept no new work. */
+  cannotServe: InstanceId[]
+  waiting: WaitingMember[]
+}
+
+/** Options of `InForceTracker`. @internal */
+export interface InForceTrackerOptions {
+  instanceId: InstanceId
+  adopter: ConfigurationAdopter
+  membership: ControlMembership
+  peers: ControlPeers
+  log: EventLog
+  onInForce?: (elapsedMs: number) => void
+}
+
+interface MemberState {
+  adoptedRevision: number
+  isPushing: boolean
+  /** Start of the first unanswered push since the last answer, on the monotonic clock. */
+  unreachableSinceMs: number | undefined
+  lastReason: string
+}
+
+interface Track {
+  revision: number
+  startedAtMs: number
+  members: Map<InstanceId, MemberState>
+  timer: NodeJS.Timeout | undefined
+  isRunning: boolean
+  isComplete: boolean
+}
+
+/**
+ * Pushes the adopted configuration to every known member until each has confirmed a revision or can no longer serve.
+ * @internal
+ */
+export class InForceTracker {
+  private readonly options: InForceTrackerOptions
+  private readonly tracks = new Map<number, Track>()
+
+  constructor (options: InForceTrackerOptions) {
+    this.options = options
+  }
+
+  /** Starts to push a revision unless that is under way, and returns the progress so far. */
+  track (revision: number): InForceProgress {
+    const track = this.tracks.get(revision) ?? this.newTrack(revision)
+    if (!track.isRunning && !track.isComplete) {
+      track.startedAtMs = performance.now()
+      track.isRunning = true
+      this.pushRound(track)
+    }
+    return this.progress(revision)
+  }
+
+  /** Waits until a revision is in force or the time is up, and returns the progress. */
+  async waitFor (revision: number, waitMs: number): Promise<InForceProgress> {
+    const endAtMs = performance.now() + waitMs
+    let progress = this.track(revision)
+    while (!progress.inForce && performance.now() < endAtMs) {
+      await new Promise(resolve => setTimeout(resolve, Math.min(PUSH_INTERVAL_MS / 5, waitMs)))
+      progress = this.track(revision)
+    }
+    return progress
+  }
+
+  /** Ends all pushing. */
+  stop (): void {
+    for (const { timer } of this.tracks.values()) clearTimeout(timer)
+    this.tracks.clear()
+  }
+
+  dump (): unknown {
+    return [...this.tracks.keys()].map(revision => this.progress(revision))
+  }
+
+  private newTrack (revision: number): Track {
+    const track: Track = { revision, startedAtMs: 0, members: new Map(), timer: undefined, isRunning: false, isComplete: false }
+    this.tracks.set(revision, track)
+    for (const [key, { isRunning }] of this.tracks) {
+      if (this.tracks.size > TRACKS_MAX && !isRunning && key !== revision) this.tracks.delete(key)
+    }
+    return track
+  }
+
+  private progress (revision: number): InForceProgress {
+    const progress: InForceProgress = { revision, inForce: false, confirmed: [], cannotServe: [], waiting: [] }
+    const members = this.options.membership.knownMembers()
+    const states = this.tracks.get(revision)?.members
+    for (const member of members) this.classify(member, states?.get(member.instanceId), progress)
+    progress.inForce = progress.waiting.length === 0 && progress.confirmed.length * 2 > members.length
+    return progress
+  }
+
+  private classify (member: MemberRecord, state: MemberState | undefined, progress: InForceProgress): void {
+    const { instanceId } = member
+    const now = performance.now()
+    if (this.hasAdopted(member, state, progress.revision)) progress.confirmed.push(instanceId)
+    else if (state?.unreachableSinceMs !== undefined && now - state.unreachableSinceMs > FRESHNESS_LIMIT_MS) progress.cannotServe.push(instanceId)
+    else progress.waiting.push({ instanceId, reason: state?.lastReason ?? 'not asked yet' })
+  }
+
+  /** A member's adopted revision never falls, so any report of it is a lower bound. */
+  private hasAdopted (member: MemberRecord, state: MemberState | undefined, revision: number): boolean {
+    if (member.instanceId === this.options.instanceId) return this.options.adopter.current().revision >= revision
+    return Math.max(member.adoptedRevision, state?.adoptedRevision ?? 0) >= revision
+  }
+
+  private pushRound (track: Track): void {
+    for (const member of this.options.membership.knownMembers()) {
+      if (member.instanceId === this.options.instanceId) continue
+      const state = stateOf(track, member.instanceId)
+      if (!state.isPushing && !this.hasAdopted(member, state, track.revision)) this.push(member, state, track)
+    }
+    this.noteCompletion(track)
+    if (track.isComplete || performance.now() - track.startedAtMs > TRACK_LIMIT_MS) {
+      track.isRunning = false
+      return
+    }
+    track.timer = setTimeout(() => this.pushRound(track), PUSH_INTERVAL_MS)
+    track.timer.unref?.()
+  }
+
+  private async push (member: MemberRecord, state: MemberState, track: Track): Promise<void> {
+    const value = this.options.adopter.encodedCurrent()
+    if (value === undefined) return
+    const startedAtMs = performance.now()
+    state.isPushing = true
+    const answer = await this.options.peers.pushConfiguration(member, value)
+    state.isPushing = false
+    if (answer.isErr) {
+      state.unreachableSinceMs ??= startedAtMs
+      state.lastReason = `no answer: ${answer.error.reason}`
+      return
+    }
+    state.unreachableSinceMs = undefined
+    state.adoptedRevision = answer.value.adoptedRevision
+    state.lastReason = answer.value.problem ?? `holds revision ${answer.value.adoptedRevision}`
+    this.noteCompletion(track)
+  }
+
+  private noteCompletion (track: Track): void {
+    const progress = this.progress(track.revision)
+    if (!progress.inForce || track.isComplete) return
+    track.isComplete = true
+    const elapsedMs = performance.now() - track.startedAtMs
+    this.options.onInForce?.(elapsedMs)
+    this.options.log.info('change.in-force', {
+      revision: track.revision,
+      elapsedMs: Math.round(elapsedMs),
+      confirmed: progress.confirmed.length,
+      cannotServe: progress.cannotServe.join(',') || undefined
+    })
+  }
+}
+
+function stateOf (track: Track, instanceId: InstanceId): MemberState {
+  const known = track.members.get(instanceId)
+  if (known !== undefined) return known
+  const state: MemberState = { adoptedRevision: 0, isPushing: false, unreachableSinceMs: undefined, lastReason: 'not asked yet' }
+  track.members.set(instanceId, state)
+  return state
+}
--- /dev/null
+++ b/packages/control/src/OperatorActions.ts
@@ -0,0 +1,149 @@
+import {
+  declarationSchema, parseWith,
+  type ChangeId, type ChangeRecord, type InstanceId, type MemberRecord, type ServiceName, type Violation
+} from '@carobpitch/schema'
+import { applyOperations, isSameIntent } from './applyOperations.js'
+import { describeChanges, describeFields } from './capacity.js'
+import { changeStatusOf, type ChangeStatus } from './changeStatus.js'
+import type { Committer } from './Committer.js'
+import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
+import type { ConfigurationStore } from './ConfigurationStore.js'
+import type { ConfirmOutcome } from './ConfirmOutcome.js'
+import type { ControlMembership } from './ControlMembership.js'
+import type { ControlMetrics } from './ControlMetrics.js'
+import type { InForceProgress, InForceTracker } from './InForceTracker.js'
+import type { Planner, PlanOutcome } from './Planner.js'
+import type { PlanStore } from './PlanStore.js'
+
+/** Answer to a status request. @public */
+export type StatusAnswer = ChangeStatus & {
+  /** How far an accepted change is in force. */
+  progress?: InForceProgress
+}
+
+/** Answer to a diff request. @public */
+export type DiffOutcome =
+  | { kind: 'same', baseRevision: number }
+  | { kind: 'different', baseRevision: number, services: ServiceDiff[], failureDomains: string[] }
+  | { kind: 'invalid', violations: Violation[] }
+
+/** Differences of one service. @public */
+export interface ServiceDiff {
+  service: ServiceName
+  changes: string[]
+}
+
+/** Answer to a history request. @public */
+export interface History {
+  revision: number
+  /** Newest first. */
+  changes: ChangeRecord[]
+}
+
+/** A member as operators see it. @public */
+export interface InstanceView extends MemberRecord {
+  /** Whether the answering instance believes the member alive. */
+  isAlive: boolean
+}
+
+/** Answer to an instances request. @public */
+export interface InstancesAnswer {
+  revision: number
+  instances: InstanceView[]
+}
+
+/** Options of `OperatorActions`. @internal */
+export interface OperatorActionsOptions {
+  planner: Planner
+  committer: Committer
+  plans: PlanStore
+  configurationStore: ConfigurationStore
+  adopter: ConfigurationAdopter
+  tracker: InForceTracker
+  membership: ControlMembership
+  metrics: ControlMetrics
+}
+
+/** Time for which a status request waits for progress. */
+const STATUS_WAIT_MS = 500
+
+/**
+ * Carries out what operators ask of an instance.
+ * @public
+ */
+export class OperatorActions {
+  private readonly options: OperatorActionsOptions
+
+  constructor (options: OperatorActionsOptions) {
+    this.options = options
+  }
+
+  /** Plans operations. Nothing changes. */
+  async plan (operations: unknown, operator: string): Promise<PlanOutcome> {
+    const outcome = await this.options.planner.plan(operations, operator)
+    this.options.metrics.notePlan(outcome)
+    return outcome
+  }
+
+  /** Confirms a plan. */
+  async confirm (changeId: ChangeId, operator: string): Promise<ConfirmOutcome> {
+    const outcome = await this.options.committer.confirm(changeId, operator)
+    this.options.metrics.noteConfirmation(outcome)
+    return outcome
+  }
+
+  /** Tells what became of a change, from the store or else from the configuration adopted here. */
+  async status (changeId: ChangeId): Promise<StatusAnswer> {
+    const { configurationStore, adopter, plans, tracker } = this.options
+    const stored = await configurationStore.read()
+    if (stored.isOk && stored.value.value !== undefined && stored.value.configuration.revision > adopter.current().revision) {
+      adopter.offer(stored.value.value, 'store')
+    }
+    const configuration = adopter.current()
+    const plan = await plans.get(changeId)
+    const isFromStore = stored.isOk && stored.value.configuration.revision >= configuration.revision && plan.isOk
+    const status = changeStatusOf({ changeId, configuration, isFromStore, plan: plan.unwrapOr(undefined) })
+    if (status.kind !== 'accepted') return status
+    return { ...status, progress: await tracker.waitFor(status.record.revision, STATUS_WAIT_MS) }
+  }
+
+  /** Returns the recent changes of the adopted configuration. */
+  history (): History {
+    const { revision, recentChanges } = this.options.adopter.current()
+    return { revision, changes: recentChanges }
+  }
+
+  /** Compares a declaration with the adopted configuration. */
+  diff (declaration: unknown): DiffOutcome {
+    const parsed = parseWith(declarationSchema, declaration)
+    if (parsed.isErr) return { kind: 'invalid', violations: parsed.error }
+    const before = this.options.adopter.current()
+    const after = applyOperations(before, [{ kind: 'apply-declaration', declaration: parsed.value }])
+    if (after.isErr) return { kind: 'invalid', violations: after.error }
+    const baseRevision = before.revision
+    if (isSameIntent(before, after.value)) return { kind: 'same', baseRevision }
+    const services = [...describeChanges(before, after.value)].map(([service, changes]) => ({ service, changes }))
+    return { kind: 'different', baseRevision, services, failureDomains: describeDomains(before.failureDomains, after.value.failureDomains) }
+  }
+
+  /** Validates a declaration by itself. */
+  validate (declaration: unknown): Violation[] {
+    const parsed = parseWith(declarationSchema, declaration)
+    return parsed.isErr ? parsed.error : []
+  }
+
+  /** Lists the known members. */
+  instances (): InstancesAnswer {
+    const { membership, adopter } = this.options
+    const alive = new Set<InstanceId>(membership.members().map(({ instanceId }) => instanceId))
+    const instances = membership.knownMembers().map(member => ({ ...member, isAlive: alive.has(member.instanceId) }))
+    return { revision: adopter.current().revision, instances }
+  }
+}
+
+function describeDomains (before: object, after: object): string[] {
+  const added = Object.keys(after).filter(id => !Object.hasOwn(before, id)).map(id => `${id} added`)
+  const removed = Object.keys(before).filter(id => !Object.hasOwn(after, id)).map(id => `${id} removed`)
+  const kept = Object.fromEntries(Object.entries(after).filter(([id]) => Object.hasOwn(before, id)))
+  return [...added, ...removed, ...describeFields(before, kept)]
+}
--- /dev/null
+++ b/packages/control/src/PeerRelay.ts
@@ -0,0 +1,77 @@
+import { z } from 'zod'
+import { parseWith, type InstanceId, type MemberRecord } from '@carobpitch/schema'
+import { announcementSchema, attemptIdSchema } from './Announcement.js'
+import type { AnnouncementBook } from './AnnouncementBook.js'
+import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
+import type { ControlMembership } from './ControlMembership.js'
+import type { ConfigurationSnapshot, ControlPeers } from './ControlPeers.js'
+
+/** Validator of what control carries on pings. @internal */
+export const relayStateSchema = z.strictObject({
+  revision: z.int().min(0),
+  announcements: z.array(announcementSchema).max(100),
+  aborts: z.array(attemptIdSchema).max(1_000)
+})
+/** What control carries on pings. @internal */
+export type RelayState = z.infer<typeof relayStateSchema>
+
+/** Options of `PeerRelay`. @internal */
+export interface PeerRelayOptions {
+  adopter: ConfigurationAdopter
+  announcements: AnnouncementBook
+  membership: ControlMembership
+  peers: ControlPeers
+}
+
+/**
+ * Spreads the adopted revision, open announcements and aborts on pings. An instance that is behind a peer
+ * pulls a snapshot from it; one pull is under way at a time, and the next ping asks again after a failure.
+ * @internal
+ */
+export class PeerRelay {
+  private readonly options: PeerRelayOptions
+  private pull: Promise<void> | undefined
+
+  constructor (options: PeerRelayOptions) {
+    this.options = options
+  }
+
+  /** The value that this instance sends on pings. */
+  provide (): RelayState {
+    const { adopter, announcements } = this.options
+    return { revision: adopter.current().revision, announcements: announcements.announcements(), aborts: announcements.recentAborts() }
+  }
+
+  /** Takes the value that a member sent. An invalid value is ignored. */
+  receive (from: InstanceId, value: unknown): void {
+    const parsed = parseWith(relayStateSchema, value)
+    if (parsed.isErr) return
+    const { revision, announcements, aborts } = parsed.value
+    for (const attemptId of aborts) this.options.announcements.abort(attemptId, `told by ${from}`)
+    for (const announcement of announcements) this.options.announcements.accept(announcement)
+    if (revision > this.options.adopter.current().revision) this.pullFrom(from)
+  }
+
+  /** Asks members in turn for their snapshot until one gives a configuration. Returns whether one did. */
+  async pullFromAny (members: readonly MemberRecord[]): Promise<boolean> {
+    for (const member of members) {
+      const snapshot = await this.options.peers.snapshot(member)
+      if (snapshot.isOk && this.takeSnapshot(snapshot.value)) return true
+    }
+    return false
+  }
+
+  private pullFrom (from: InstanceId): void {
+    if (this.pull !== undefined) return
+    const member = this.options.membership.members().find(({ instanceId }) => instanceId === from)
+    if (member === undefined) return
+    this.pull = this.pullFromAny([member])
+      .then(() => { this.pull = undefined })
+  }
+
+  private takeSnapshot ({ value, announcements }: ConfigurationSnapshot): boolean {
+    const outcome = value === undefined ? undefined : this.options.adopter.offer(value, 'snapshot')
+    for (const announcement of announcements) this.options.announcements.accept(announcement)
+    return outcome?.kind === 'adopted'
+  }
+}
--- /dev/null
+++ b/packages/control/src/StoreFollower.ts
@@ -0,0 +1,149 @@
+import type { EventLog } from '@carobpitch/kernel'
+import type { KeyValueStore, Watch } from '@carobpitch/store'
+import { ANNOUNCEMENT_HOLD_MS, type AnnouncementBook } from './AnnouncementBook.js'
+import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
+import type { ConfigurationStore } from './ConfigurationStore.js'
+import type { ControlFreshness, ControlMembership } from './ControlMembership.js'
+
+/** Interval of a store reader's reads. @public */
+export const STORE_READ_INTERVAL_MS = 1_000
+
+/** Backoff limit per member after failed reads; it keeps the retries of the whole fleet near 10/s. */
+const BACKOFF_PER_MEMBER_MS = 100
+/** Lowest backoff limit. */
+const BACKOFF_LIMIT_MIN_MS = 1_000
+
+/** Options of `StoreFollower`. @internal */
+export interface StoreFollowerOptions {
+  store: KeyValueStore
+  configurationStore: ConfigurationStore
+  adopter: ConfigurationAdopter
+  announcements: AnnouncementBook
+  membership: ControlMembership
+  freshness: ControlFreshness
+  log: EventLog
+  random?: () => number
+}
+
+/**
+ * Follows the configuration key. A store reader watches it and reads it once per second; every instance reads it
+ * when an announcement stays without an outcome. Only a read that shows the adopted revision counts as fresh.
+ * @internal
+ */
+export class StoreFollower {
+  private readonly options: StoreFollowerOptions
+  private readonly random: () => number
+  private timer: NodeJS.Timeout | undefined
+  private watch: Watch | undefined
+  /** Number of the watch opened last; the end of an earlier one is ignored. */
+  private watchNumber = 0
+  private failures = 0
+  private lastFailure: string | undefined
+  private isStopped = true
+
+  constructor (options: StoreFollowerOptions) {
+    this.options = options
+    this.random = options.random ?? Math.random
+  }
+
+  /** Starts the periodic reads. */
+  start (): void {
+    this.isStopped = false
+    this.schedule(STORE_READ_INTERVAL_MS * this.random())
+  }
+
+  /** Ends the reads and the watch. */
+  stop (): void {
+    this.isStopped = true
+    clearTimeout(this.timer)
+    this.closeWatch()
+  }
+
+  /** Reads the key once, adopts a newer document and returns whether the read shows the adopted revision. */
+  async readOnce (): Promise<boolean> {
+    const { configurationStore, adopter, announcements, freshness } = this.options
+    const startedAtMs = performance.now()
+    const stored = await configurationStore.read()
+    if (stored.isErr) {
+      this.noteFailure(stored.error.kind === 'store-unavailable' ? stored.error.reason : 'the stored document is invalid')
+      return false
+    }
+    this.noteSuccess()
+    const { configuration: { revision }, value } = stored.value
+    if (value !== undefined && revision > adopter.current().revision) adopter.offer(value, 'store')
+    // A stale read shows an earlier revision and says nothing about the present one.
+    if (revision < adopter.current().revision) return false
+    announcements.noteStoreRead(revision, startedAtMs)
+    freshness.noteStoreRead(startedAtMs)
+    return true
+  }
+
+  dump (): unknown {
+    return { isStoreReader: this.options.membership.isStoreReader(), isWatching: this.watch !== undefined, failures: this.failures, lastFailure: this.lastFailure }
+  }
+
+  private schedule (delayMs: number): void {
+    if (this.isStopped) return
+    this.timer = setTimeout(() => { this.tick() }, delayMs)
+    this.timer.unref?.()
+  }
+
+  private async tick (): Promise<void> {
+    const startedAtMs = performance.now()
+    if (this.options.membership.isStoreReader()) {
+      this.openWatch()
+      await this.readOnce()
+    } else {
+      this.closeWatch()
+      // A reader's abort normally arrives on a ping first; the second hold time keeps the others from reading at once.
+      if (this.options.announcements.oldestAgeMs() >= 2 * ANNOUNCEMENT_HOLD_MS) await this.readOnce()
+    }
+    const elapsedMs = performance.now() - startedAtMs
+    this.schedule(this.failures > 0 ? this.backoffMs() : Math.max(0, STORE_READ_INTERVAL_MS - elapsedMs))
+  }
+
+  /** Exponential backoff with full jitter above the read interval's half. */
+  private backoffMs (): number {
+    const limitMs = Math.max(BACKOFF_LIMIT_MIN_MS, this.options.membership.knownMembers().length * BACKOFF_PER_MEMBER_MS)
+    const stepMs = Math.min(limitMs, STORE_READ_INTERVAL_MS * 2 ** Math.min(this.failures - 1, 10))
+    return stepMs * (0.5 + this.random() / 2)
+  }
+
+  private openWatch (): void {
+    if (this.watch !== undefined) return
+    const { store, configurationStore, adopter, log } = this.options
+    let hasEnded = false
+    this.watchNumber += 1
+    const number = this.watchNumber
+    const watch = store.watch(configurationStore.key, {
+      onEvent: event => {
+        if (event.kind === 'put' && event.value.key === configurationStore.key) adopter.offer(event.value.value, 'watch')
+        if (event.kind === 'delete' && event.key === configurationStore.key) log.error('configuration.key-deleted')
+      },
+      onEnd: reason => {
+        hasEnded = true
+        if (this.watchNumber === number) this.watch = undefined
+        log.debug('store.watch-ended', { reason })
+      }
+    })
+    // A watch that ended before it was returned is opened again by the next tick.
+    if (!hasEnded) this.watch = watch
+  }
+
+  private closeWatch (): void {
+    const watch = this.watch
+    this.watch = undefined
+    watch?.close()
+  }
+
+  private noteFailure (reason: string): void {
+    this.failures += 1
+    this.lastFailure = reason
+    if (this.failures === 1) this.options.log.warn('store.read-failed', { reason })
+  }
+
+  private noteSuccess (): void {
+    if (this.failures > 0) this.options.log.info('store.read-recovered', { failures: this.failures })
+    this.failures = 0
+  }
+}
--- /dev/null
+++ b/packages/control/src/announceToMajority.ts
@@ -0,0 +1,46 @@
+import type { InstanceId, MemberRecord } from '@carobpitch/schema'
+import type { Announcement } from './Announcement.js'
+import type { ControlPeers } from './ControlPeers.js'
+
+/** Result of announcing a change. @internal */
+export type AnnounceResult =
+  | { kind: 'majority', acknowledged: number, needed: number }
+  | { kind: 'no-majority', acknowledged: number, needed: number, missing: InstanceId[] }
+  | { kind: 'outdated', adoptedRevision: number }
+
+/** Options of `announceToMajority`. @internal */
+export interface AnnounceOptions {
+  announcement: Announcement
+  instanceId: InstanceId
+  /** Known members, this instance included. */
+  members: readonly MemberRecord[]
+  peers: ControlPeers
+}
+
+/**
+ * Announces a change to all known members. Settles as soon as more than half of them have acknowledged
+ * (this instance counts as one), a member knows a newer revision, or every member has answered or failed to.
+ * @internal
+ */
+export async function announceToMajority ({ announcement, instanceId, members, peers }: AnnounceOptions): Promise<AnnounceResult> {
+  const others = members.filter(member => member.instanceId !== instanceId)
+  const needed = Math.floor((others.length + 1) / 2) + 1
+  const missing = new Set(others.map(member => member.instanceId))
+  let acknowledged = 1
+  if (acknowledged >= needed) return { kind: 'majority', acknowledged, needed }
+  return await new Promise(resolve => {
+    let open = others.length
+    for (const member of others) {
+      peers.announce(member, announcement).then(answer => {
+        open -= 1
+        if (answer.isOk && answer.value.kind === 'outdated') resolve({ kind: 'outdated', adoptedRevision: answer.value.adoptedRevision })
+        if (answer.isOk && answer.value.kind === 'acknowledged') {
+          acknowledged += 1
+          missing.delete(member.instanceId)
+        }
+        if (acknowledged >= needed) resolve({ kind: 'majority', acknowledged, needed })
+        else if (open === 0) resolve({ kind: 'no-majority', acknowledged, needed, missing: [...missing] })
+      })
+    }
+  })
+}
--- /dev/null
+++ b/packages/control/src/changeStatus.ts
@@ -0,0 +1,62 @@
+import type { ChangeId, ChangeRecord, Configuration, Plan } from '@carobpitch/schema'
+
+/** What is known of a change from a configuration and the stored plan. @public */
+export type ChangeStatus =
+  | { kind: 'accepted', record: ChangeRecord }
+  | { kind: 'not-accepted', reason: string }
+  | { kind: 'pending', plan: Plan }
+  | { kind: 'unknown', reason: string }
+
+/** Options of `changeStatusOf`. @internal */
+export interface ChangeStatusOptions {
+  changeId: ChangeId
+  /** Newest configuration known. */
+  configuration: Configuration
+  /** Whether the configuration was just read from the store; otherwise a newer one may exist. */
+  isFromStore: boolean
+  /** Stored plan, if it was found. */
+  plan: Plan | undefined
+}
+
+/**
+ * Decides what can be said of a change. An accepted change is in the history of its revision and of the 49 that follow,
+ * so its absence is proof only while the history reaches back to the plan's base.
+ * @internal
+ */
+export function changeStatusOf ({ changeId, configuration, isFromStore, plan }: ChangeStatusOptions): ChangeStatus {
+  const record = recordOf(configuration, changeId)
+  if (record !== undefined) return { kind: 'accepted', record }
+  if (plan === undefined) {
+    if (!isFromStore) return { kind: 'unknown', reason: 'the store does not answer and no peer configuration names the change; it may have taken effect' }
+    return { kind: 'unknown', reason: `no plan and none of the last ${configuration.recentChanges.length} changes has this id; plans expire after an hour` }
+  }
+  if (configuration.revision <= plan.baseRevision) {
+    if (isFromStore && configuration.revision === plan.baseRevision) return { kind: 'pending', plan }
+    return { kind: 'unknown', reason: `only revision ${configuration.revision} is known here; the change may have taken effect after it` }
+  }
+  if (!reachesBack(configuration, plan.baseRevision)) {
+    return { kind: 'unknown', reason: 'the history does not reach back to the base of the plan' }
+  }
+  const winner = interveningChanges(configuration, plan.baseRevision).at(-1)
+  return { kind: 'not-accepted', reason: `revision ${plan.baseRevision + 1} is another change: ${describeRecord(winner)}` }
+}
+
+/** Returns the record of a change, if the history holds it. @internal */
+export function recordOf (configuration: Configuration, changeId: ChangeId): ChangeRecord | undefined {
+  return configuration.recentChanges.find(record => record.changeId === changeId)
+}
+
+/** Returns the changes after a revision, newest first, as far as the history reaches. @internal */
+export function interveningChanges (configuration: Configuration, baseRevision: number): ChangeRecord[] {
+  return configuration.recentChanges.filter(({ revision }) => revision > baseRevision)
+}
+
+/** Whether the history holds every change after a revision. @internal */
+export function reachesBack (configuration: Configuration, baseRevision: number): boolean {
+  return interveningChanges(configuration, baseRevision).length === Math.max(0, configuration.revision - baseRevision)
+}
+
+function describeRecord (record: ChangeRecord | undefined): string {
+  if (record === undefined) return 'unknown'
+  return `${record.changeId} by ${record.operator} (${record.summary})`
+}
--- /dev/null
+++ b/packages/control/src/commit.test.ts
@@ -0,0 +1,283 @@
+import { expect } from 'chai'
+import type { ChangeId, Configuration, Plan } from '@carobpitch/schema'
+import { encodeConfiguration, decodeConfiguration } from './configurationCodec.js'
+import type { ConfirmOutcome } from './ConfirmOutcome.js'
+import { FakeCluster, TEST_KEY, type FakeNode } from './testing/FakeCluster.js'
+import { makeConfiguration } from './testing/configurations.js'
+import { pauseClock, settle } from './testing/pausedClock.js'
+
+const TAKE_FUKUOKA_OUT = [{ kind: 'take-domain-out', failureDomain: 'fukuoka' }]
+const TAKE_KUMAMOTO_OUT = [{ kind: 'take-domain-out', failureDomain: 'kumamoto' }]
+
+describe('committing a change', () => {
+  let clock: ReturnType<typeof pauseClock>
+  let cluster: FakeCluster
+  let first: FakeNode
+  let second: FakeNode
+
+  beforeEach(async () => {
+    clock = pauseClock()
+    cluster = await FakeCluster.start(5, makeConfiguration({ revision: 3 }))
+    first = cluster.node(1)
+    second = cluster.node(2)
+  })
+
+  afterEach(async () => {
+    await cluster.stop()
+    clock.uninstall()
+  })
+
+  async function plan (node: FakeNode, operations: unknown): Promise<Plan> {
+    const outcome = await settle(clock, node.control.actions.plan(operations, 'aya'))
+    if (outcome.kind !== 'planned') throw new Error(`not planned: ${JSON.stringify(outcome)}`)
+    return outcome.plan
+  }
+
+  async function confirm (node: FakeNode, changeId: ChangeId): Promise<ConfirmOutcome> {
+    return await settle(clock, node.control.actions.confirm(changeId, 'botan'))
+  }
+
+  function stored (): Configuration {
+    return decodeConfiguration(cluster.store.peek(TEST_KEY) ?? '').unwrapOrElse(() => { throw new Error('invalid document') })
+  }
+
+  describe('without faults', () => {
+    it('lets any operator confirm through any instance, and is in force everywhere', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      const outcome = await confirm(second, changeId)
+      expect(outcome).to.include({ kind: 'accepted', effect: 'accepted' })
+      await clock.tickAsync(300)
+      expect(cluster.nodes.map(node => node.revision)).to.deep.equal([4, 4, 4, 4, 4])
+      expect(stored().recentChanges[0]).to.include({ changeId, operator: 'botan', revision: 4 })
+      const status = await settle(clock, cluster.node(5).control.actions.status(changeId))
+      expect(status.kind).to.equal('accepted')
+      expect(status.progress).to.deep.include({ inForce: true, waiting: [] })
+      expect(cluster.nodes.flatMap(node => node.withdrawn.failureDomains)).to.deep.equal([])
+    })
+
+    it('confirms twice without a second change, guarding against an operator who repeats a command', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      await confirm(first, changeId)
+      expect(await confirm(second, changeId)).to.include({ kind: 'accepted' })
+      expect(stored().revision).to.equal(4)
+    })
+
+    it('lets a plan expire after an hour', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      await clock.tickAsync(3_600_001)
+      expect(await confirm(first, changeId)).to.include({ kind: 'unknown-plan', effect: 'none' })
+    })
+
+    it('treats what is announced as out before the write takes effect', async () => {
+      const seen: string[][] = []
+      cluster.store.beforeSwap = () => seen.push(cluster.nodes.filter(node => node.withdrawn.failureDomains.length > 0).map(node => node.instanceId))
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      seen.length = 0
+      await confirm(first, changeId)
+      expect(seen[0]?.length).to.be.greaterThanOrEqual(3)
+    })
+  })
+
+  describe('operators who race', () => {
+    it('refuses an outdated plan and shows the intervening change', async () => {
+      const mine = await plan(first, TAKE_FUKUOKA_OUT)
+      const theirs = await plan(second, TAKE_KUMAMOTO_OUT)
+      await confirm(second, theirs.changeId)
+      const outcome = await confirm(first, mine.changeId)
+      expect(outcome).to.deep.include({ kind: 'outdated', effect: 'none', baseRevision: 3, currentRevision: 4 })
+      expect(outcome.kind === 'outdated' && outcome.intervening.map(({ changeId }) => changeId)).to.deep.equal([theirs.changeId])
+      const status = await settle(clock, cluster.node(3).control.actions.status(mine.changeId))
+      expect(status.kind).to.equal('not-accepted')
+    })
+
+    it('lets one of two simultaneous confirmations win and returns the loser\'s withdrawals', async () => {
+      const [mine, theirs] = [await plan(first, TAKE_FUKUOKA_OUT), await plan(second, TAKE_KUMAMOTO_OUT)]
+      const outcomes = await settle(clock, Promise.all([
+        first.control.actions.confirm(mine.changeId, 'aya'), second.control.actions.confirm(theirs.changeId, 'botan')
+      ]))
+      expect(outcomes.map(({ kind }) => kind).sort()).to.deep.equal(['accepted', 'outdated'])
+      await clock.tickAsync(2_000)
+      expect(cluster.nodes.map(node => [node.revision, node.withdrawn.failureDomains])).to.deep.equal(cluster.nodes.map(() => [4, []]))
+    })
+
+    it('commits one change when both confirm the same plan', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      const outcomes = await settle(clock, Promise.all([first, second].map(node => node.control.actions.confirm(changeId, 'aya'))))
+      expect(outcomes.map(({ kind }) => kind)).to.deep.equal(['accepted', 'accepted'])
+      expect(stored()).to.include({ revision: 4 })
+    })
+
+    it('loses to a change that is written between the announcement and the write', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.beforeSwap = () => {
+        cluster.store.beforeSwap = () => {}
+        cluster.store.put(TEST_KEY, encodeConfiguration({ ...makeConfiguration({ revision: 4 }) }))
+      }
+      expect(await confirm(first, changeId)).to.include({ kind: 'outdated', effect: 'none', currentRevision: 4 })
+      await clock.tickAsync(2_000)
+      expect(cluster.nodes.map(node => node.withdrawn.failureDomains.length)).to.deep.equal([0, 0, 0, 0, 0])
+    })
+  })
+
+  describe('store faults', () => {
+    it('resolves a lost answer by the change id', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.loseAnswers = 1
+      expect(await confirm(first, changeId)).to.include({ kind: 'accepted' })
+      expect(stored().recentChanges).to.have.length(1)
+    })
+
+    it('resolves a lost answer as lost race when another change followed', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.loseRequests = 1
+      const outcome = first.control.actions.confirm(changeId, 'aya')
+      await clock.tickAsync(100)
+      cluster.store.put(TEST_KEY, encodeConfiguration(makeConfiguration({ revision: 4 })))
+      expect(await settle(clock, outcome)).to.include({ kind: 'outdated', effect: 'none' })
+    })
+
+    it('says that the change may have taken effect when the key cannot be read back, and status tells later', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.loseAnswers = 1
+      cluster.store.afterSwap = () => cluster.store.setDown(true)
+      expect(await confirm(first, changeId)).to.include({ kind: 'outcome-unknown', effect: 'unknown' })
+      expect((await settle(clock, cluster.node(4).control.actions.status(changeId))).kind).to.be.oneOf(['accepted', 'unknown'])
+      cluster.store.setDown(false)
+      expect((await settle(clock, cluster.node(4).control.actions.status(changeId))).kind).to.equal('accepted')
+    })
+
+    it('says the same of a write that was lost, without writing it again', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.loseRequests = 1
+      expect(await confirm(first, changeId)).to.include({ kind: 'outcome-unknown', effect: 'unknown' })
+      expect(stored().revision).to.equal(3)
+      expect((await settle(clock, second.control.actions.status(changeId))).kind).to.equal('pending')
+      expect(second.withdrawn.failureDomains).to.deep.equal(['fukuoka'])
+      await clock.tickAsync(15_000)
+      expect(cluster.nodes.flatMap(node => node.withdrawn.failureDomains)).to.deep.equal([])
+      expect(await confirm(second, changeId)).to.include({ kind: 'accepted' })
+    })
+
+    it('refuses plans and confirmations without effect while the store is down or slow', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.setDown(true)
+      expect(await confirm(first, changeId)).to.include({ kind: 'store-unavailable', effect: 'none' })
+      expect(await settle(clock, first.control.actions.plan(TAKE_FUKUOKA_OUT, 'aya'))).to.include({ kind: 'store-unavailable', effect: 'none' })
+      cluster.store.setDown(false)
+      cluster.store.faults.delayMs = 5_000
+      expect(await confirm(first, changeId)).to.include({ kind: 'store-unavailable', effect: 'none' })
+      cluster.store.faults.delayMs = 0
+      expect(await confirm(first, changeId)).to.include({ kind: 'accepted' })
+    })
+
+    it('does not build on a stale read', async () => {
+      const old = await plan(first, TAKE_FUKUOKA_OUT)
+      const other = await plan(first, TAKE_KUMAMOTO_OUT)
+      await confirm(first, other.changeId)
+      cluster.store.faults.stale = true
+      expect(await confirm(first, old.changeId)).to.include({ kind: 'outdated', effect: 'none' })
+      cluster.store.faults.stale = false
+      expect(stored().revision).to.equal(4)
+    })
+
+    it('refuses to build on an invalid document or on a key that vanished', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.put(TEST_KEY, encodeConfiguration({ ...makeConfiguration({ revision: 9 }), services: {} }))
+      expect(await confirm(first, changeId)).to.include({ kind: 'invalid-document', effect: 'none' })
+      expect(first.revision).to.equal(3)
+      await settle(clock, cluster.store.compareAndSwap({ key: TEST_KEY, value: undefined, expectedModRevision: await modRevision() }))
+      expect(await confirm(first, changeId)).to.include({ kind: 'store-unavailable', effect: 'none' })
+    })
+  })
+
+  describe('members that do not answer', () => {
+    it('refuses without effect when no more than half of the members acknowledge, and names the others', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      for (const number of [3, 4, 5]) await cluster.kill(cluster.node(number))
+      const outcome = await confirm(first, changeId)
+      expect(outcome).to.deep.equal({ kind: 'no-majority', effect: 'none', acknowledged: 2, needed: 3, missing: ['entry-3', 'entry-4', 'entry-5'] })
+      expect(stored().revision).to.equal(3)
+      await clock.tickAsync(100)
+      expect([first, second].flatMap(node => node.withdrawn.failureDomains)).to.deep.equal([])
+    })
+
+    it('names a member that has not confirmed, and reports in force once it can no longer serve', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.isolate(cluster.node(5))
+      cluster.node(5).isStoreReader = false
+      await confirm(first, changeId)
+      await clock.tickAsync(1_500)
+      const early = await settle(clock, first.control.actions.status(changeId))
+      expect(early.progress?.inForce).to.equal(false)
+      expect(early.progress?.waiting.map(({ instanceId }) => instanceId)).to.deep.equal(['entry-5'])
+      await clock.tickAsync(2_500)
+      const late = await settle(clock, first.control.actions.status(changeId))
+      expect(late.progress).to.deep.include({ inForce: true, cannotServe: ['entry-5'] })
+    })
+
+    it('brings a member up to date that was partitioned, by ping and snapshot', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.node(5).isStoreReader = false
+      await clock.tickAsync(1_100)
+      cluster.isolate(cluster.node(5))
+      await confirm(first, changeId)
+      await clock.tickAsync(70_000)
+      expect(cluster.node(5).revision).to.equal(3)
+      cluster.heal()
+      await clock.tickAsync(3_000)
+      expect(cluster.node(5).revision).to.equal(4)
+    })
+  })
+
+  describe('the committing instance is killed', () => {
+    it('between announcement and write: members return what was announced once a later read shows no change', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.loseRequests = 1
+      cluster.store.beforeSwap = () => {}
+      first.control.actions.confirm(changeId, 'aya')
+      await clock.tickAsync(5)
+      await cluster.kill(first)
+      expect(second.withdrawn.failureDomains).to.deep.equal(['fukuoka'])
+      await clock.tickAsync(5_000)
+      expect(second.withdrawn.failureDomains).to.deep.equal(['fukuoka'])
+      await clock.tickAsync(10_000)
+      expect(cluster.nodes.slice(1).flatMap(node => node.withdrawn.failureDomains)).to.deep.equal([])
+      expect(second.revision).to.equal(3)
+    })
+
+    it('between write and push: members treat it as out and adopt it without the instance', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      for (const node of cluster.nodes) node.isStoreReader = node === cluster.node(4)
+      await clock.tickAsync(1_000)
+      cluster.store.afterSwap = () => { first.isDead = true }
+      first.control.actions.confirm(changeId, 'aya')
+      await clock.tickAsync(100)
+      const uninformed = cluster.nodes.slice(1).filter(node => node.revision === 3 && node.withdrawn.failureDomains.length === 0)
+      expect(uninformed.length).to.be.lessThan(3)
+      await clock.tickAsync(3_000)
+      expect(cluster.nodes.slice(1).map(node => node.revision)).to.deep.equal([4, 4, 4, 4])
+    })
+
+    it('keeps what was announced out while the store is down, however long that lasts', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.loseAnswers = 1
+      cluster.store.afterSwap = () => {
+        first.isDead = true
+        cluster.store.setDown(true)
+      }
+      for (const node of cluster.nodes) node.isStoreReader = false
+      await clock.tickAsync(1_000)
+      first.control.actions.confirm(changeId, 'aya')
+      await clock.tickAsync(600_000)
+      expect(second.withdrawn.failureDomains).to.deep.equal(['fukuoka'])
+      cluster.store.setDown(false)
+      await clock.tickAsync(20_000)
+      expect(cluster.nodes.slice(1).map(node => [node.revision, node.withdrawn.failureDomains])).to.deep.equal([2, 3, 4, 5].map(() => [4, []]))
+    })
+  })
+
+  async function modRevision (): Promise<number> {
+    const value = await settle(clock, cluster.store.get(TEST_KEY))
+    return value.isOk ? value.value?.modRevision ?? 0 : 0
+  }
+})
--- /dev/null
+++ b/packages/control/src/testing/FakeStore.ts
@@ -0,0 +1,143 @@
+/** A `KeyValueStore` in memory with faults, for tests on a paused clock. */
+import { Result } from 'true-myth'
+import type { KeyValueStore, Lease, StoredValue, StoreFailure, SwapOptions, SwapOutcome, Watch, WatchListener } from '@carobpitch/store'
+
+/** Faults of the fake store. @internal */
+export interface FakeStoreFaults {
+  /** Refuses every connection. */
+  down: boolean
+  /** Delay before each answer; above `timeoutMs` the answer is lost. */
+  delayMs: number
+  /** Coming writes that take effect and whose answer is lost. */
+  loseAnswers: number
+  /** Coming writes that are lost before they take effect, without the caller knowing. */
+  loseRequests: number
+  /** Answers reads with the previous value of each key that has one. */
+  stale: boolean
+}
+
+interface Watcher {
+  prefix: string
+  listener: WatchListener
+}
+
+/** A `KeyValueStore` in memory. @internal */
+export class FakeStore implements KeyValueStore {
+  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, stale: false }
+  /** Runs before each swap takes effect, so that a test can race or cut at this step. */
+  beforeSwap: (options: SwapOptions) => void = () => {}
+  /** Runs after each swap took effect and before it is answered. */
+  afterSwap: (options: SwapOptions) => void = () => {}
+  calls = 0
+  private readonly values = new Map<string, StoredValue>()
+  private readonly previous = new Map<string, StoredValue>()
+  private readonly leases = new Map<string, string[]>()
+  private readonly watchers = new Set<Watcher>()
+  private revision = 1
+  private readonly timeoutMs = 1_000
+
+  async get (key: string): Promise<Result<StoredValue | undefined, StoreFailure>> {
+    return await this.answer(() => (this.faults.stale ? this.previous.get(key) : undefined) ?? this.values.get(key))
+  }
+
+  async list (prefix: string): Promise<Result<StoredValue[], StoreFailure>> {
+    return await this.answer(() => [...this.values.values()].filter(({ key }) => key.startsWith(prefix)))
+  }
+
+  async compareAndSwap (options: SwapOptions): Promise<Result<SwapOutcome, StoreFailure>> {
+    return await this.answer(() => this.swap(options), true)
+  }
+
+  async grantLease (ttlMs: number): Promise<Result<Lease, StoreFailure>> {
+    return await this.answer(() => {
+      const leaseId = String(this.leases.size + 1)
+      this.leases.set(leaseId, [])
+      setTimeout(() => this.expire(leaseId), ttlMs)
+      return { leaseId, ttlMs }
+    })
+  }
+
+  async renewLease (leaseId: string): Promise<Result<Lease, StoreFailure>> {
+    return await this.answer(() => ({ leaseId, ttlMs: 0 }))
+  }
+
+  async revokeLease (leaseId: string): Promise<Result<void, StoreFailure>> {
+    return await this.answer(() => this.expire(leaseId))
+  }
+
+  watch (prefix: string, listener: WatchListener): Watch {
+    const watcher = { prefix, listener }
+    if (this.faults.down) {
+      setTimeout(() => listener.onEnd('connection refused'), 0)
+      return { close: () => {} }
+    }
+    this.watchers.add(watcher)
+    return { close: () => this.watchers.delete(watcher) }
+  }
+
+  /** Takes the store down or up; open watches end when it goes down. */
+  setDown (down: boolean): void {
+    this.faults.down = down
+    if (!down) return
+    for (const { listener } of this.watchers) listener.onEnd('store down')
+    this.watchers.clear()
+  }
+
+  /** Writes a value regardless of its revision. */
+  put (key: string, value: string): void {
+    this.write({ key, value, expectedModRevision: this.values.get(key)?.modRevision ?? 0 })
+  }
+
+  /** Value of a key, past all faults. */
+  peek (key: string): string | undefined {
+    return this.values.get(key)?.value
+  }
+
+  private async answer<Value> (apply: () => Value, isWrite = false): Promise<Result<Value, StoreFailure>> {
+    this.calls += 1
+    if (this.faults.down) return Result.err({ effect: 'none', reason: 'connection refused' })
+    if (isWrite && this.faults.loseRequests > 0) {
+      this.faults.loseRequests -= 1
+      return Result.err({ effect: 'unknown', reason: 'connection reset' })
+    }
+    const value = apply()
+    const { delayMs } = this.faults
+    if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, Math.min(delayMs, this.timeoutMs)))
+    if (delayMs > this.timeoutMs) return Result.err({ effect: 'unknown', reason: 'timeout' })
+    if (isWrite && this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1
+      return Result.err({ effect: 'unknown', reason: 'connection reset' })
+    }
+    return Result.ok(value)
+  }
+
+  private swap (options: SwapOptions): SwapOutcome {
+    this.beforeSwap(options)
+    const current = this.values.get(options.key)
+    if ((current?.modRevision ?? 0) !== options.expectedModRevision) return { kind: 'conflict', current }
+    this.write(options)
+    this.afterSwap(options)
+    return { kind: 'swapped', modRevision: this.revision }
+  }
+
+  private write ({ key, value, leaseId }: SwapOptions): void {
+    this.revision += 1
+    const current = this.values.get(key)
+    if (current !== undefined) this.previous.set(key, current)
+    if (value === undefined) {
+      this.values.delete(key)
+      return
+    }
+    const stored = { key, value, modRevision: this.revision }
+    this.values.set(key, stored)
+    if (leaseId !== undefined) this.leases.get(leaseId)?.push(key)
+    for (const { prefix, listener } of this.watchers) {
+      if (key.startsWith(prefix)) queueMicrotask(() => listener.onEvent({ kind: 'put', value: stored }))
+    }
+  }
+
+  private expire (leaseId: string): void {
+    for (const key of this.leases.get(leaseId) ?? []) this.values.delete(key)
+    this.leases.delete(leaseId)
+  }
+}
--- /dev/null
+++ b/packages/control/src/testing/pausedClock.ts
@@ -0,0 +1,17 @@
+/** A paused clock for tests: timers, `Date` and `performance.now()` advance only on request. */
+import { install, type Clock } from '@sinonjs/fake-timers'
+
+/** Pauses the clock; call `uninstall` on the result after the test. @internal */
+export function pauseClock (): Clock & { uninstall: () => void } {
+  return install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'], now: 1_000_000 }) as never
+}
+
+/** Advances the clock until a promise settles, and returns its value. @internal */
+export async function settle<Value> (clock: Clock, promise: Promise<Value>, limitMs = 60_000): Promise<Value> {
+  const state = { isSettled: false }
+  const note = (): void => { state.isSettled = true }
+  promise.then(note, note)
+  for (let elapsedMs = 0; !state.isSettled && elapsedMs < limitMs; elapsedMs += 5) await clock.tickAsync(5)
+  if (!state.isSettled) throw new Error(`not settled within ${limitMs} ms`)
+  return await promise
+}
