Move the operator listener into control and serve the operator router

Cause: operators need plan, confirm, status, history, diff, validate, dump and instances over trpc, with metrics and health beside them.

The daemon registers a control service that has no peers yet, so that the whole path works until membership is joined. control now depends on polka.

Ruled out: queries for calls that carry a declaration, because trpc puts their input into the URL.

--- /dev/null
+++ b/packages/control/src/OperatorListener.ts
@@ -0,0 +1,136 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import polka from 'polka'
+import type { Registry } from 'prom-client'
+import type { EventLog, Service } from '@carobpitch/kernel'
+import type { ListenerSettings } from '@carobpitch/schema'
+import type { OperatorActions } from './OperatorActions.js'
+import { OperatorCredentials } from './OperatorCredentials.js'
+import { makeOperatorRouter } from './operatorRouter.js'
+
+/** Largest request body. A declaration of 910 targets takes about 200 KB. @public */
+export const OPERATOR_BODY_MAX_BYTES = 2_097_152
+
+const HEAD_TIMEOUT_MS = 5_000
+const REQUEST_TIMEOUT_MS = 15_000
+const CONNECTIONS_MAX = 100
+
+/** Whether an instance can take requests of callers. @public */
+export interface Readiness {
+  isReady: boolean
+  /** Why not; empty when ready. */
+  reasons: string[]
+}
+
+/**
+ * Options of `OperatorListener`.
+ * @public
+ */
+export interface OperatorListenerOptions {
+  listen: ListenerSettings
+  /** Bearer credential by name of the operator. */
+  operatorTokens: Readonly<Record<string, string>>
+  actions: OperatorActions
+  registry: Registry
+  /** Returns the state of the process, without credentials. */
+  dump: () => unknown
+  readiness: () => Readiness
+  log: EventLog
+}
+
+/**
+ * HTTP listener for operators: the operator router under `/trpc`, `/metrics` and `/dump` with a credential,
+ * `/healthz` and `/readyz` without.
+ * @public
+ */
+export class OperatorListener implements Service {
+  private readonly options: OperatorListenerOptions
+  private readonly credentials: OperatorCredentials
+  private readonly server: Server
+  private refusedCredentials = 0
+
+  constructor (options: OperatorListenerOptions) {
+    this.options = options
+    this.credentials = new OperatorCredentials(options.operatorTokens)
+    this.server = createServer({ headersTimeout: HEAD_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: HEAD_TIMEOUT_MS })
+    this.server.maxConnections = CONNECTIONS_MAX
+  }
+
+  /** Starts to listen. */
+  async start (): Promise<void> {
+    this.server.on('request', this.application().handler as never)
+    const { host, port } = this.options.listen
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+  }
+
+  /** Closes the listener. */
+  async stop (): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve))
+    this.server.closeAllConnections()
+    await closed
+  }
+
+  /** Port that the listener is bound to. */
+  port (): number {
+    return (this.server.address() as AddressInfo).port
+  }
+
+  dump (): unknown {
+    return { operators: Object.keys(this.options.operatorTokens), refusedCredentials: this.refusedCredentials }
+  }
+
+  private application (): polka.Polka {
+    const { actions, dump, registry, readiness } = this.options
+    const trpc = createHTTPHandler({
+      router: makeOperatorRouter(actions, dump),
+      basePath: '/trpc',
+      maxBodySize: OPERATOR_BODY_MAX_BYTES,
+      allowBatching: false,
+      createContext: ({ req }) => ({ operator: this.credentials.operatorOf(req.headers.authorization) ?? '' })
+    })
+    const app = polka({ onError: (error, _request, response) => this.answerError(error, response) })
+    app.use((request, response, next) => this.authorise(request, response, next))
+    app.get('/healthz', (_request, response) => { response.end('ok\n') })
+    app.get('/readyz', (_request, response) => {
+      const { isReady, reasons } = readiness()
+      sendJson(response, isReady ? 200 : 503, { isReady, reasons })
+    })
+    app.get('/metrics', (_request, response) => {
+      registry.metrics().then(text => {
+        response.setHeader('content-type', registry.contentType)
+        response.end(text)
+      }, error => this.answerError(error, response))
+    })
+    app.get('/dump', (_request, response) => sendJson(response, 200, dump()))
+    app.get('/trpc/*', trpc as never)
+    app.post('/trpc/*', trpc as never)
+    return app
+  }
+
+  /** Refuses unknown credentials before the body is read. */
+  private authorise (request: IncomingMessage, response: ServerResponse, next: () => void): void {
+    const path = (request.url ?? '').split('?')[0]
+    if (path === '/healthz' || path === '/readyz') return next()
+    if (this.credentials.operatorOf(request.headers.authorization) !== undefined) return next()
+    this.refusedCredentials += 1
+    this.options.log.warn('operator.credential-refused', { path, from: request.socket.remoteAddress })
+    response.setHeader('connection', 'close')
+    response.setHeader('www-authenticate', 'Bearer')
+    sendJson(response, 401, { error: 'missing or unknown credential' })
+  }
+
+  private answerError (error: unknown, response: ServerResponse): void {
+    const status = (error as { code?: unknown }).code === 404 ? 404 : 500
+    sendJson(response, status, { error: status === 404 ? 'unknown path' : 'internal error' })
+  }
+}
+
+function sendJson (response: ServerResponse, status: number, body: unknown): void {
+  response.statusCode = status
+  response.setHeader('content-type', 'application/json')
+  response.end(`${JSON.stringify(body)}\n`)
+}
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,15 +1,17 @@
 import { readFile } from 'node:fs/promises'
-import { gunzipSync } from 'node:zlib'
+import { Registry } from 'prom-client'
+import { OperatorListener, type ControlService } from '@carobpitch/control'
 import { EventLog, Kernel } from '@carobpitch/kernel'
 import { CallerListener } from '@carobpitch/proxy'
 import { routingPolicyOf, Scheduler } from '@carobpitch/routing'
 import { ConfigurationHolder, credentialsSchema, parseJsonWith, type Credentials, type MembershipSource, type Settings } from '@carobpitch/schema'
 import { EtcdStore } from '@carobpitch/store'
-import { OperatorListener } from './OperatorListener.js'
+import { createSoloControl } from './soloControl.js'
 
 declare module '@carobpitch/kernel' {
   interface ServiceMap {
     'caller-listener': CallerListener
+    control: ControlService
     'operator-listener': OperatorListener
   }
 }
@@ -23,11 +25,6 @@
   const credentials = await readCredentials(settings.credentialsFile)
   const configuration = new ConfigurationHolder()
   const store = new EtcdStore(settings.store)
-  const stored = await store.get(`carobpitch/${settings.deployment}/configuration`)
-  if (stored.isOk && stored.value !== undefined) {
-    configuration.adopt(JSON.parse(gunzipSync(Buffer.from(stored.value.value, 'base64')).toString('utf8')))
-  }
-  log.info('configuration.loaded', { revision: configuration.current().revision })
   const membership: MembershipSource = {
     members: () => [{
       instanceId: settings.instanceId,
@@ -41,7 +38,10 @@
     onChange: () => () => {}
   }
   const scheduler = new Scheduler({ configuration, policy: routingPolicyOf(settings.routing.policy) })
+  const registry = new Registry()
+  const control = createSoloControl({ settings, store, holder: configuration, membership, log, registry })
   const kernel = new Kernel()
+  kernel.register('control', control)
   kernel.register('caller-listener', new CallerListener({
     instanceId: settings.instanceId,
     listen: settings.caller,
@@ -53,6 +53,10 @@
   kernel.register('operator-listener', new OperatorListener({
     listen: settings.operator,
     operatorTokens: credentials.operatorTokens,
+    actions: control.actions,
+    registry,
+    log,
+    readiness: () => control.hasConfiguration() ? { isReady: true, reasons: [] } : { isReady: false, reasons: ['no configuration yet'] },
     dump: () => ({ instanceId: settings.instanceId, configuration: configuration.current(), services: kernel.dump() })
   }))
   return kernel
