Add the operators' commands to the command-line tool

Cause: the tool could only dump, and took its credential as an argument that other users of a machine can see.

A confirmation whose connection broke after it was sent exits with 'may have taken effect'.

Ruled out: stopping at the first instance that breaks a confirmation; the change id makes the repeat safe.

--- /dev/null
+++ b/packages/cli/src/ToolContext.ts
@@ -0,0 +1,86 @@
+import type { Command } from 'commander'
+import { CommandFailure } from './CommandFailure.js'
+import { EXIT, type ExitCode } from './exitCodes.js'
+import { OperatorClient } from './OperatorClient.js'
+import { readCredential } from './readCredential.js'
+
+/** Environment variable that names instances, separated by commas. @public */
+export const INSTANCE_VARIABLE = 'CAROBPITCH_INSTANCE'
+
+/** Where the tool writes. @public */
+export interface ToolOutput {
+  /** Writes a result. */
+  out(text: string): void
+  /** Writes progress and errors. */
+  err(text: string): void
+}
+
+/** Options of `ToolContext`. @internal */
+export interface ToolContextOptions {
+  program: Command
+  output: ToolOutput
+  environment: Readonly<Record<string, string | undefined>>
+}
+
+interface GlobalOptions {
+  instance?: string[]
+  tokenFile?: string
+  json?: boolean
+}
+
+/**
+ * What every command needs: the client, the output and the exit code.
+ * @internal
+ */
+export class ToolContext {
+  exitCode: ExitCode = EXIT.ok
+  readonly output: ToolOutput
+  private readonly options: ToolContextOptions
+  private knownClient: OperatorClient | undefined
+
+  constructor (options: ToolContextOptions) {
+    this.options = options
+    this.output = options.output
+  }
+
+  /** Client of the instances that the operator named. */
+  client (): OperatorClient {
+    this.knownClient ??= new OperatorClient({
+      urls: this.instanceUrls(),
+      token: readCredential({ tokenFile: this.globals().tokenFile, environment: this.options.environment }),
+      onNote: message => this.note(message)
+    })
+    return this.knownClient
+  }
+
+  /** Whether answers are printed as JSON. */
+  isJson (): boolean {
+    return this.globals().json === true
+  }
+
+  /** Prints an answer and sets the exit code. */
+  report (answer: unknown, text: string, exitCode: ExitCode = EXIT.ok): void {
+    this.output.out(this.isJson() ? JSON.stringify(answer, null, 2) : text)
+    this.exitCode = exitCode
+  }
+
+  /** Prints progress, apart from the answer. */
+  note (message: string): void {
+    this.output.err(message)
+  }
+
+  private globals (): GlobalOptions {
+    return this.options.program.opts<GlobalOptions>()
+  }
+
+  private instanceUrls (): string[] {
+    const named = this.globals().instance ?? []
+    const fromEnvironment = (this.options.environment[INSTANCE_VARIABLE] ?? '').split(',').map(url => url.trim()).filter(url => url !== '')
+    const urls = named.length > 0 ? named : fromEnvironment
+    if (urls.length === 0) throw new CommandFailure(EXIT.invalid, `name an instance with --instance or ${INSTANCE_VARIABLE}`)
+    for (const url of urls) {
+      if (!URL.canParse(url) || !/^https?:$/.test(new URL(url).protocol)) throw new CommandFailure(EXIT.invalid, `--instance ${url}: must be http://<host>:<port>`)
+    }
+    return urls
+  }
+}
--- /dev/null
+++ b/packages/cli/src/changeCommands.ts
@@ -0,0 +1,67 @@
+import type { Command } from 'commander'
+import type { ChangeId } from '@carobpitch/schema'
+import { confirmChange } from './confirmChange.js'
+import { formatDiff, formatHistory, formatPlanOutcome, formatStatus } from './formatAnswers.js'
+import { diffCode, planCode, statusCode } from './outcomeCodes.js'
+import { parseChangeId, parseSeconds } from './parseArguments.js'
+import { readDocument } from './readDocument.js'
+import type { ToolContext } from './ToolContext.js'
+
+/** Time to wait for a change to be in force. It exceeds the bound of 4 s for members that can serve. */
+const WAIT_DEFAULT_MS = 10_000
+
+/** Adds the commands that confirm changes and tell about them. @internal */
+export function addChangeCommands (program: Command, context: ToolContext): void {
+  program.command('confirm')
+    .description('confirm a plan, through any instance and by any operator, and wait until it is in force')
+    .argument('<change id>', 'id that "plan" printed', parseChangeId)
+    .option('--wait <seconds>', 'longest wait for the change to be in force; 0 returns once it is accepted', parseSeconds, WAIT_DEFAULT_MS)
+    .action(async (changeId: ChangeId, { wait }: { wait: number }) => await confirmChange(context, changeId, wait))
+  program.command('status')
+    .description('tell what became of a change, through any instance')
+    .argument('<change id>', 'id that "plan" printed', parseChangeId)
+    .action(async (changeId: ChangeId) => {
+      const answer = await context.client().call((client, signal) => client.status.query({ changeId }, { signal }))
+      context.report(answer, formatStatus(changeId, answer), statusCode(answer))
+    })
+  program.command('history')
+    .description('list the last 50 accepted changes, newest first')
+    .action(async () => {
+      const answer = await context.client().call((client, signal) => client.history.query(undefined, { signal }))
+      context.report(answer, formatHistory(answer))
+    })
+  program.command('diff')
+    .description('compare a declaration file with the configuration in force; exits with 10 when they differ')
+    .argument('<file>', 'declaration file')
+    .action(async (file: string) => {
+      const declaration = readDocument(file)
+      const outcome = await context.client().call((client, signal) => client.diff.mutate({ declaration }, { signal }))
+      context.report(outcome, formatDiff(outcome), diffCode(outcome))
+    })
+  program.command('apply')
+    .description('plan the change that makes the configuration equal to a declaration file; with --yes confirm it too')
+    .argument('<file>', 'declaration file, kept in version control')
+    .option('--yes', 'confirm the plan at once unless it carries warnings')
+    .option('--accept-warnings', 'with --yes: confirm even if the plan carries warnings')
+    .option('--wait <seconds>', 'with --yes: longest wait for the change to be in force', parseSeconds, WAIT_DEFAULT_MS)
+    .action(async (file: string, options: ApplyOptions) => await applyDeclaration(context, file, options))
+}
+
+interface ApplyOptions {
+  yes?: boolean
+  acceptWarnings?: boolean
+  wait: number
+}
+
+async function applyDeclaration (context: ToolContext, file: string, { yes = false, acceptWarnings = false, wait }: ApplyOptions): Promise<void> {
+  const operations = [{ kind: 'apply-declaration', declaration: readDocument(file) }]
+  const outcome = await context.client().call((client, signal) => client.plan.mutate({ operations }, { signal }))
+  const text = formatPlanOutcome(outcome)
+  if (outcome.kind !== 'planned' || !yes) return context.report(outcome, text, planCode(outcome))
+  context.note(text)
+  if (outcome.plan.warnings.length > 0 && !acceptWarnings) {
+    context.note('The plan carries warnings, so it is not confirmed.')
+    return context.report(outcome, `Confirm with: carobpitch confirm ${outcome.plan.changeId}`, planCode(outcome))
+  }
+  await confirmChange(context, outcome.plan.changeId, wait)
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,22 +1,10 @@
 #!/usr/bin/env node
-import { Command } from 'commander'
+import { runTool } from './runTool.js'
 
-const EXIT_UNAVAILABLE = 3
+const output = {
+  out: (text: string) => { process.stdout.write(`${text}\n`) },
+  err: (text: string) => { process.stderr.write(`${text}\n`) }
+}
 
-const program = new Command('carobpitch')
-  .description('Operator tool of the carobpitch load balancer')
-  .requiredOption('--instance <url>', 'operator listener of any instance')
-  .requiredOption('--token <token>', 'operator credential', process.env.CAROBPITCH_TOKEN)
-
-program.command('dump').description('print the state of an instance as JSON').action(async () => {
-  const { instance, token } = program.opts<{ instance: string, token: string }>()
-  try {
-    const answer = await fetch(`${instance}/dump`, { headers: { authorization: `Bearer ${token}` } })
-    console.log(JSON.stringify(await answer.json(), null, 2))
-  } catch (error) {
-    console.error(`cannot reach ${instance}: ${(error as Error).message}`)
-    process.exit(EXIT_UNAVAILABLE)
-  }
-})
-
-await program.parseAsync()
+// The exit code is set rather than forced, so that output to a pipe is written completely.
+process.exitCode = await runTool({ args: process.argv.slice(2), output, environment: process.env })
--- /dev/null
+++ b/packages/cli/src/outcomeCodes.ts
@@ -0,0 +1,48 @@
+/** Decides the exit code of each answer. */
+import type { ConfirmOutcome, DiffOutcome, PlanOutcome, StatusAnswer } from '@carobpitch/control'
+import { EXIT, type ExitCode } from './exitCodes.js'
+
+/** Exit code of a planning. @internal */
+export function planCode (outcome: PlanOutcome): ExitCode {
+  switch (outcome.kind) {
+    case 'planned': return EXIT.ok
+    case 'no-change': return EXIT.ok
+    case 'invalid': return EXIT.invalid
+    case 'refused': return EXIT.refused
+    case 'store-unavailable': return EXIT.unavailable
+  }
+}
+
+/** Exit code of a confirmation. @internal */
+export function confirmCode (outcome: ConfirmOutcome): ExitCode {
+  switch (outcome.kind) {
+    case 'accepted': return outcome.progress.inForce ? EXIT.ok : EXIT.waiting
+    case 'unknown-plan': return EXIT.notFound
+    case 'outdated': return EXIT.outdated
+    case 'store-unavailable': return EXIT.unavailable
+    case 'invalid-document': return EXIT.invalid
+    case 'invalid': return EXIT.invalid
+    case 'too-large': return EXIT.refused
+    case 'no-majority': return EXIT.refused
+    case 'outcome-unknown': return EXIT.unknown
+  }
+}
+
+/** Exit code of a status. @internal */
+export function statusCode (answer: StatusAnswer): ExitCode {
+  switch (answer.kind) {
+    case 'accepted': return answer.progress?.inForce === true ? EXIT.ok : EXIT.waiting
+    case 'not-accepted': return EXIT.outdated
+    case 'pending': return EXIT.pending
+    case 'unknown': return EXIT.unknown
+  }
+}
+
+/** Exit code of a comparison. @internal */
+export function diffCode (outcome: DiffOutcome): ExitCode {
+  switch (outcome.kind) {
+    case 'same': return EXIT.ok
+    case 'different': return EXIT.different
+    case 'invalid': return EXIT.invalid
+  }
+}
--- /dev/null
+++ b/packages/cli/src/readDocument.ts
@@ -0,0 +1,18 @@
+import { readFileSync } from 'node:fs'
+import { CommandFailure } from './CommandFailure.js'
+import { EXIT } from './exitCodes.js'
+
+/** Reads a JSON file that an operator named. @internal */
+export function readDocument (path: string): unknown {
+  let text: string
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (error) {
+    throw new CommandFailure(EXIT.invalid, `cannot read ${path}: ${(error as NodeJS.ErrnoException).code}`)
+  }
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw new CommandFailure(EXIT.invalid, `${path}: not valid JSON: ${(error as Error).message}`)
+  }
+}
--- /dev/null
+++ b/packages/cli/src/waitUntilInForce.ts
@@ -0,0 +1,30 @@
+import type { InForceProgress } from '@carobpitch/control'
+import type { ChangeId } from '@carobpitch/schema'
+import { formatProgress } from './formatAnswers.js'
+import type { ToolContext } from './ToolContext.js'
+
+const POLL_INTERVAL_MS = 300
+
+/** Options of `waitUntilInForce`. @internal */
+export interface WaitOptions {
+  changeId: ChangeId
+  /** Progress known so far. */
+  progress: InForceProgress
+  waitMs: number
+}
+
+/** Polls the status of an accepted change, notes progress when it changes, and returns the last progress. @internal */
+export async function waitUntilInForce (context: ToolContext, { changeId, progress, waitMs }: WaitOptions): Promise<InForceProgress> {
+  const endAtMs = performance.now() + waitMs
+  let latest = progress
+  let noted = ''
+  while (!latest.inForce && performance.now() < endAtMs) {
+    const text = formatProgress(latest)
+    if (text !== noted) context.note(text)
+    noted = text
+    await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS))
+    const status = await context.client().call((client, signal) => client.status.query({ changeId }, { signal }))
+    if (status.kind === 'accepted' && status.progress !== undefined) latest = status.progress
+  }
+  return latest
+}
--- a/packages/testbed/src/path.test.ts
+++ b/packages/testbed/src/path.test.ts
@@ -66,7 +66,7 @@
     })
 
     it('shows the state by the command-line tool', async () => {
-      const output = await runTool(['--instance', `http://127.0.0.1:${operatorPort}`, '--token', TOKEN, 'dump'])
+      const output = await runTool(['--instance', `http://127.0.0.1:${operatorPort}`, 'dump'])
       expect(JSON.parse(output).configuration.revision).to.equal(1)
     })
   })
@@ -104,7 +104,7 @@
 }
 
 async function runTool (args: string[]): Promise<string> {
-  const child = spawn(process.execPath, [TOOL, ...args], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const child = spawn(process.execPath, [TOOL, ...args], { stdio: ['ignore', 'pipe', 'inherit'], env: { ...process.env, CAROBPITCH_TOKEN: TOKEN } })
   let output = ''
   for await (const chunk of child.stdout) output += String(chunk)
   return output
