--- a/packages/testbed/src/StandInTarget.ts
+++ b/packages/testbed/src/StandInTarget.ts
@@ -1,16 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-
-/**
- * One run of a request at a stand-in target.
- * @public
- */
-export interface RunRecord {
-  requestId: string
-  method: string
-  startedAtMs: number
-  completed: boolean
-}
+import type { AddressInfo, Socket } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
+import type { RunRecord, TargetLedger } from './target/RunLedger.js'
+import type { CutPoint, TargetBehaviour } from './target/TargetBehaviour.js'
+import { TargetModel, type WorkResult } from './target/TargetModel.js'
+import { consumeFaults, isCutBeforeRun, writeAnswer } from './target/writeAnswer.js'
 
 /**
  * Options of `StandInTarget`.
@@ -21,68 +15,194 @@
   slots?: number
   /** Returns the service time of the next request. */
   serviceTimeMs?: () => number
+  behaviour?: Partial<TargetBehaviour>
+  random?: () => number
 }
 
+/** Status by which a target says that the deadline passed while it ran the request. */
+const DEADLINE_STATUS = 504
+const FAILED_STATUS = 500
+
 /**
- * Stand-in for a target: processes as many requests at once as it has slots, queues the rest,
- * and keeps a ledger of every run.
+ * Stand-in for a target over HTTP/1.1: processes as many requests at once as it has slots, queues the rest,
+ * injects the faults of its behaviour and keeps a ledger of every run.
  * @public
  */
 export class StandInTarget {
-  readonly ledger: RunRecord[] = []
-  private readonly options: Required<StandInTargetOptions>
-  private readonly server: Server
-  private readonly waiting: Array<() => void> = []
-  private busy = 0
+  private readonly model: TargetModel
+  private server: Server
+  private readonly sockets = new Set<Socket>()
+  /** Request ids of earlier runs, for responses that belong to another request. */
+  private lastRequestId = 'another-request'
+  private portInUse = 0
 
-  constructor ({ targetId, slots = 3, serviceTimeMs = () => 10 }: StandInTargetOptions) {
-    this.options = { targetId, slots, serviceTimeMs }
-    this.server = createServer((request, response) => { this.handle(request, response) })
-    this.server.keepAliveTimeout = 60_000
+  constructor ({ targetId, slots = 3, serviceTimeMs, behaviour = {}, random }: StandInTargetOptions) {
+    this.model = new TargetModel({ targetId, serviceTimeMs, random, behaviour: { slots, ...behaviour } })
+    this.server = this.createServer()
+  }
+
+  /** Runs so far. */
+  get ledger (): RunRecord[] {
+    return this.model.ledger.runs
+  }
+
+  /** Behaviour in force. */
+  get behaviour (): TargetBehaviour {
+    return this.model.behaviour
+  }
+
+  /** Returns a copy of everything recorded so far. */
+  snapshot (): TargetLedger {
+    return this.model.snapshot()
+  }
+
+  /** Requests in progress or waiting. */
+  load (): number {
+    return this.model.load()
+  }
+
+  /** Whether the target is cold. */
+  isCold (): boolean {
+    return this.model.cold.isCold()
   }
 
   /** Starts to listen. Port 0 takes a free port. */
   async start (port = 0): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(port, '127.0.0.1', resolve))
+    this.portInUse = (this.server.address() as AddressInfo).port
   }
 
   /** Base URL of the target. */
   url (): string {
-    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    return `http://127.0.0.1:${this.portInUse}`
+  }
+
+  /** Changes the behaviour from now on. */
+  change (patch: Partial<TargetBehaviour>): void {
+    Object.assign(this.model.behaviour, patch)
+  }
+
+  /** Turns the target cold without warning. */
+  turnCold (): void {
+    this.model.cold.begin()
+  }
+
+  /** Turns the target warm at once. */
+  turnWarm (): void {
+    this.model.cold.end()
+  }
+
+  /** Dies: resets all connections, ends all runs and refuses new connections. */
+  async kill (): Promise<void> {
+    this.model.kill()
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  /** Comes back after `kill` at the same address, cold. */
+  async revive (): Promise<void> {
+    this.turnCold()
+    this.server = this.createServer()
+    await this.start(this.portInUse)
   }
 
   /** Closes the target and its connections. */
   async stop (): Promise<void> {
+    if (!this.server.listening) return
     this.server.closeAllConnections()
     await new Promise(resolve => this.server.close(resolve))
   }
 
+  private createServer (): Server {
+    const server = createServer((request, response) => { this.handle(request, response) })
+    server.keepAliveTimeout = 60_000
+    server.on('connection', socket => {
+      this.sockets.add(socket)
+      socket.once('close', () => this.sockets.delete(socket))
+      if (this.nextCut() === 'accept') {
+        this.takeCut()
+        socket.destroy()
+      }
+    })
+    return server
+  }
+
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    request.resume()
-    await this.takeSlot()
-    const run = {
-      requestId: String(request.headers['carobpitch-request-id'] ?? ''),
-      method: request.method ?? '',
-      startedAtMs: performance.now(),
-      completed: false
+    const controller = new AbortController()
+    response.once('close', () => { if (!response.writableFinished) controller.abort() })
+    const cut = this.nextCut() === 'accept' ? undefined : this.takeCut()
+    if (cut === 'request-head') {
+      request.socket.destroy()
+      return
+    }
+    if (!await readToEnd(request)) return
+    if (isCutBeforeRun(cut)) {
+      request.socket.destroy()
+      return
+    }
+    const { behaviour } = this.model
+    const requestId = String(request.headers['carobpitch-request-id'] ?? '')
+    const kind = request.url === behaviour.probePath ? 'probe' : 'request'
+    const method = request.method ?? ''
+    const result = await this.model.process({ requestId, method, kind, deadlineMs: deadlineOf(request), signal: controller.signal })
+    if (behaviour.answerDelayMs > 0) await delay(behaviour.answerDelayMs)
+    this.answer(request, response, requestId, result, cut)
+  }
+
+  private answer (request: IncomingMessage, response: ServerResponse, requestId: string, result: WorkResult, cut: CutPoint | undefined): void {
+    const status = statusOf(result)
+    if (status === undefined || request.socket.destroyed) {
+      request.socket.destroy()
+      return
     }
-    this.ledger.push(run)
-    await new Promise(resolve => setTimeout(resolve, this.options.serviceTimeMs()))
-    run.completed = true
-    this.freeSlot()
-    response.setHeader('carobpitch-request-id', run.requestId)
-    response.setHeader('carobpitch-load', String(this.busy + this.waiting.length))
-    response.end(JSON.stringify({ target: this.options.targetId, requestId: run.requestId }))
+    const { behaviour, targetId } = this.model
+    const faults = consumeFaults(behaviour)
+    const answeredId = faults.mismatched ? `${this.lastRequestId}-mismatched` : requestId
+    this.lastRequestId = requestId
+    const { draining, paddingBytes } = behaviour
+    writeAnswer(request, response, {
+      status, requestId: answeredId, targetId, ran: result.kind === 'ran', load: this.model.reportedLoad(), draining, paddingBytes
+    }, { cut, ...faults })
+  }
+
+  private nextCut (): CutPoint | undefined {
+    const { cut } = this.model.behaviour
+    return cut !== undefined && cut.count > 0 ? cut.point : undefined
+  }
+
+  private takeCut (): CutPoint | undefined {
+    const point = this.nextCut()
+    const { cut } = this.model.behaviour
+    if (point !== undefined && cut !== undefined) cut.count -= 1
+    return point
   }
+}
 
-  private async takeSlot (): Promise<void> {
-    if (this.busy >= this.options.slots) await new Promise<void>(resolve => this.waiting.push(resolve))
-    else this.busy += 1
+/** Status of the response, or nothing when the connection ends without one. */
+function statusOf (result: WorkResult): number | undefined {
+  if (result.kind === 'not-run') return result.reason === 'cancelled' || result.reason === 'killed' ? undefined : result.status
+  switch (result.run.end) {
+    case 'completed': return 200
+    case 'failed': return FAILED_STATUS
+    case 'deadline-passed': return DEADLINE_STATUS
+    case 'cancelled':
+    case 'killed':
+    case 'fallen-over':
+    case 'running': return undefined
   }
+}
 
-  private freeSlot (): void {
-    const next = this.waiting.shift()
-    if (next === undefined) this.busy -= 1
-    else next()
+/** Discards the body. Returns false when the connection ends before the body does. */
+async function readToEnd (request: IncomingMessage): Promise<boolean> {
+  try {
+    for await (const chunk of request) if (chunk === undefined) return false
+    return true
+  } catch {
+    return false
   }
 }
+
+function deadlineOf (request: IncomingMessage): number | undefined {
+  const header = request.headers['carobpitch-deadline-ms']
+  return header === undefined ? undefined : Number(header)
+}
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -1,2 +1,6 @@
 export * from './StandInStore.js'
 export * from './StandInTarget.js'
+export * from './instanceList/StandInInstanceList.js'
+export type { ColdExcess, RunEnd, RunRecord, TargetLedger } from './target/RunLedger.js'
+export * from './target/TargetBehaviour.js'
+export * from './target/TargetControl.js'
--- a/packages/testbed/src/path.test.ts
+++ b/packages/testbed/src/path.test.ts
@@ -55,7 +55,7 @@
       const response = await fetch(`${url}/stock/42`, { headers: { 'carobpitch-service': 'menzaiko', 'carobpitch-request-id': 'r1' } })
       expect(response.status).to.equal(200)
       expect(response.headers.get('carobpitch-verdict')).to.equal('answered')
-      expect(await response.json()).to.deep.equal({ target: 'menzaiko-1', requestId: 'r1' })
+      expect(await response.json()).to.deep.equal({ target: 'menzaiko-1', requestId: 'r1', ran: true, end: true })
       expect(target.ledger.map(run => run.requestId)).to.deep.equal(['r1'])
     })
 
--- /dev/null
+++ b/packages/testbed/src/target/RunLedger.ts
@@ -0,0 +1,73 @@
+/**
+ * How a run ended. `running` runs have not ended yet.
+ * @public
+ */
+export type RunEnd = 'running' | 'completed' | 'failed' | 'cancelled' | 'deadline-passed' | 'killed' | 'fallen-over'
+
+/**
+ * One run of a request at a target. A run begins when it takes a slot, and it counts even if it does not complete.
+ * @public
+ */
+export interface RunRecord {
+  targetId: string
+  requestId: string
+  method: string
+  kind: 'request' | 'probe'
+  /** Time at which the request reached the target. */
+  arrivedAtEpochMs: number
+  startedAtEpochMs: number
+  endedAtEpochMs: number | undefined
+  end: RunEnd
+  completed: boolean
+  /** Whether the target was cold when the run began. */
+  cold: boolean
+}
+
+/**
+ * A request that a cold target received in excess of what it bears.
+ * @public
+ */
+export interface ColdExcess {
+  requestId: string
+  atEpochMs: number
+  /** Requests in progress or waiting, this one included. */
+  load: number
+  allowance: number
+}
+
+/**
+ * What a stand-in target recorded.
+ * @public
+ */
+export interface TargetLedger {
+  targetId: string
+  slots: number
+  runs: RunRecord[]
+  coldExcesses: ColdExcess[]
+  /** Requests that were refused or dropped before they ran. */
+  notRunCount: number
+}
+
+/**
+ * Records the runs of one target.
+ * @internal
+ */
+export class RunLedger {
+  readonly runs: RunRecord[] = []
+  readonly coldExcesses: ColdExcess[] = []
+  notRunCount = 0
+
+  /** Records that a run begins. */
+  begin (run: Pick<RunRecord, 'targetId' | 'requestId' | 'method' | 'kind' | 'arrivedAtEpochMs' | 'cold'>): RunRecord {
+    const record: RunRecord = { ...run, startedAtEpochMs: Date.now(), endedAtEpochMs: undefined, end: 'running', completed: false }
+    this.runs.push(record)
+    return record
+  }
+
+  /** Records that a run has ended. */
+  finish (run: RunRecord, end: RunEnd): void {
+    run.end = end
+    run.endedAtEpochMs = Date.now()
+    run.completed = end === 'completed'
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/target/TargetBehaviour.ts
@@ -0,0 +1,97 @@
+/** Behaviour of a stand-in target. Every field can be changed while the target runs. */
+import { z } from 'zod'
+
+/**
+ * Points of an exchange at which a stand-in target cuts the connection.
+ * The ones up to `request-body` come before the run, the others after it.
+ * @public
+ */
+export const cutPointSchema = z.enum([
+  'accept', 'request-head', 'request-body',
+  'run', 'response-status-line', 'response-head', 'response-body', 'before-last-byte'
+])
+/** Point of an exchange at which the connection is cut. @public */
+export type CutPoint = z.infer<typeof cutPointSchema>
+
+/** Validator of a target's behaviour. @public */
+export const targetBehaviourSchema = z.strictObject({
+  /** Requests processed at once; others wait in order of arrival. */
+  slots: z.int().min(1),
+  /** Mean service time of a warm target. */
+  serviceTimeMs: z.number().min(0),
+  serviceTimeSpread: z.enum(['constant', 'exponential']),
+  /** Multiplies service times; a straggling target has a value above 1. */
+  slowdown: z.number().min(1),
+  /** Slot time that one probe costs. */
+  probeTimeMs: z.number().min(0),
+  /** Path that is a probe. */
+  probePath: z.string(),
+  /** What probes report: the state, or always the same whatever the state. */
+  probeReport: z.enum(['true', 'always-up', 'always-down']),
+  /** Multiplies service times while the target is cold. */
+  coldSlowdown: z.number().min(1),
+  /** Requests that a cold target bears at first, waiting ones included. */
+  coldAllowance: z.int().min(1),
+  /** Completed runs after which the allowance of a cold target rises by one. */
+  coldRunsPerStep: z.int().min(1),
+  /** Time for which a cold target that was given too much answers nothing. */
+  fallenOverMs: z.number().min(0),
+  /** Still answers, but asks for no further work. */
+  draining: z.boolean(),
+  /** Refuses all new requests with this status and runs none of them. */
+  refuseStatus: z.int().min(400).max(599).optional(),
+  /** Answers 500 at once. Such a request counts as run. */
+  failFast: z.boolean(),
+  /** Delay between the end of a run and its response. */
+  answerDelayMs: z.number().min(0),
+  /** Number of coming responses that belong to another request. */
+  mismatchedResponses: z.int().min(0),
+  /** Number of coming responses that are followed by a second response that nobody asked for. */
+  surplusResponses: z.int().min(0),
+  /** Number of coming responses that have neither a length nor chunks, so that their end cannot be determined. */
+  unframedResponses: z.int().min(0),
+  /** Cuts the connections of the coming `count` requests at a point. */
+  cut: z.strictObject({ point: cutPointSchema, count: z.int().min(0) }).optional(),
+  /** Size of the padding in response bodies. */
+  paddingBytes: z.int().min(0),
+  /** How responses report the load. */
+  loadReport: z.discriminatedUnion('kind', [
+    z.strictObject({ kind: z.literal('true') }),
+    z.strictObject({ kind: z.literal('none') }),
+    z.strictObject({ kind: z.literal('lagging'), byMs: z.number().min(0) }),
+    z.strictObject({ kind: z.literal('fixed'), load: z.int().min(0) })
+  ]),
+  /** Stops a run when its connection closes. */
+  honoursCancellation: z.boolean(),
+  /** Refuses or stops a request whose deadline has passed. */
+  honoursDeadline: z.boolean()
+})
+/** Behaviour of a stand-in target. @public */
+export type TargetBehaviour = z.infer<typeof targetBehaviourSchema>
+
+/** Behaviour of a target without faults. @public */
+export const DEFAULT_BEHAVIOUR: TargetBehaviour = {
+  slots: 3,
+  serviceTimeMs: 10,
+  serviceTimeSpread: 'constant',
+  slowdown: 1,
+  probeTimeMs: 6,
+  probePath: '/health',
+  probeReport: 'true',
+  coldSlowdown: 3,
+  coldAllowance: 1,
+  coldRunsPerStep: 10,
+  fallenOverMs: 1_000,
+  draining: false,
+  refuseStatus: undefined,
+  failFast: false,
+  answerDelayMs: 0,
+  mismatchedResponses: 0,
+  surplusResponses: 0,
+  unframedResponses: 0,
+  cut: undefined,
+  paddingBytes: 0,
+  loadReport: { kind: 'true' },
+  honoursCancellation: true,
+  honoursDeadline: true
+}
--- /dev/null
+++ b/packages/testbed/src/target/writeAnswer.ts
@@ -0,0 +1,90 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { CutPoint, TargetBehaviour } from './TargetBehaviour.js'
+
+/** Status line of a response that is cut before its head is complete. */
+const PARTIAL_STATUS_LINE = 'HTTP/1.1 200 O'
+
+/**
+ * Content of a response.
+ * @internal
+ */
+export interface Answer {
+  status: number
+  requestId: string
+  targetId: string
+  /** Whether the target says that the request was not run. */
+  ran: boolean
+  load: number | undefined
+  draining: boolean
+  paddingBytes: number
+}
+
+/** Body of a stand-in target's response. The end mark shows a reader that nothing is missing. @internal */
+export function bodyOf ({ requestId, targetId, ran, paddingBytes }: Answer): string {
+  const padding = paddingBytes > 0 ? { padding: 'x'.repeat(paddingBytes) } : {}
+  return JSON.stringify({ target: targetId, requestId, ran, ...padding, end: true })
+}
+
+/** Writes a response with the faults that the behaviour asks for. @internal */
+export function writeAnswer (request: IncomingMessage, response: ServerResponse, answer: Answer, faults: { cut: CutPoint | undefined, surplus: boolean, unframed: boolean }): void {
+  const body = bodyOf(answer)
+  const { socket } = request
+  if (faults.cut === 'run') {
+    socket.destroy()
+    return
+  }
+  if (faults.cut === 'response-status-line') {
+    socket.end(PARTIAL_STATUS_LINE)
+    return
+  }
+  response.statusCode = answer.status
+  response.setHeader('content-type', 'application/json')
+  response.setHeader('carobpitch-request-id', answer.requestId)
+  if (answer.load !== undefined) response.setHeader('carobpitch-load', String(answer.load))
+  if (answer.draining) response.setHeader('connection', 'close')
+  if (faults.unframed) {
+    writeUnframed(response, answer, body)
+    return
+  }
+  response.setHeader('content-length', Buffer.byteLength(body))
+  const sentBytes = bytesBeforeCut(faults.cut, body)
+  if (sentBytes !== undefined) {
+    response.flushHeaders()
+    if (sentBytes > 0) response.write(body.slice(0, sentBytes))
+    // `end` lets the bytes written so far arrive, which `destroy` does not guarantee.
+    response.socket?.end()
+    return
+  }
+  response.end(body)
+  if (faults.surplus) socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\ncarobpitch-request-id: ${answer.requestId}\r\n\r\n${body}`)
+}
+
+function bytesBeforeCut (cut: CutPoint | undefined, body: string): number | undefined {
+  switch (cut) {
+    case 'response-head': return 0
+    case 'response-body': return Math.floor(body.length / 2)
+    case 'before-last-byte': return body.length - 1
+    default: return undefined
+  }
+}
+
+/** The library frames every response, so that this one is written by hand. */
+function writeUnframed (response: ServerResponse, { status, requestId }: Answer, body: string): void {
+  response.socket?.end(`HTTP/1.1 ${status} OK\r\ncarobpitch-request-id: ${requestId}\r\nconnection: close\r\n\r\n${body}`)
+}
+
+/** Whether a cut comes before the request runs. @internal */
+export function isCutBeforeRun (point: CutPoint | undefined): boolean {
+  return point === 'accept' || point === 'request-head' || point === 'request-body'
+}
+
+/** Returns the next state of the behaviour's counters after one response. @internal */
+export function consumeFaults (behaviour: TargetBehaviour): { mismatched: boolean, surplus: boolean, unframed: boolean } {
+  const mismatched = behaviour.mismatchedResponses > 0
+  const surplus = behaviour.surplusResponses > 0
+  const unframed = behaviour.unframedResponses > 0
+  if (mismatched) behaviour.mismatchedResponses -= 1
+  if (surplus) behaviour.surplusResponses -= 1
+  if (unframed) behaviour.unframedResponses -= 1
+  return { mismatched, surplus, unframed }
+}
