--- /dev/null
+++ b/packages/testbed/src/caller/nextStep.ts
@@ -0,0 +1,24 @@
+import type { AttemptRecord } from './CallRecord.js'
+
+const CLIENT_ERROR_MIN = 400
+const CLIENT_ERROR_MAX = 499
+const TOO_MANY_REQUESTS = 429
+
+/**
+ * Decides whether a caller goes on to the next address after an attempt.
+ * A request that may have run is repeated only if that does no harm. A refusal because of the request itself
+ * is final, because every instance gives the same one.
+ * @public
+ */
+export function nextStep (attempt: Pick<AttemptRecord, 'verdict' | 'status'>, idempotent: boolean): 'finish' | 'next-address' {
+  switch (attempt.verdict) {
+    case 'answered': return 'finish'
+    case 'may-have-run': return idempotent ? 'next-address' : 'finish'
+    case 'not-run': return isFaultOfRequest(attempt.status) ? 'finish' : 'next-address'
+  }
+}
+
+function isFaultOfRequest (status: number | undefined): boolean {
+  if (status === undefined || status === TOO_MANY_REQUESTS) return false
+  return status >= CLIENT_ERROR_MIN && status <= CLIENT_ERROR_MAX
+}
