Add the ledger checks and a mutation table that shows each one failing

Cause: outcomes such as at most once, true refusals and whole answers have to be counted from ledgers and callers' records, and a check that never fails proves nothing. Ruled out: edited evidence as the broken variant, because it shows only that a check reads its input; a broken relay between real sockets also shows that the fault leaves a trace in the records. Probes count 6 ms each, not their measured time, so that a slow machine does not change the verdict. Change: nine checks as pure functions; MutantRelay fulfils the invariants and can be broken in ten ways, each caught by its check and by no other.

--- /dev/null
+++ b/packages/testbed/src/checks/MutantRelay.ts
@@ -0,0 +1,146 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { Pool, type Dispatcher } from 'undici'
+
+/**
+ * Ways in which a relay can be broken. Each violates one invariant.
+ * @internal
+ */
+export type Mutation =
+  | 'repeats-after-may-have-run' | 'says-not-run-after-sending' | 'answers-without-sending'
+  | 'ignores-response-id' | 'completes-cut-responses' | 'uses-withdrawn-targets'
+  | 'ignores-cold-allowance' | 'probes-without-budget' | 'reverts-revision' | 'stops-at-once'
+
+interface RelayTarget {
+  url: string
+  pool: Pool
+  withdrawn: boolean
+  /** The last request sent to it; the next one follows it, which keeps a cold target within an allowance of one. */
+  previous: Promise<unknown>
+}
+
+/** Number of probes sent at once by the variant without a budget. */
+const PROBE_BURST = 40
+
+/**
+ * A minimal instance that fulfils the invariants for two targets, and can be broken in one way.
+ * It proves that the checks find what they are for. It is not part of any measurement.
+ * @internal
+ */
+export class MutantRelay {
+  revision = 1
+  private toldRevision = 0
+  private readonly mutation: Mutation | undefined
+  private readonly targets: RelayTarget[]
+  private readonly server: Server
+  private readonly inProgress = new Set<Promise<void>>()
+
+  constructor ({ targetUrls, mutation }: { targetUrls: readonly string[], mutation: Mutation | undefined }) {
+    this.mutation = mutation
+    this.targets = targetUrls.map(url => ({ url, pool: new Pool(url, { pipelining: 1 }), withdrawn: false, previous: Promise.resolve() }))
+    this.server = createServer((request, response) => { this.receive(request, response) })
+  }
+
+  /** Starts to listen. */
+  async start (): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+  }
+
+  /** Base URL for callers. */
+  url (): string {
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /** Withdraws a target. */
+  withdraw (index: number): void {
+    (this.targets[index] as RelayTarget).withdrawn = true
+  }
+
+  /** Probes every target, within the budget unless broken. */
+  async probe (): Promise<void> {
+    const count = this.mutation === 'probes-without-budget' ? PROBE_BURST : 1
+    for (const target of this.targets) {
+      for (let index = 0; index < count; index += 1) {
+        const { body } = await target.pool.request({ method: 'GET', path: '/health' })
+        await body.dump()
+      }
+    }
+  }
+
+  /** Stops as planned: waits for what is in progress unless broken. */
+  async stop (): Promise<void> {
+    if (this.mutation !== 'stops-at-once') await Promise.all(this.inProgress)
+    this.server.closeAllConnections()
+    await new Promise(resolve => this.server.close(resolve))
+    for (const { pool } of this.targets) await pool.destroy()
+  }
+
+  private receive (request: IncomingMessage, response: ServerResponse): void {
+    if (request.url?.startsWith('/.carobpitch/')) {
+      response.end(JSON.stringify({ revision: this.tellRevision(), ttlMs: 0, instances: [{ url: this.url() }] }))
+      return
+    }
+    const pending = this.relay(request, response).finally(() => this.inProgress.delete(pending))
+    this.inProgress.add(pending)
+  }
+
+  private tellRevision (): number {
+    const reverts = this.mutation === 'reverts-revision' && this.toldRevision > 1
+    this.toldRevision = reverts ? 1 : this.revision
+    return this.toldRevision
+  }
+
+  private async relay (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = String(request.headers['carobpitch-request-id'])
+    if (this.mutation === 'answers-without-sending') {
+      finish(response, 200, 'answered', JSON.stringify({ requestId, end: true }))
+      return
+    }
+    const target = this.choose()
+    if (target === undefined) {
+      finish(response, 503, 'not-run', '')
+      return
+    }
+    const sending = target.previous.then(() => this.send(target, request.method ?? 'GET', requestId, response))
+    if (this.mutation !== 'ignores-cold-allowance') target.previous = sending
+    await sending
+  }
+
+  private choose (): RelayTarget | undefined {
+    if (this.mutation === 'uses-withdrawn-targets') return this.targets[0]
+    return this.targets.find(({ withdrawn }) => !withdrawn)
+  }
+
+  private async send ({ pool }: RelayTarget, method: string, requestId: string, response: ServerResponse): Promise<void> {
+    const options = { method: method as 'GET', path: '/', headers: { 'carobpitch-request-id': requestId } }
+    try {
+      await this.forward(await pool.request(options), requestId, response)
+    } catch {
+      if (this.mutation === 'repeats-after-may-have-run') {
+        const retried = await pool.request(options)
+        await this.forward(retried, requestId, response)
+      } else if (this.mutation === 'says-not-run-after-sending') {
+        finish(response, 503, 'not-run', '')
+      } else {
+        finish(response, 502, 'may-have-run', '')
+      }
+    }
+  }
+
+  private async forward (answer: Dispatcher.ResponseData, requestId: string, response: ServerResponse): Promise<void> {
+    let text = ''
+    try {
+      for await (const chunk of answer.body) text += String(chunk)
+    } catch (error) {
+      if (this.mutation !== 'completes-cut-responses') throw error
+    }
+    const isOther = answer.headers['carobpitch-request-id'] !== requestId
+    if (isOther && this.mutation !== 'ignores-response-id') throw new Error('response to another request')
+    finish(response, answer.statusCode, 'answered', text)
+  }
+}
+
+function finish (response: ServerResponse, status: number, verdict: string, body: string): void {
+  response.writeHead(status, { 'carobpitch-verdict': verdict })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/testbed/src/checks/mutations.test.ts
@@ -0,0 +1,85 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import { expect } from 'chai'
+import { CallerClient } from '../caller/CallerClient.js'
+import { StandInTarget } from '../StandInTarget.js'
+import { checkEvidence } from './checkEvidence.js'
+import { CHECK_NAMES, type CheckName, type Evidence } from './Evidence.js'
+import { MutantRelay, type Mutation } from './MutantRelay.js'
+
+/** What was broken, and the one check that has to catch it. */
+const MUTATIONS: Record<Mutation, CheckName> = {
+  'repeats-after-may-have-run': 'runs-above-one',
+  'says-not-run-after-sending': 'refused-but-ran',
+  'answers-without-sending': 'answered-but-never-ran',
+  'ignores-response-id': 'wrong-response',
+  'completes-cut-responses': 'wrong-response',
+  'uses-withdrawn-targets': 'work-after-withdrawal',
+  'ignores-cold-allowance': 'cold-allowance-exceeded',
+  'probes-without-budget': 'probes-over-budget',
+  'reverts-revision': 'revision-went-back',
+  'stops-at-once': 'cut-off-by-planned-stop'
+}
+
+/** The relay withdraws a target at once, so that the test does not have to wait for the bound of 3 s. */
+const BOUNDS = { withdrawalMs: 0 }
+
+/** Exposes a relay to the faults that the checks are for, and returns what was recorded. */
+async function expose (mutation: Mutation | undefined): Promise<Evidence> {
+  const targets = ['t1', 't2'].map(targetId =>
+    new StandInTarget({ targetId, behaviour: { slots: 1, serviceTimeMs: 2, probeTimeMs: 0, coldRunsPerStep: 1_000, fallenOverMs: 0 } }))
+  const [first, second] = targets as [StandInTarget, StandInTarget]
+  for (const target of targets) await target.start()
+  const relay = new MutantRelay({ targetUrls: targets.map(target => target.url()), mutation })
+  await relay.start()
+  const instanceUrl = relay.url()
+  const client = new CallerClient({ bootstrapUrls: [instanceUrl] })
+  const call = (method: string): Promise<unknown> => client.call({ service: 's', method })
+
+  first.change({ cut: { point: 'run', count: 1 } })
+  await call('POST')
+  first.change({ mismatchedResponses: 1 })
+  await call('GET')
+  first.change({ cut: { point: 'response-body', count: 1 } })
+  await call('GET')
+  await relay.probe()
+  relay.revision = 2
+  await call('GET')
+
+  relay.withdraw(0)
+  const withdrawal = { targetIds: ['t1'], fromEpochMs: Date.now(), untilEpochMs: Infinity }
+  await delay(2)
+  second.turnCold()
+  await Promise.all([call('POST'), call('POST'), call('POST')])
+
+  second.change({ serviceTimeMs: 50, coldSlowdown: 1 })
+  const last = call('GET')
+  await waitFor(() => mutation === 'answers-without-sending' || second.load() + first.load() > 0)
+  const stop = { instanceUrl, fromEpochMs: Date.now(), untilEpochMs: Infinity }
+  await relay.stop()
+  await last
+  await client.close()
+  for (const target of targets) await target.stop()
+  return { targets: targets.map(target => target.snapshot()), calls: client.calls, sightings: client.sightings, withdrawals: [withdrawal], plannedStops: [stop] }
+}
+
+async function waitFor (condition: () => boolean): Promise<void> {
+  while (!condition()) await delay(1)
+}
+
+describe('ledger checks', () => {
+  it('count nothing for a relay that is not broken', async () => {
+    const results = checkEvidence(await expose(undefined), BOUNDS)
+    expect(results.filter(({ count }) => count > 0)).to.deep.equal([])
+  })
+
+  for (const [mutation, expected] of Object.entries(MUTATIONS) as Array<[Mutation, CheckName]>) {
+    it(`catch a relay that ${mutation} by ${expected} and by no other check`, async () => {
+      const results = checkEvidence(await expose(mutation), BOUNDS)
+      expect(results.filter(({ count }) => count > 0).map(({ name }) => name)).to.deep.equal([expected])
+    })
+  }
+
+  it('are each shown to fail by at least one mutation', () => {
+    expect(new Set(Object.values(MUTATIONS))).to.deep.equal(new Set(CHECK_NAMES))
+  })
+})
--- /dev/null
+++ b/packages/testbed/src/checks/targetChecks.ts
@@ -0,0 +1,56 @@
+/** Checks of the targets' ledgers. */
+import type { RunRecord, TargetLedger } from '../target/RunLedger.js'
+import type { Evidence, Withdrawal } from './Evidence.js'
+
+/** Bound of the invariants `domain-out` and `target-leaving`. @public */
+export const WITHDRAWAL_BOUND_MS = 3_000
+/** Share of a target's slot time that probes may cost. */
+const PROBE_BUDGET_SHARE = 0.01
+/** Period over which the probe budget is counted. It covers the longest minimum interval between probes of one instance. */
+const PROBE_WINDOW_MS = 10_000
+/** Slot time of one probe. A fixed cost keeps the verdict independent of the machine's speed. */
+const PROBE_COST_MS = 6
+
+/** Runs that reached a withdrawn target after the bound. @internal */
+export function findWorkAfterWithdrawal ({ targets, withdrawals }: Evidence, boundMs = WITHDRAWAL_BOUND_MS): string[] {
+  return targets.flatMap(({ targetId, runs }) => {
+    const periods = withdrawals.filter(({ targetIds }) => targetIds.includes(targetId))
+    return runs.filter(run => run.kind === 'request' && periods.some(period => isAfterBound(run, period, boundMs)))
+      .map(run => `${targetId} received ${run.requestId} ${lateness(run, periods)} ms after the last withdrawal`)
+  })
+}
+
+/** Requests in excess of what a cold target bears. @internal */
+export function findColdExcesses ({ targets }: Evidence): string[] {
+  return targets.flatMap(({ targetId, coldExcesses }) =>
+    coldExcesses.map(({ requestId, load, allowance }) => `${targetId} had ${load} requests, bears ${allowance}, at ${requestId || 'a probe'}`))
+}
+
+/** Targets whose probes cost more slot time than the budget in any window. @internal */
+export function findProbesOverBudget ({ targets }: Evidence): string[] {
+  return targets.flatMap(target => {
+    const costMs = highestProbeCostMs(target)
+    const budgetMs = PROBE_BUDGET_SHARE * target.slots * PROBE_WINDOW_MS
+    return costMs > budgetMs ? [`${target.targetId} spent ${costMs} ms of slot time on probes in ${PROBE_WINDOW_MS} ms, budget ${budgetMs} ms`] : []
+  })
+}
+
+/** Highest slot time of probes in any window that ends with a probe. */
+function highestProbeCostMs ({ runs }: TargetLedger): number {
+  const startsMs = runs.filter(run => run.kind === 'probe').map(run => run.startedAtEpochMs).sort((first, second) => first - second)
+  let highest = 0
+  let oldest = 0
+  for (const [index, startMs] of startsMs.entries()) {
+    while ((startsMs[oldest] as number) <= startMs - PROBE_WINDOW_MS) oldest += 1
+    highest = Math.max(highest, (index - oldest + 1) * PROBE_COST_MS)
+  }
+  return highest
+}
+
+function isAfterBound ({ arrivedAtEpochMs }: RunRecord, { fromEpochMs, untilEpochMs }: Withdrawal, boundMs: number): boolean {
+  return arrivedAtEpochMs > fromEpochMs + boundMs && arrivedAtEpochMs < untilEpochMs
+}
+
+function lateness ({ arrivedAtEpochMs }: RunRecord, periods: readonly Withdrawal[]): number {
+  return Math.min(...periods.filter(({ fromEpochMs }) => fromEpochMs < arrivedAtEpochMs).map(({ fromEpochMs }) => arrivedAtEpochMs - fromEpochMs))
+}
