Add deployment files, programs for the stand-ins and the demo script

Cause: the demo and the measurement of a failure domain that leaves need both deployments as processes of their own, started by a script. Ruled out: one process per target (24 to 34 processes for no further fault, as targets are killed through the control endpoint); curl in the script, because the README asks for Node.js only. Change: a deployment file is expanded to ports, configuration, settings and load; one process holds the targets of a failure domain; the load writes its evidence to a file, from which domainOut makes the summary by 100 ms, the JSON report and the plot. The store is seeded with warm records.

--- /dev/null
+++ b/packages/testbed/src/bench/domainOut.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+/**
+ * Reports the service of a deployment while a failure domain leaves and returns, from the evidence of a caller load.
+ * `bash scripts/demo.sh --report` runs a load for both deployments and then this program.
+ */
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { Command } from 'commander'
+import { checkEvidence } from '../checks/checkEvidence.js'
+import type { Evidence } from '../checks/Evidence.js'
+import type { OperatorEvent } from '../deployment/OperatorEvent.js'
+import { formatSummary } from './formatSummary.js'
+import { phasesOf } from './phases.js'
+import { plotSvg } from './plotSvg.js'
+import { timelineOf } from './timeline.js'
+
+interface RecordedRun {
+  evidence: Evidence
+  events: OperatorEvent[]
+  skippedCount: number
+}
+
+const options = new Command('domain-out')
+  .requiredOption('--evidence <file>', 'evidence written by the caller load')
+  .requiredOption('--name <name>', 'name of the deployment')
+  .option('--reports <directory>', 'directory for the JSON report and the plot; nothing is written without it')
+  .parse().opts<{ evidence: string, name: string, reports?: string }>()
+
+const { evidence, events, skippedCount } = JSON.parse(readFileSync(options.evidence, 'utf8')) as RecordedRun
+const startEpochMs = Math.min(...evidence.calls.map(call => call.scheduledAtEpochMs))
+const timeline = timelineOf(evidence.calls, startEpochMs)
+const phases = phasesOf(evidence.calls, events, startEpochMs)
+const checks = checkEvidence(evidence)
+console.log(formatSummary({ timeline, phases, checks, events, startEpochMs, skippedCount }))
+if (options.reports !== undefined) {
+  mkdirSync(options.reports, { recursive: true })
+  const base = join(options.reports, `domain-out-${options.name}`)
+  const marks = events.map(({ atEpochMs, kind, failureDomain }) => ({ atMs: atEpochMs - startEpochMs, label: `${kind} ${failureDomain}` }))
+  writeFileSync(`${base}.json`, `${JSON.stringify({ deployment: options.name, skippedCount, marks, phases, checks, timeline }, null, 1)}\n`)
+  writeFileSync(`${base}.svg`, plotSvg(`${options.name}: service while a failure domain leaves and returns`, timeline, marks))
+  console.log(`report: ${base}.json ${base}.svg`)
+}
+process.exitCode = checks.some(({ count }) => count > 0) ? 1 : 0
--- /dev/null
+++ b/packages/testbed/src/bench/formatSummary.ts
@@ -0,0 +1,47 @@
+import type { CheckResult } from '../checks/Evidence.js'
+import type { OperatorEvent } from '../deployment/OperatorEvent.js'
+import type { Phase } from './phases.js'
+import type { PeriodSummary } from './timeline.js'
+
+/**
+ * What a summary shows.
+ * @internal
+ */
+export interface Summary {
+  timeline: readonly PeriodSummary[]
+  phases: readonly Phase[]
+  checks: readonly CheckResult[]
+  events: readonly OperatorEvent[]
+  startEpochMs: number
+  skippedCount: number
+}
+
+/** Time around each event that is printed by 100 ms. */
+const SHOWN_BEFORE_MS = 300
+const SHOWN_AFTER_MS = 1_500
+
+/** Formats the phases, the buckets around each event and the checks as text. @internal */
+export function formatSummary ({ timeline, phases, checks, events, startEpochMs, skippedCount }: Summary): string {
+  const lines = [row(['phase', 'calls', 'ok', 'not-run', 'unclear', 'p50 ms', 'p99 ms'])]
+  for (const phase of phases) lines.push(periodRow(phase.name, phase))
+  for (const { atEpochMs, kind, failureDomain } of events) {
+    const atMs = atEpochMs - startEpochMs
+    lines.push('', `around ${kind} ${failureDomain} by 100 ms`)
+    for (const period of timeline) {
+      const offsetMs = period.fromMs - atMs
+      if (offsetMs >= -SHOWN_BEFORE_MS && offsetMs <= SHOWN_AFTER_MS) lines.push(periodRow(`${offsetMs >= 0 ? '+' : ''}${Math.round(offsetMs)} ms`, period))
+    }
+  }
+  lines.push('')
+  if (skippedCount > 0) lines.push(`calls not made because too many were open: ${skippedCount}`)
+  for (const { name, count, examples } of checks) lines.push(`check ${name}: ${count}${count > 0 ? ` (${examples.join('; ')})` : ''}`)
+  return lines.join('\n')
+}
+
+function periodRow (name: string, { callCount, succeededCount, notRunCount, unclearCount, p50Ms, p99Ms }: PeriodSummary): string {
+  return row([name, callCount, succeededCount, notRunCount, unclearCount, p50Ms ?? '-', p99Ms ?? '-'])
+}
+
+function row ([name, ...values]: Array<string | number>): string {
+  return `${String(name).padEnd(36)}${values.map(value => String(value).padStart(9)).join('')}`
+}
--- /dev/null
+++ b/packages/testbed/src/bench/phases.ts
@@ -0,0 +1,28 @@
+import type { CallRecord } from '../caller/CallRecord.js'
+import type { OperatorEvent } from '../deployment/OperatorEvent.js'
+import { summarise, type PeriodSummary } from './timeline.js'
+
+/**
+ * Service between two events.
+ * @public
+ */
+export interface Phase extends PeriodSummary {
+  name: string
+}
+
+/** Time after an event that is summarised on its own, because that is where service may suffer. */
+const TRANSITION_MS = 1_000
+
+/** Divides the load by the operator events: before, the first second after each event, and the rest up to the next. @public */
+export function phasesOf (calls: readonly CallRecord[], events: readonly OperatorEvent[], startEpochMs: number): Phase[] {
+  const marks = [{ name: 'before', atEpochMs: startEpochMs }]
+  for (const { atEpochMs, kind, failureDomain } of events) {
+    marks.push({ name: `${kind} ${failureDomain}, first ${TRANSITION_MS} ms`, atEpochMs })
+    marks.push({ name: `${kind} ${failureDomain}, after`, atEpochMs: atEpochMs + TRANSITION_MS })
+  }
+  return marks.map(({ name, atEpochMs }, index) => {
+    const endEpochMs = marks[index + 1]?.atEpochMs ?? Infinity
+    const within = calls.filter(call => call.scheduledAtEpochMs >= atEpochMs && call.scheduledAtEpochMs < endEpochMs)
+    return { name, ...summarise(within, atEpochMs - startEpochMs) }
+  })
+}
--- /dev/null
+++ b/packages/testbed/src/bench/timeline.ts
@@ -0,0 +1,59 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+import type { CallRecord } from '../caller/CallRecord.js'
+
+/** Width of one bucket of the timeline. @public */
+export const BUCKET_MS = 100
+const LATENCY_MAX_MS = 60_000
+
+/**
+ * Service in one period. Calls belong to the period in which they were scheduled.
+ * @public
+ */
+export interface PeriodSummary {
+  /** Start of the period after the start of the load. */
+  fromMs: number
+  callCount: number
+  succeededCount: number
+  /** Calls that failed with `not-run`. */
+  notRunCount: number
+  /** Calls that failed otherwise. */
+  unclearCount: number
+  /** Latency of the calls that succeeded; absent without any. */
+  p50Ms: number | undefined
+  p99Ms: number | undefined
+}
+
+/** Summarises calls in buckets of 100 ms from `startEpochMs` on. @public */
+export function timelineOf (calls: readonly CallRecord[], startEpochMs: number): PeriodSummary[] {
+  const buckets: CallRecord[][] = []
+  for (const call of calls) {
+    const index = Math.floor((call.scheduledAtEpochMs - startEpochMs) / BUCKET_MS)
+    if (index < 0) continue
+    const bucket = buckets[index] ??= []
+    bucket.push(call)
+  }
+  return Array.from(buckets, (bucket = [], index) => summarise(bucket, index * BUCKET_MS))
+}
+
+/** Summarises the calls of one period. @public */
+export function summarise (calls: readonly CallRecord[], fromMs: number): PeriodSummary {
+  const succeeded = calls.filter(call => call.succeeded)
+  const latencies = build({ lowestDiscernibleValue: 1, highestTrackableValue: LATENCY_MAX_MS, numberOfSignificantValueDigits: 3 })
+  for (const { scheduledAtEpochMs, endedAtEpochMs } of succeeded) {
+    latencies.recordValue(Math.max(0, Math.min(LATENCY_MAX_MS, Math.round(endedAtEpochMs - scheduledAtEpochMs))))
+  }
+  const notRunCount = calls.filter(call => !call.succeeded && call.verdict === 'not-run').length
+  return {
+    fromMs,
+    callCount: calls.length,
+    succeededCount: succeeded.length,
+    notRunCount,
+    unclearCount: calls.length - succeeded.length - notRunCount,
+    p50Ms: percentileOf(latencies, 50),
+    p99Ms: percentileOf(latencies, 99)
+  }
+}
+
+function percentileOf (latencies: Histogram, percentile: number): number | undefined {
+  return latencies.totalCount === 0 ? undefined : latencies.getValueAtPercentile(percentile)
+}
--- /dev/null
+++ b/packages/testbed/src/deployment/seedStore.ts
@@ -0,0 +1,22 @@
+import { gzipSync } from 'node:zlib'
+import type { Configuration } from '@carobpitch/schema'
+import type { KeyValueStore } from '@carobpitch/store'
+
+/**
+ * Puts a first configuration into the store and marks its targets as warm, as in a deployment that has been running.
+ * @throws Error when the store cannot be written or holds a configuration already.
+ * @public
+ */
+export async function seedStore (store: KeyValueStore, deployment: string, configuration: Configuration): Promise<void> {
+  const prefix = `carobpitch/${deployment}`
+  for (const [targetId, { broughtInRevision }] of Object.entries(configuration.targets)) {
+    await create(store, `${prefix}/warmth/${targetId}`, JSON.stringify({ targetId, broughtInRevision, coldTurns: 0, state: 'warm' }))
+  }
+  await create(store, `${prefix}/configuration`, gzipSync(JSON.stringify(configuration)).toString('base64'))
+}
+
+async function create (store: KeyValueStore, key: string, value: string): Promise<void> {
+  const outcome = await store.compareAndSwap({ key, value, expectedModRevision: 0 })
+  if (outcome.isErr) throw new Error(`cannot write ${key}: ${outcome.error.reason}`)
+  if (outcome.value.kind === 'conflict') throw new Error(`${key} exists already`)
+}
--- /dev/null
+++ b/packages/testbed/src/programs/store.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+/** Runs the stand-in store as a process of its own. */
+import { Command } from 'commander'
+import { StandInStore } from '../StandInStore.js'
+import { stopOnSignal } from './shutdown.js'
+
+const options = new Command('stand-in-store')
+  .requiredOption('--port <port>', 'loopback port', Number)
+  .parse().opts<{ port: number }>()
+
+const store = new StandInStore()
+await store.start(options.port)
+stopOnSignal(() => store.stop())
+console.log(`event=store.started url=${store.url()}`)
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,136 @@
+#!/usr/bin/env bash
+# Runs a deployment on loopback under a bounded load, takes a failure domain out and returns it.
+# Usage: npm run demo -- [--deployment hakata|gangasagar] [--instances N] [--report]
+# --report runs both deployments and writes JSON reports and plots to reports/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+deployment=hakata
+instance_count=6
+report=false
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --deployment) deployment=$2; shift 2 ;;
+    --instances) instance_count=$2; shift 2 ;;
+    --report) report=true; shift ;;
+    *) echo "unknown option $1" >&2; exit 2 ;;
+  esac
+done
+
+if $report; then
+  status=0
+  for name in hakata gangasagar; do
+    CAROBPITCH_REPORTS=reports bash scripts/demo.sh --deployment "$name" --instances "$instance_count" || status=1
+  done
+  exit $status
+fi
+
+programs=packages/testbed/dist/programs
+file=deployments/$deployment.json
+directory=$(mktemp -d)
+events=$directory/events
+touch "$events"
+pids=()
+
+# Stops everything that was started, by process id: first politely, then for certain.
+stop_all () {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for _ in $(seq 50); do
+    local alive=false
+    for pid in "${pids[@]}"; do if kill -0 "$pid" 2>/dev/null; then alive=true; fi; done
+    $alive || break
+    sleep 0.1
+  done
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$directory"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+# start <name> <command...>: runs a command in the background with its output in a log.
+start () {
+  local name=$1
+  shift
+  "$@" >"$directory/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+# wait_for <urls...>
+wait_for () {
+  if node $programs/waitUntilUp.js "$@"; then return; fi
+  tail -n 20 "$directory"/*.log >&2
+  exit 1
+}
+
+now_ms () { date +%s%3N; }
+
+eval "$(node $programs/prepare.js --deployment "$file" --instances "$instance_count" --directory "$directory")"
+
+echo "== starting $deployment: store, instance list, targets in $failure_domains, $instance_count instances"
+start store node $programs/store.js --port "$store_port"
+start instance-list node $programs/instanceList.js --deployment "$file" --instances "$instance_count"
+for domain in $failure_domains; do
+  start "targets-$domain" node $programs/targets.js --deployment "$file" --failure-domain "$domain"
+done
+wait_for "http://127.0.0.1:$store_port/" $control_urls
+node $programs/prepare.js --deployment "$file" --instances "$instance_count" --directory "$directory" --seed
+for instance in $instances; do
+  start "$instance" node packages/daemon/dist/main.js --settings "$directory/$instance.json"
+done
+health_urls=()
+for url in $operator_urls; do health_urls+=("$url/healthz"); done
+wait_for "${health_urls[@]}"
+
+CAROBPITCH_TOKEN=$(cat "$directory/operator-token")
+export CAROBPITCH_TOKEN
+first_operator_url=${operator_urls%% *}
+tool () { node packages/cli/dist/main.js --instance "$first_operator_url" "$@"; }
+
+load_s=8
+has_plans=false
+if node packages/cli/dist/main.js --help | grep -q '^ *plan'; then
+  has_plans=true
+  load_s=24
+fi
+
+echo "== caller load for $load_s s"
+start load node $programs/load.js --deployment "$file" --instances "$instance_count" --duration-s "$load_s" --events "$events" --output "$directory/evidence.json"
+load_pid=${pids[-1]}
+sleep 5
+
+# change <direction> <event>: plans and confirms a change of the demo's failure domain.
+change () {
+  local output plan
+  echo "== carobpitch plan $1 $demo_failure_domain"
+  if ! output=$(tool plan "$1" "$demo_failure_domain"); then
+    echo "$output"
+    echo "the plan was refused"
+    return 1
+  fi
+  echo "$output"
+  plan=$(echo "$output" | grep -oE 'carobpitch confirm [A-Za-z0-9._-]+' | head -1 | cut -d' ' -f3)
+  echo "== carobpitch confirm $plan"
+  local at
+  at=$(now_ms)
+  if ! tool confirm "$plan"; then
+    echo "the plan was not confirmed"
+    return 1
+  fi
+  echo "$at $2 $demo_failure_domain" >>"$events"
+}
+
+if $has_plans; then
+  change domain-out domain-out || true
+  sleep 7
+  change domain-in domain-in || true
+else
+  echo "== carobpitch has no plan command in this version; the failure domain stays in"
+fi
+
+wait "$load_pid"
+echo "== summary"
+status=0
+node packages/testbed/dist/bench/domainOut.js --evidence "$directory/evidence.json" --name "$deployment" ${CAROBPITCH_REPORTS:+--reports "$CAROBPITCH_REPORTS"} || status=$?
+echo "== stopping ${#pids[@]} processes by their ids"
+exit $status
