Join membership, control, routing and proxy in the daemon

Cause: the parts were built apart; carobpitchd still ran alone and adopted its configuration only at start. Ruled out: opening the callers' listener before a configuration is known, because requests would be refused as unknown services. Cold claims and the planned stop are not joined yet.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,71 +1,71 @@
 import { readFile } from 'node:fs/promises'
-import { Registry } from 'prom-client'
-import { OperatorListener, type ControlService } from '@carobpitch/control'
-import { EventLog, Kernel } from '@carobpitch/kernel'
-import { CallerListener } from '@carobpitch/proxy'
-import { routingPolicyOf, Scheduler } from '@carobpitch/routing'
-import { ConfigurationHolder, credentialsSchema, parseJsonWith, type Credentials, type MembershipSource, type Settings } from '@carobpitch/schema'
-import { EtcdStore } from '@carobpitch/store'
-import { createSoloControl } from './soloControl.js'
+import { Result } from 'true-myth'
+import type { Kernel } from '@carobpitch/kernel'
+import { credentialsSchema, parseJsonWith, type Credentials, type Settings, type Violation } from '@carobpitch/schema'
+import { createContext, type DaemonContext } from './DaemonContext.js'
+import { registerControl, registerOperatorListener } from './registerControl.js'
+import { registerMembership } from './registerMembership.js'
+import { registerCallerListener, registerScheduler } from './registerRequestPlane.js'
+import { StartGate } from './StartGate.js'
 
 declare module '@carobpitch/kernel' {
   interface ServiceMap {
-    'caller-listener': CallerListener
-    control: ControlService
-    'operator-listener': OperatorListener
+    'start-gate': StartGate
   }
 }
 
 /**
- * Builds the services of one `carobpitchd` process and registers them with a kernel.
+ * One `carobpitchd` process: the services of an instance, in the order in which they start.
  * @public
  */
-export async function createDaemon (settings: Settings): Promise<Kernel> {
-  const log = new EventLog({ level: settings.logLevel, fields: { instance: settings.instanceId } })
-  const credentials = await readCredentials(settings.credentialsFile)
-  const configuration = new ConfigurationHolder()
-  const store = new EtcdStore(settings.store)
-  const membership: MembershipSource = {
-    members: () => [{
-      instanceId: settings.instanceId,
-      incarnation: 0,
-      failureDomain: settings.failureDomain,
-      callerUrl: `http://${settings.caller.host}:${settings.caller.port}`,
-      peerUrl: `http://${settings.peer.host}:${settings.peer.port}`,
-      state: 'serving',
-      adoptedRevision: configuration.current().revision
-    }],
-    onChange: () => () => {}
+export class Daemon {
+  private readonly context: DaemonContext
+
+  constructor (settings: Settings, credentials: Credentials) {
+    this.context = createContext(settings, credentials)
+    registerMembership(this.context)
+    registerControl(this.context)
+    registerScheduler(this.context)
+    registerOperatorListener(this.context)
+    registerStartGate(this.context)
+    registerCallerListener(this.context)
   }
-  const scheduler = new Scheduler({ configuration, policy: routingPolicyOf(settings.routing.policy) })
-  const registry = new Registry()
-  const control = createSoloControl({ settings, store, holder: configuration, membership, log, registry })
-  const kernel = new Kernel()
-  kernel.register('control', control)
-  kernel.register('caller-listener', new CallerListener({
-    instanceId: settings.instanceId,
-    listen: settings.caller,
-    configuration,
-    scheduler,
-    instancesFor: () => membership.members(),
-    mayAcceptNewWork: () => true,
-    limits: settings.limits,
-    answerTtlMs: settings.answerTtlMs
-  }))
-  kernel.register('operator-listener', new OperatorListener({
-    listen: settings.operator,
-    operatorTokens: credentials.operatorTokens,
-    actions: control.actions,
-    registry,
-    log,
-    readiness: () => control.hasConfiguration() ? { isReady: true, reasons: [] } : { isReady: false, reasons: ['no configuration yet'] },
-    dump: () => ({ instanceId: settings.instanceId, configuration: configuration.current(), services: kernel.dump() })
-  }))
-  return kernel
+
+  /** Services of this process by name. */
+  get kernel (): Kernel {
+    return this.context.kernel
+  }
+
+  /** Starts all services and then names this instance to callers. Rejects when a listener's address is in use. */
+  async start (): Promise<void> {
+    await this.kernel.start()
+    this.kernel.get('start-gate').open()
+  }
+
+  /** Ends all services at once. */
+  async stop (): Promise<void> {
+    await this.kernel.stop()
+    await this.context.store.close()
+  }
+}
+
+/** Reads the credentials file. @public */
+export async function readCredentials (path: string): Promise<Result<Credentials, Violation[]>> {
+  let text: string
+  try {
+    text = await readFile(path, 'utf8')
+  } catch (error) {
+    return Result.err([{ path: '', message: (error as Error).message }])
+  }
+  return parseJsonWith(credentialsSchema, text)
 }
 
-async function readCredentials (path: string): Promise<Credentials> {
-  const parsed = parseJsonWith(credentialsSchema, await readFile(path, 'utf8'))
-  if (parsed.isErr) throw new Error(`credentials file ${path}: ${parsed.error.map(({ path, message }) => `${path}: ${message}`).join('; ')}`)
-  return parsed.value
+function registerStartGate ({ kernel, log }: DaemonContext): void {
+  const control = kernel.get('control')
+  const freshness = kernel.get('freshness')
+  kernel.register('start-gate', new StartGate({
+    isReady: () => control.hasConfiguration() && freshness.mayAcceptNewWork(),
+    membership: kernel.get('membership'),
+    log
+  }))
 }
--- /dev/null
+++ b/packages/daemon/src/DaemonContext.ts
@@ -0,0 +1,31 @@
+import { Registry as MetricsRegistry } from 'prom-client'
+import { EventLog, Kernel } from '@carobpitch/kernel'
+import { ConfigurationHolder, type Credentials, type Settings } from '@carobpitch/schema'
+import { EtcdStore } from '@carobpitch/store'
+
+/**
+ * What the services of a daemon are built from.
+ * @internal
+ */
+export interface DaemonContext {
+  settings: Settings
+  credentials: Credentials
+  kernel: Kernel
+  log: EventLog
+  configuration: ConfigurationHolder
+  store: EtcdStore
+  metrics: MetricsRegistry
+}
+
+/** Creates the context of a daemon. @internal */
+export function createContext (settings: Settings, credentials: Credentials): DaemonContext {
+  return {
+    settings,
+    credentials,
+    kernel: new Kernel(),
+    log: new EventLog({ level: settings.logLevel, fields: { instance: settings.instanceId } }),
+    configuration: new ConfigurationHolder(),
+    store: new EtcdStore(settings.store),
+    metrics: new MetricsRegistry()
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,1 @@
-export { createDaemon } from './Daemon.js'
+export { Daemon, readCredentials } from './Daemon.js'
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,23 +1,48 @@
 #!/usr/bin/env node
+/** Program `carobpitchd`. Exit codes: 0 stopped, 1 failed to start, 2 invalid settings or credentials. */
 import { readFileSync } from 'node:fs'
 import { Command } from 'commander'
-import { parseJsonWith, settingsSchema } from '@carobpitch/schema'
-import { createDaemon } from './Daemon.js'
+import { parseJsonWith, settingsSchema, type Settings, type Violation } from '@carobpitch/schema'
+import { Daemon, readCredentials } from './Daemon.js'
 
-const EXIT_INVALID_SETTINGS = 2
+const EXIT_START_FAILED = 1
+const EXIT_INVALID = 2
 
 const program = new Command('carobpitchd')
   .description('Entry instance of the carobpitch load balancer')
   .requiredOption('--settings <file>', 'JSON settings file')
-  .option('--check', 'validate the settings and exit')
+  .option('--check', 'validate the settings and the credentials file, and exit')
 const options = program.parse().opts<{ settings: string, check?: boolean }>()
 
-const settings = parseJsonWith(settingsSchema, readFileSync(options.settings, 'utf8'))
-if (settings.isErr) {
-  for (const { path, message } of settings.error) console.error(`${options.settings}: ${path}: ${message}`)
-  process.exit(EXIT_INVALID_SETTINGS)
+const settings = readSettings(options.settings)
+const credentials = await readCredentials(settings.credentialsFile)
+if (credentials.isErr) exitInvalid(settings.credentialsFile, credentials.error)
+if (options.check === true) process.exit(0)
+
+const daemon = new Daemon(settings, credentials.value)
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => { daemon.stop().finally(() => process.exit(0)) })
+}
+try {
+  await daemon.start()
+} catch (error) {
+  console.error(`cannot start: ${(error as Error).message}`)
+  process.exit(EXIT_START_FAILED)
+}
+
+function readSettings (file: string): Settings {
+  let text: string
+  try {
+    text = readFileSync(file, 'utf8')
+  } catch (error) {
+    exitInvalid(file, [{ path: '', message: (error as Error).message }])
+  }
+  const parsed = parseJsonWith(settingsSchema, text)
+  if (parsed.isErr) exitInvalid(file, parsed.error)
+  return parsed.value
+}
+
+function exitInvalid (file: string, violations: Violation[]): never {
+  for (const { path, message } of violations) console.error(`${file}: ${path === '' ? '' : `${path}: `}${message}`)
+  process.exit(EXIT_INVALID)
 }
-if (options.check) process.exit(0)
-const kernel = await createDaemon(settings.value)
-await kernel.start()
-process.once('SIGTERM', () => { kernel.stop().then(() => process.exit(0)) })
--- /dev/null
+++ b/packages/daemon/src/registerRequestPlane.ts
@@ -0,0 +1,54 @@
+import { CallerListener } from '@carobpitch/proxy'
+import { routingPolicyOf, Scheduler, SteeringTable, type ProbeResult, type TargetView } from '@carobpitch/routing'
+import type { DaemonContext } from './DaemonContext.js'
+import { LoadMeter } from './LoadMeter.js'
+import { probeTarget } from './probeTarget.js'
+
+declare module '@carobpitch/kernel' {
+  interface ServiceMap {
+    scheduler: Scheduler
+    load: LoadMeter
+    steering: SteeringTable
+    'caller-listener': CallerListener
+  }
+}
+
+/** Registers the scheduler and what measures its targets. @internal */
+export function registerScheduler ({ settings, kernel, configuration }: DaemonContext): void {
+  const membership = kernel.get('membership')
+  const scheduler = new Scheduler({
+    configuration,
+    policy: routingPolicyOf(settings.routing.policy),
+    probing: {
+      instanceId: settings.instanceId,
+      instancesMax: settings.instancesMax,
+      members: () => membership.members().map(({ instanceId }) => instanceId),
+      send: async (target: TargetView): Promise<ProbeResult> => {
+        const service = configuration.current().services[target.configuration.service]
+        return service === undefined ? { kind: 'failed' } : await probeTarget(target, service.probePath)
+      }
+    }
+  })
+  kernel.register('scheduler', scheduler)
+  kernel.register('load', new LoadMeter(scheduler))
+}
+
+/** Registers the callers' listener. @internal */
+export function registerCallerListener ({ settings, kernel, configuration, metrics }: DaemonContext): void {
+  const steering = new SteeringTable({ configuration, membership: kernel.get('membership'), steering: settings.routing.steering })
+  const scheduler = kernel.get('scheduler')
+  const freshness = kernel.get('freshness')
+  kernel.register('steering', steering)
+  kernel.register('caller-listener', new CallerListener({
+    instanceId: settings.instanceId,
+    listen: settings.caller,
+    configuration,
+    scheduler,
+    instancesFor: service => steering.instancesFor(service),
+    mayAcceptNewWork: () => freshness.mayAcceptNewWork(),
+    takeRetryToken: service => scheduler.takeRetryToken(service),
+    limits: settings.limits,
+    answerTtlMs: settings.answerTtlMs,
+    registry: metrics
+  }))
+}
--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -122,6 +122,11 @@
     for (const service of this.services.values()) service.pump()
   }
 
+  /** Requests that ended and the time for which they occupied targets, by service, since the start. */
+  totals (): Map<ServiceName, { requests: number, busyMs: number }> {
+    return new Map([...this.services].map(([name, service]) => [name, service.totals()]))
+  }
+
   /** Complete state of all decisions. */
   dump (): unknown {
     return {
--- a/packages/routing/src/ServiceScheduler.ts
+++ b/packages/routing/src/ServiceScheduler.ts
@@ -81,6 +81,11 @@
     this.pump()
   }
 
+  /** Requests that ended and the time for which they occupied targets, since the start. */
+  totals (): { requests: number, busyMs: number } {
+    return this.serviceTime.totals()
+  }
+
   /** Queue, budget and target state. */
   dump (): unknown {
     return {
--- a/packages/routing/src/ServiceTime.ts
+++ b/packages/routing/src/ServiceTime.ts
@@ -8,10 +8,12 @@
 export class ServiceTime {
   private smoothedMs = 0
   private samples = 0
+  private totalMs = 0
 
   /** Takes the time of one request, however it ended. */
   note (elapsedMs: number): void {
     this.samples += 1
+    this.totalMs += elapsedMs
     this.smoothedMs += Math.max(WEIGHT, 1 / this.samples) * (elapsedMs - this.smoothedMs)
   }
 
@@ -24,6 +26,11 @@
     return ahead / capacity * this.smoothedMs + this.smoothedMs
   }
 
+  /** Requests that ended and the time for which they occupied targets, since the start. */
+  totals (): { requests: number, busyMs: number } {
+    return { requests: this.samples, busyMs: this.totalMs }
+  }
+
   /** Smoothed time; 0 before the first sample. */
   meanMs (): number {
     return this.smoothedMs
--- a/packages/schema/src/MemberRecord.ts
+++ b/packages/schema/src/MemberRecord.ts
@@ -9,8 +9,8 @@
   failureDomain: failureDomainIdSchema,
   callerUrl: z.string(),
   peerUrl: z.string(),
-  /** `serving` members appear in answers to callers; `leaving` members finish what they have. */
-  state: z.enum(['serving', 'leaving']),
+  /** Only `serving` members are named to callers: `joining` ones have no configuration yet, `leaving` ones finish what they have. */
+  state: z.enum(['joining', 'serving', 'leaving']),
   adoptedRevision: z.int().min(0)
 })
 /** What an instance tells others of itself. @public */
--- a/packages/testbed/src/path.test.ts
+++ b/packages/testbed/src/path.test.ts
@@ -40,7 +40,7 @@
         store: { urls: [store.url()] }
       }))
       daemon = spawn(process.execPath, [DAEMON, '--settings', join(directory, 'settings.json')], { stdio: 'inherit' })
-      await waitUntilServing(`http://127.0.0.1:${operatorPort}/healthz`)
+      await waitUntilServing(`http://127.0.0.1:${operatorPort}/readyz`)
     })
 
     after(async () => {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -89,7 +89,8 @@
 
 load_s=8
 has_plans=false
-if node packages/cli/dist/main.js --help | grep -q '^ *plan'; then
+tool_help=$(node packages/cli/dist/main.js --help)
+if grep -q '^ *plan' <<<"$tool_help"; then
   has_plans=true
   load_s=24
 fi
