--- a/packages/testbed/src/StandInStore.ts
+++ b/packages/testbed/src/StandInStore.ts
@@ -19,7 +19,7 @@
 }
 
 // The body's form depends on the path; each handler states the one it reads.
-// eslint-disable-next-line @typescript-eslint/no-explicit-any
+
 type StoreRequest = any
 
 interface RangeRequest {
--- /dev/null
+++ b/packages/testbed/src/replay/ReplayTarget.ts
@@ -0,0 +1,115 @@
+import type { AttemptOutcome } from '@carobpitch/routing'
+import type { TraceTargetEvent } from './Trace.js'
+
+/** Time that a refused connection or a failure of a cold target takes. */
+const FAILURE_MS = 1
+const COLD_FACTOR = 12
+const COLD_REQUESTS = 40
+/** Requests that a cold target bears at once. */
+const COLD_SLOTS = 1
+
+/**
+ * One start of a request at a target.
+ * @public
+ */
+export interface ReplayStart {
+  /** Index of the request in the trace. */
+  request: number
+  targetId: string
+  startedAtMs: number
+  endedAtMs: number
+}
+
+/**
+ * Model of a target on the paused clock: slots, a queue, and the states of a trace's events.
+ * @internal
+ */
+export class ReplayTarget {
+  readonly starts: ReplayStart[] = []
+  /** Requests at the target over time, queued ones included. */
+  readonly occupancy: Array<{ atMs: number, count: number }> = []
+  private readonly targetId: string
+  private readonly slots: number
+  private readonly waiting: Array<() => void> = []
+  private present = 0
+  private busy = 0
+  private factor = 1
+  private coldFactor = 1
+  private coldRequests = 0
+  private isDraining = false
+  private isStopped = false
+
+  constructor (targetId: string, slots: number) {
+    this.targetId = targetId
+    this.slots = slots
+  }
+
+  /** Takes an event of the trace. */
+  apply ({ event, factor, requests }: TraceTargetEvent): void {
+    switch (event) {
+      case 'straggle': this.factor = factor ?? 1
+        break
+      case 'cold': this.turnCold(factor, requests)
+        break
+      case 'drain': this.isDraining = true
+        break
+      case 'stop': this.isStopped = true
+        break
+      case 'start':
+        this.isStopped = false
+        this.isDraining = false
+        this.turnCold(factor, requests)
+    }
+  }
+
+  /** Runs a request. Resolves when the response or failure is complete. */
+  async send (request: number, serviceTimeMs: number): Promise<AttemptOutcome> {
+    const sentAtMs = performance.now()
+    if (this.isStopped) {
+      await delay(FAILURE_MS)
+      return { kind: 'connect-failed', elapsedMs: FAILURE_MS }
+    }
+    this.count(1)
+    if (this.coldRequests > 0 && this.present > COLD_SLOTS) {
+      const start = this.noteStart(request)
+      await delay(FAILURE_MS)
+      this.end(start)
+      return { kind: 'failed', elapsedMs: performance.now() - sentAtMs }
+    }
+    if (this.busy >= this.slots) await new Promise<void>(resolve => this.waiting.push(resolve))
+    else this.busy += 1
+    const start = this.noteStart(request)
+    await delay(serviceTimeMs * this.factor * (this.coldRequests > 0 ? this.coldFactor : 1))
+    this.coldRequests = Math.max(0, this.coldRequests - 1)
+    const next = this.waiting.shift()
+    if (next === undefined) this.busy -= 1
+    else next()
+    this.end(start)
+    return { kind: 'answered', elapsedMs: performance.now() - sentAtMs, reportedLoad: this.present, draining: this.isDraining }
+  }
+
+  private turnCold (factor = COLD_FACTOR, requests = COLD_REQUESTS): void {
+    this.coldFactor = factor
+    this.coldRequests = requests
+  }
+
+  private noteStart (request: number): ReplayStart {
+    const start = { request, targetId: this.targetId, startedAtMs: performance.now(), endedAtMs: Infinity }
+    this.starts.push(start)
+    return start
+  }
+
+  private end (start: ReplayStart): void {
+    start.endedAtMs = performance.now()
+    this.count(-1)
+  }
+
+  private count (change: 1 | -1): void {
+    this.present += change
+    this.occupancy.push({ atMs: performance.now(), count: this.present })
+  }
+}
+
+async function delay (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/packages/testbed/src/replay/Trace.ts
@@ -0,0 +1,138 @@
+/** Recorded traces: JSON lines with a head, requests, target events and stated outcomes. */
+import type { RequestClass } from '@carobpitch/schema'
+
+/**
+ * First line of a trace: the deployment it was recorded for.
+ * @public
+ */
+export interface TraceHead {
+  kind: 'head'
+  name: string
+  deployment: string
+  /** What happens, and what the stated outcomes guard against. */
+  description: string
+  /** Seed of the random numbers of the replay. */
+  seed: number
+  /** Instances that callers are steered to; requests go to them in turn. */
+  instances: number
+  services: Record<string, Record<string, unknown>>
+  failureDomains: string[]
+  targets: Record<string, { service: string, failureDomain: string, slots: number }>
+}
+
+/**
+ * A request as it arrived.
+ * @public
+ */
+export interface TraceRequest {
+  kind: 'request'
+  atMs: number
+  service: string
+  tenant: string
+  class: RequestClass
+  idempotent: boolean
+  /** Time that the request needs in a slot of a warm target. */
+  serviceTimeMs: number
+}
+
+/**
+ * Something that happens to a target.
+ *
+ * - `straggle`: service times are multiplied by `factor`; 1 ends it.
+ * - `cold`: the next `requests` requests take `factor` times as long, and a second one at the same time fails.
+ * - `drain`: responses announce draining from now on.
+ * - `stop`: connections are refused. `start`: accepted again; the target is cold.
+ * @public
+ */
+export interface TraceTargetEvent {
+  kind: 'target'
+  atMs: number
+  targetId: string
+  event: 'straggle' | 'cold' | 'drain' | 'stop' | 'start'
+  factor?: number
+  requests?: number
+}
+
+/**
+ * An operator's change of a failure domain that comes into force at this instant.
+ * @public
+ */
+export interface TraceDomainEvent {
+  kind: 'domain'
+  atMs: number
+  failureDomain: string
+  state: 'in' | 'out'
+}
+
+/**
+ * An outcome that the replay must show.
+ * @public
+ */
+export type StatedOutcome =
+  /** Share of the requests of a class (or all) that are answered. */
+  | { kind: 'outcome', check: 'answered-share', class?: RequestClass, tenant?: string, atLeast: number }
+  /** 99th percentile of the time to the response, of answered requests. */
+  | { kind: 'outcome', check: 'p99-ms', class?: RequestClass, tenant?: string, fromMs?: number, atMost: number }
+  /** No request starts at the target within the time. */
+  | { kind: 'outcome', check: 'no-start', targetId: string, fromMs: number, untilMs: number }
+  /** Most requests at the target at once within the time. */
+  | { kind: 'outcome', check: 'in-flight', targetId: string, fromMs: number, untilMs: number, atMost: number }
+  /** Cold turns that were declared for the target. */
+  | { kind: 'outcome', check: 'cold-turns', targetId: string, atLeast: number, atMost: number }
+  /** No request that must not be repeated starts twice. */
+  | { kind: 'outcome', check: 'at-most-once' }
+  /** Every refusal that says `not-run` is true. */
+  | { kind: 'outcome', check: 'true-refusal' }
+
+/** One line of a trace. @public */
+export type TraceLine = TraceHead | TraceRequest | TraceTargetEvent | TraceDomainEvent | StatedOutcome
+
+/**
+ * A parsed trace.
+ * @public
+ */
+export interface Trace {
+  head: TraceHead
+  /** Requests and events in order of time. */
+  events: Array<TraceRequest | TraceTargetEvent | TraceDomainEvent>
+  outcomes: StatedOutcome[]
+}
+
+/**
+ * Parses a trace.
+ * @throws Error naming the line that is not valid.
+ * @public
+ */
+export function parseTrace (text: string): Trace {
+  const lines = text.split('\n').filter(line => line !== '').map(parseLine)
+  const [head, ...rest] = lines
+  if (head?.kind !== 'head') throw new Error('line 1: a trace starts with its head')
+  const events: Trace['events'] = []
+  const outcomes: StatedOutcome[] = []
+  for (const line of rest) {
+    switch (line.kind) {
+      case 'head': throw new Error('a trace has one head')
+      case 'outcome': outcomes.push(line)
+        break
+      case 'request':
+      case 'target':
+      case 'domain': events.push(line)
+    }
+  }
+  events.sort((first, second) => first.atMs - second.atMs)
+  return { head, events, outcomes }
+}
+
+/** Writes a trace as JSON lines. @public */
+export function formatTrace ({ head, events, outcomes }: Trace): string {
+  return [head, ...events, ...outcomes].map(line => JSON.stringify(line) + '\n').join('')
+}
+
+function parseLine (line: string, index: number): TraceLine {
+  const value = JSON.parse(line) as Partial<TraceLine>
+  const kinds: ReadonlyArray<TraceLine['kind']> = ['head', 'request', 'target', 'domain', 'outcome']
+  if (value.kind === undefined || !kinds.includes(value.kind)) throw new Error(`line ${index + 1}: unknown kind ${String(value.kind)}`)
+  const isTimed = value.kind !== 'head' && value.kind !== 'outcome'
+  if (isTimed && typeof (value as TraceRequest).atMs !== 'number') throw new Error(`line ${index + 1}: atMs is missing`)
+  return value as TraceLine
+}
