Count failures of a warm target as evidence of a cold turn

Change: a failure without overload is evidence; after one, three times the usual time is enough. A cold target's latency no longer ejects it, and a change of warmth clears what ejection had learned.

--- a/packages/routing/src/ColdTurnDetector.test.ts
+++ b/packages/routing/src/ColdTurnDetector.test.ts
@@ -29,16 +29,27 @@
     expect(feed(detector, Array.from({ length: 20 }, () => 120))).to.be.at.most(5)
   })
 
-  it('recognises refusals below the load of the slots, guarding against a cold target that refuses quickly', () => {
-    const verdicts = [0, 1, 2, 3, 4].map(index => detector.observe({ kind: 'refused', sentAtMs: 1_000 + index * 10, receivedAtMs: 1_005 + index * 10, load: 1, slots: 3 }))
+  it('recognises failures below the load of the slots, guarding against a cold target that fails quickly', () => {
+    const verdicts = [0, 1, 2, 3, 4].map(index => detector.observe({ kind: 'failed', sentAtMs: 1_000 + index * 10, receivedAtMs: 1_005 + index * 10, load: 1, slots: 3 }))
     expect(verdicts).to.deep.equal([false, false, false, true, true])
   })
 
-  it('takes refusals at more load than slots for load shedding, guarding against cold starts under mere overload', () => {
-    const verdicts = Array.from({ length: 20 }, (_, index) => detector.observe({ kind: 'refused', sentAtMs: 1_000 + index * 10, receivedAtMs: 1_005 + index * 10, load: 5, slots: 3 }))
+  it('takes failures at more load than slots for load shedding, guarding against cold starts under mere overload', () => {
+    const verdicts = Array.from({ length: 20 }, (_, index) => detector.observe({ kind: 'failed', sentAtMs: 1_000 + index * 10, receivedAtMs: 1_005 + index * 10, load: 5, slots: 3 }))
     expect(verdicts).to.not.include(true)
   })
 
+  it('takes less slowness for evidence once the target has failed, guarding against a cold target that alternates between both', () => {
+    const observations = [1, 50, 1, 50].map((elapsedMs, index) => detector.observe({
+      kind: elapsedMs === 1 ? 'failed' : 'answered',
+      sentAtMs: 1_000 + index * 100,
+      receivedAtMs: 1_000 + index * 100 + elapsedMs,
+      load: 1,
+      slots: 3
+    }))
+    expect(observations).to.deep.equal([false, false, false, true])
+  })
+
   it('ignores up to three slow responses in a row, guarding against a cold start after one hiccup', () => {
     for (const count of [1, 2, 3]) expect(feed(detector, [...Array.from({ length: count }, () => 500), 10])).to.equal(undefined)
   })
--- a/packages/routing/src/ColdTurnDetector.ts
+++ b/packages/routing/src/ColdTurnDetector.ts
@@ -1,5 +1,10 @@
 /** Response time, relative to the usual one, from which a response is evidence of a cold target. */
 const COLD_RATIO = 8
+/**
+ * The ratio once the target has also refused or failed a request without overload. A straggler does neither,
+ * so that slowness needs to prove less.
+ */
+const COLD_RATIO_AFTER_FAILURE = 3
 /** Consecutive pieces of evidence that make a cold turn. */
 const EVIDENCE_MIN = 4
 /**
@@ -19,8 +24,8 @@
  * @public
  */
 export interface AttemptObservation {
-  /** `refused`: the target stated that it did not run the request. */
-  kind: 'answered' | 'refused'
+  /** `failed`: the target refused the request or broke it off. `timed-out`: the response did not come in time. */
+  kind: 'answered' | 'failed' | 'timed-out'
   sentAtMs: number
   receivedAtMs: number
   /** Requests at the target when the attempt was sent or answered, as far as known; at least 1. */
@@ -29,7 +34,7 @@
 }
 
 /**
- * Recognises that one warm target has turned cold, from consecutive attempts that were refused without overload or
+ * Recognises that one warm target has turned cold, from consecutive attempts that failed without overload or
  * took several times the usual response time.
  *
  * Response times are first divided by the queueing that the target's load explains. A straggler, whose responses are
@@ -41,6 +46,7 @@
   private samples = 0
   private evidence = 0
   private laterEvidence = 0
+  private hasFailed = false
   private firstEvidenceAtMs = 0
 
   /** Takes an observation; returns whether the target has turned cold. */
@@ -48,18 +54,19 @@
     const ratio = this.slownessOf(observation)
     if (observation.kind === 'answered') this.learn(observation, ratio)
     if (!this.isEvidence(observation, ratio)) {
-      this.evidence = 0
-      this.laterEvidence = 0
+      this.reset()
       return false
     }
     if (this.evidence === 0) this.firstEvidenceAtMs = observation.receivedAtMs
     else if (observation.sentAtMs >= this.firstEvidenceAtMs) this.laterEvidence += 1
     this.evidence += 1
+    this.hasFailed ||= observation.kind === 'failed'
     return this.evidence >= EVIDENCE_MIN && this.laterEvidence >= LATER_EVIDENCE_MIN
   }
 
   /** Forgets the evidence but keeps the usual response time, after a cold turn was declared. */
   reset (): void {
+    this.hasFailed = false
     this.evidence = 0
     this.laterEvidence = 0
   }
@@ -70,9 +77,9 @@
   }
 
   private isEvidence ({ kind, load, slots }: AttemptObservation, ratio: number): boolean {
-    // A refusal at more load than the target has slots is ordinary load shedding.
-    if (kind === 'refused') return load <= slots
-    return this.samples > BASELINE_SAMPLES_MIN && ratio >= COLD_RATIO
+    // A failure at more load than the target has slots is ordinary load shedding.
+    if (kind === 'failed') return load <= slots
+    return this.samples > BASELINE_SAMPLES_MIN && ratio >= (this.hasFailed ? COLD_RATIO_AFTER_FAILURE : COLD_RATIO)
   }
 
   private slownessOf ({ sentAtMs, receivedAtMs, load, slots }: AttemptObservation): number {
--- a/packages/routing/src/EjectionTable.ts
+++ b/packages/routing/src/EjectionTable.ts
@@ -72,16 +72,21 @@
     return this.targets.get(targetId)?.latencyMs ?? 0
   }
 
-  /** Takes a complete response. */
-  noteSuccess (targetId: TargetId, elapsedMs: number): void {
+  /** Forgets what a target did before, because it has turned cold or warm since. */
+  reset (targetId: TargetId): void {
+    if (this.targets.has(targetId)) this.targets.set(targetId, newHealth())
+  }
+
+  /** Takes a complete response. A cold target is slow until requests have warmed it, so its latency does not eject it. */
+  noteSuccess (targetId: TargetId, elapsedMs: number, isCold = false): void {
     const health = this.targets.get(targetId)
     if (health === undefined) return
     health.failures = 0
     health.samples += 1
     const weight = Math.max(LATENCY_WEIGHT, 1 / health.samples)
     health.latencyMs += weight * (elapsedMs - health.latencyMs)
-    if (health.state === 'trial') this.judgeTrial(health)
-    else if (health.state === 'in' && this.isSlow(health, LATENCY_SAMPLES_MIN)) this.eject(health)
+    if (health.state === 'trial') this.judgeTrial(health, isCold)
+    else if (health.state === 'in' && !isCold && this.isSlow(health, LATENCY_SAMPLES_MIN)) this.eject(health)
   }
 
   /** Takes a failed attempt: an error, a refusal or a timeout. */
@@ -97,10 +102,10 @@
     return Object.fromEntries([...this.targets].map(([id, health]) => [id, { ...health, state: this.stateOf(id) }]))
   }
 
-  private judgeTrial (health: Health): void {
+  private judgeTrial (health: Health, isCold: boolean): void {
     health.trialSuccesses += 1
     if (health.trialSuccesses < TRIAL_SUCCESSES) return
-    if (this.isSlow(health, TRIAL_SUCCESSES)) this.eject(health)
+    if (!isCold && this.isSlow(health, TRIAL_SUCCESSES)) this.eject(health)
     else health.state = 'in'
   }
 
--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -78,7 +78,11 @@
       })
     }
     configuration.onChange(() => this.configure())
-    this.warmth.onChange(({ targetId }) => this.serviceOf(targetId)?.pump())
+    this.warmth.onChange(({ targetId }) => {
+      const service = this.serviceOf(targetId)
+      service?.targets.noteWarmthChange(targetId)
+      service?.pump()
+    })
     this.configure()
   }
 
--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -182,6 +182,12 @@
     return state.view.inFlight === 0 && performance.now() - state.lastOutcomeAtMs >= idleAfterMs
   }
 
+  /** Follows a change of a target's warmth. */
+  noteWarmthChange (targetId: TargetId): void {
+    this.states.get(targetId)?.detector.reset()
+    this.ejection.reset(targetId)
+  }
+
   /** The views of all targets. */
   views (): TargetView[] {
     return [...this.states.values()].map(({ view }) => view)
@@ -222,8 +228,6 @@
         return
       case 'failed':
       case 'timed-out':
-        this.noteFailure(state, attempt)
-        return
       case 'refused':
         this.noteFailure(state, attempt)
         this.watchForColdTurn(state, attempt, outcome)
@@ -231,7 +235,7 @@
       case 'answered':
         if (absence.noteResponse(targetId)) warmth.noteColdTurn(targetId, attempt.epoch)
         warmth.noteSuccess(targetId, attempt.epoch)
-        this.ejection.noteSuccess(targetId, outcome.elapsedMs)
+        this.ejection.noteSuccess(targetId, outcome.elapsedMs, warmth.stateOf(targetId) !== 'warm')
         state.view.smoothedLatencyMs = this.ejection.latencyMsOf(targetId)
         this.watchForColdTurn(state, attempt, outcome)
     }
@@ -250,15 +254,13 @@
     // Without a report, the other instances that callers are steered to are taken to send as much as this one.
     const load = outcome.reportedLoad === undefined ? attempt.inFlightAtSend * this.steeredInstances : outcome.reportedLoad + 1
     const hasTurned = detector.observe({
-      kind: outcome.kind === 'refused' ? 'refused' : 'answered',
+      kind: outcome.kind === 'answered' || outcome.kind === 'timed-out' ? outcome.kind : 'failed',
       sentAtMs: attempt.sentAtMs,
       receivedAtMs: attempt.sentAtMs + outcome.elapsedMs,
       load: Math.max(load, attempt.inFlightAtSend),
       slots
     })
-    if (!hasTurned) return
-    detector.reset()
-    warmth.noteColdTurn(view.targetId, attempt.epoch)
+    if (hasTurned) warmth.noteColdTurn(view.targetId, attempt.epoch)
   }
 
   private noteReturn (state: TargetState): void {
--- a/packages/routing/src/testFixtures.ts
+++ b/packages/routing/src/testFixtures.ts
@@ -11,7 +11,7 @@
 
 /** Pauses the clock at a time other than 0, where a value that is not set could pass for a time. @internal */
 export function pauseClock (): PausedClock {
-  return install({ now: 1_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
+  return install({ now: 1_000_000, shouldClearNativeTimers: true, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
 }
 
 /** Options of `createConfiguration`. @internal */
--- a/packages/testbed/src/replay/recordTraces.ts
+++ b/packages/testbed/src/replay/recordTraces.ts
@@ -59,6 +59,7 @@
     outcomes: [
       ...ALWAYS,
       { kind: 'outcome', check: 'cold-turns', targetId: 'chumon-2', atLeast: 0, atMost: 0 },
+      { kind: 'outcome', check: 'p99-ms', atMost: 260 },
       { kind: 'outcome', check: 'answered-share', atLeast: 1 }
     ]
   },
@@ -78,6 +79,9 @@
     events: [{ kind: 'target', atMs: 1_500, targetId: 'menzaiko-3', event: 'cold', factor: 12, requests: 10 }],
     outcomes: [
       ...ALWAYS,
+      { kind: 'outcome', check: 'cold-turns', targetId: 'menzaiko-3', atLeast: 1, atMost: 1 },
+      { kind: 'outcome', check: 'in-flight', targetId: 'menzaiko-3', fromMs: 1_750, untilMs: 4_000, atMost: 1 },
+      { kind: 'outcome', check: 'p99-ms', atMost: 200 },
       { kind: 'outcome', check: 'answered-share', atLeast: 0.99 }
     ]
   },
@@ -148,6 +152,9 @@
     outcomes: [
       ...ALWAYS,
       { kind: 'outcome', check: 'no-start', targetId: 'ledger-hub-1', fromMs: 1_400, untilMs: 10_000 },
+      { kind: 'outcome', check: 'cold-turns', targetId: 'ledger-hub-2', atLeast: 1, atMost: 1 },
+      { kind: 'outcome', check: 'in-flight', targetId: 'ledger-hub-2', fromMs: 3_300, untilMs: 4_000, atMost: 1 },
+      { kind: 'outcome', check: 'p99-ms', atMost: 400 },
       { kind: 'outcome', check: 'answered-share', atLeast: 0.99 }
     ]
   }
--- a/packages/testbed/src/replay/replay.test.ts
+++ b/packages/testbed/src/replay/replay.test.ts
@@ -42,7 +42,7 @@
 })
 
 async function replayPaused (trace: Trace): Promise<ReplayReport> {
-  const clock = install({ now: 1_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
+  const clock = install({ now: 1_000_000, shouldClearNativeTimers: true, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
   try {
     return await replay(trace, async ms => await clock.tickAsync(ms))
   } finally {
