Add claims on cold targets

Only one instance may send to a cold target. A claim is a key under the instance lease, decided by the store's compare-and-swap; rendezvous hashing over the live members only orders the attempts. holds() compares the lease deadline with the monotonic clock at each call.

A hand-over replaces the claim by a marker without a lease, so that the successor need not wait; a missing key is never taken for a hand-over. Answers that were lost are resolved by reading back. A deletion that may still be under way is made harmless by writing the claim again before it is used. Claims that a late write left on a warm target are released.

--- /dev/null
+++ b/packages/membership/src/claims/ClaimStore.ts
@@ -0,0 +1,98 @@
+import type { InstanceId, TargetId } from '@carobpitch/schema'
+import type { KeyValueStore } from '@carobpitch/store'
+import { viewClaim, type ClaimRecord, type ClaimView } from './claimRecord.js'
+
+/** One write, one to replace a handed-over claim or to confirm an own one, and one more if the key changed in between. */
+const ACQUIRE_TRIES_MAX = 3
+
+/**
+ * Outcome of an attempt to acquire a claim.
+ * @internal
+ */
+export type AcquireOutcome =
+  | { kind: 'acquired', modRevision: number, isCleanHandOver: boolean }
+  | { kind: 'taken', holder: InstanceId | undefined }
+  /** The store did not answer. `unknown` means that the claim may be written, now or later. */
+  | { kind: 'failed', effect: 'none' | 'unknown' }
+
+/**
+ * The claim keys of one instance under one lease: acquires, releases and hands over, one compare-and-swap at a time.
+ * @internal
+ */
+export class ClaimStore {
+  private readonly store: KeyValueStore
+  private readonly keyPrefix: string
+  private readonly instanceId: InstanceId
+  /** Revisions whose deletion was sent without an answer; it may still take effect. */
+  private readonly pendingDeletions = new Map<TargetId, number>()
+
+  constructor ({ store, keyPrefix, instanceId }: { store: KeyValueStore, keyPrefix: string, instanceId: InstanceId }) {
+    this.store = store
+    this.keyPrefix = keyPrefix
+    this.instanceId = instanceId
+  }
+
+  /** Acquires a claim. An answer that was lost is resolved by reading the key back. */
+  async acquire (targetId: TargetId, leaseId: string): Promise<AcquireOutcome> {
+    const own = { holder: this.instanceId, leaseId }
+    const value = this.encode({ kind: 'held', ...own })
+    let expectedModRevision = 0
+    let isCleanHandOver = false
+    for (let tries = 0; tries < ACQUIRE_TRIES_MAX; tries += 1) {
+      const swapped = await this.store.compareAndSwap({ key: this.key(targetId), value, expectedModRevision, leaseId })
+      if (swapped.isErr) {
+        return swapped.error.effect === 'none' ? { kind: 'failed', effect: 'none' } : this.readBack(targetId, leaseId)
+      }
+      if (swapped.value.kind === 'swapped') {
+        this.pendingDeletions.delete(targetId)
+        return { kind: 'acquired', modRevision: swapped.value.modRevision, isCleanHandOver }
+      }
+      const { current } = swapped.value
+      const view = viewClaim(current?.value, own)
+      if (view.kind === 'taken') return view
+      // An own claim from a lost answer is written again, so that a release that is still under way cannot delete it.
+      expectedModRevision = current?.modRevision ?? 0
+      isCleanHandOver = view.kind === 'handed-over'
+    }
+    return { kind: 'failed', effect: 'none' }
+  }
+
+  /** Deletes a claim. Returns whether it is certain that the claim is gone. */
+  async release (targetId: TargetId, modRevision: number): Promise<boolean> {
+    this.pendingDeletions.set(targetId, modRevision)
+    const swapped = await this.store.compareAndSwap({ key: this.key(targetId), value: undefined, expectedModRevision: modRevision })
+    if (swapped.isOk) this.pendingDeletions.delete(targetId)
+    return swapped.isOk
+  }
+
+  /** Marks a claim as handed over, so that its successor need not wait. Returns whether the store confirmed it. */
+  async handOver (targetId: TargetId, modRevision: number): Promise<boolean> {
+    const value = this.encode({ kind: 'handed-over', from: this.instanceId })
+    const swapped = await this.store.compareAndSwap({ key: this.key(targetId), value, expectedModRevision: modRevision })
+    return swapped.isOk && swapped.value.kind === 'swapped'
+  }
+
+  /** Reads a claim. Returns its view and revision, or `undefined` when the store does not answer. */
+  async read (targetId: TargetId, leaseId: string): Promise<{ view: ClaimView, modRevision: number } | undefined> {
+    const got = await this.store.get(this.key(targetId))
+    if (got.isErr) return undefined
+    const view = viewClaim(got.value?.value, { holder: this.instanceId, leaseId })
+    return { view, modRevision: got.value?.modRevision ?? 0 }
+  }
+
+  private async readBack (targetId: TargetId, leaseId: string): Promise<AcquireOutcome> {
+    const found = await this.read(targetId, leaseId)
+    const canBeDeleted = found !== undefined && this.pendingDeletions.get(targetId) === found.modRevision
+    if (found?.view.kind === 'own' && !canBeDeleted) return { kind: 'acquired', modRevision: found.modRevision, isCleanHandOver: false }
+    if (found?.view.kind === 'taken') return found.view
+    return { kind: 'failed', effect: 'unknown' }
+  }
+
+  private key (targetId: TargetId): string {
+    return `${this.keyPrefix}claims/${targetId}`
+  }
+
+  private encode (record: ClaimRecord): string {
+    return JSON.stringify(record)
+  }
+}
--- /dev/null
+++ b/packages/membership/src/claims/ColdClaims.ts
@@ -0,0 +1,307 @@
+import type { EventLog, Service } from '@carobpitch/kernel'
+import type { InstanceId, MembershipSource, TargetId } from '@carobpitch/schema'
+import type { KeyValueStore } from '@carobpitch/store'
+import { Backoff } from '../backoff.js'
+import type { RandomSource } from '../random.js'
+import type { LeaseKeeper } from '../registry/LeaseKeeper.js'
+import { ClaimStore, type AcquireOutcome } from './ClaimStore.js'
+import { attemptPaceMs, claimRank, firstTryDelayMs, takenRetryDelayMs } from './claimTurn.js'
+
+const TICK_MS = 250
+/** Delay between two attempts while more targets wait, unless the pace of the fleet asks for more. */
+const BUSY_TICK_MS = 20
+/** A write whose answer was lost takes effect within this time or not at all. */
+const LATE_EFFECT_MS = 5_000
+
+/**
+ * Options of `ColdClaims`.
+ * @public
+ */
+export interface ColdClaimsOptions {
+  instanceId: InstanceId
+  store: KeyValueStore
+  /** Prefix of the deployment's keys, `carobpitch/<deployment>/`. */
+  keyPrefix: string
+  lease: LeaseKeeper
+  membership: MembershipSource
+  /** Targets that are cold and may receive work. */
+  coldTargets: () => readonly TargetId[]
+  /** Whether warmth records have been loaded; before that every target looks cold. */
+  isReady: () => boolean
+  /** Longest time of one request to the target, by its service. */
+  requestTimeoutMs: (targetId: TargetId) => number
+  log: EventLog
+  random?: RandomSource
+}
+
+interface HeldClaim {
+  leaseId: string
+  modRevision: number
+  /** Time on the monotonic clock from which requests of the previous holder have ended. */
+  usableAtMs: number
+}
+
+interface Attempt {
+  nextTryAtMs: number
+  timesTaken: number
+  holder: InstanceId | undefined
+}
+
+/**
+ * Result of handing over all claims.
+ * @public
+ */
+export interface HandOverReport {
+  handedOver: TargetId[]
+  /** Claims whose successor will wait for the lease and one request timeout. */
+  failed: TargetId[]
+}
+
+/**
+ * Lease-backed claims on cold targets: only the holder of a target's claim sends to it. The store's compare-and-swap
+ * decides who holds a claim; the order of attempts by rendezvous hashing only keeps instances from contending.
+ * @public
+ */
+export class ColdClaims implements Service {
+  private readonly options: Required<ColdClaimsOptions>
+  private readonly claimStore: ClaimStore
+  private readonly backoff: Backoff
+  private readonly held = new Map<TargetId, HeldClaim>()
+  private readonly releasing = new Map<TargetId, HeldClaim>()
+  private readonly attempts = new Map<TargetId, Attempt>()
+  /** Claims that may have been written although no answer said so, with the time of the attempt. */
+  private readonly unresolved = new Map<TargetId, number>()
+  private readonly unsubscribes: Array<() => void> = []
+  private readonly counters = { attempts: 0, acquired: 0, taken: 0, failed: 0, released: 0, lost: 0 }
+  private timer: NodeJS.Timeout | undefined
+  private nextAttemptAtMs = 0
+  private storeRetryAtMs = 0
+  private isRunning = false
+
+  constructor (options: ColdClaimsOptions) {
+    this.options = { random: Math.random, ...options }
+    this.claimStore = new ClaimStore(options)
+    this.backoff = new Backoff({ random: this.options.random, memberCount: () => options.membership.members().length })
+  }
+
+  async start (): Promise<void> {
+    this.isRunning = true
+    this.unsubscribes.push(this.options.lease.subscribe({ onLost: () => this.dropAll(), onGranted: ({ leaseId }) => this.dropOthers(leaseId) }))
+    this.unsubscribes.push(this.options.membership.onChange(() => this.reconsiderOrphans()))
+    this.schedule()
+  }
+
+  async stop (): Promise<void> {
+    this.isRunning = false
+    clearTimeout(this.timer)
+    for (const unsubscribe of this.unsubscribes.splice(0)) unsubscribe()
+    this.held.clear()
+  }
+
+  /**
+   * Whether this instance may send to a cold target now. Compares the lease deadline with the monotonic clock
+   * at each call, so that a process that was frozen does not use a claim that has passed to another instance.
+   */
+  holds (targetId: TargetId): boolean {
+    const claim = this.held.get(targetId)
+    if (claim === undefined) return false
+    return this.options.lease.current()?.leaseId === claim.leaseId && performance.now() >= claim.usableAtMs
+  }
+
+  /** Number of claims on record, usable or not. A lease with claims is not replaced. */
+  heldCount (): number {
+    return this.held.size + this.releasing.size
+  }
+
+  /**
+   * Hands over all claims, as a step of a planned stop. Call it when no request to a cold target is in flight:
+   * the successors start at once.
+   */
+  async handOverAll (): Promise<HandOverReport> {
+    const claims = [...this.held]
+    await this.stop()
+    const report: HandOverReport = { handedOver: [], failed: [] }
+    await Promise.all(claims.map(async ([targetId, { modRevision }]) => {
+      const isDone = await this.claimStore.handOver(targetId, modRevision)
+      ;(isDone ? report.handedOver : report.failed).push(targetId)
+    }))
+    this.options.log.info('claim.handed-over', { handedOver: report.handedOver.length, failed: report.failed.length })
+    return report
+  }
+
+  dump (): unknown {
+    const nowMs = performance.now()
+    return {
+      held: [...this.held].map(([targetId, { usableAtMs }]) => ({ targetId, usable: this.holds(targetId), usableInMs: Math.max(0, usableAtMs - nowMs) })),
+      releasing: [...this.releasing.keys()],
+      unresolved: [...this.unresolved.keys()],
+      waiting: [...this.attempts].map(([targetId, { nextTryAtMs, holder }]) => ({ targetId, holder, nextTryInMs: nextTryAtMs - nowMs })),
+      counters: { ...this.counters }
+    }
+  }
+
+  private schedule (delayMs = TICK_MS): void {
+    if (!this.isRunning) return
+    this.timer = setTimeout(() => {
+      this.tick().then(delayMs => this.schedule(delayMs))
+    }, delayMs * (0.75 + this.options.random() / 2))
+  }
+
+  /**
+   * Does at most one call to the store at a time and returns the delay until the next tick.
+   * While there is no lease, nothing can be claimed.
+   */
+  private async tick (): Promise<number> {
+    const leaseId = this.options.lease.current()?.leaseId
+    if (leaseId === undefined || !this.options.isReady() || performance.now() < this.storeRetryAtMs) return TICK_MS
+    const cold = new Set(this.options.coldTargets())
+    this.retireWarm(cold)
+    await this.releaseNext()
+    await this.resolveNext(cold, leaseId)
+    const targetId = this.chooseNext(cold)
+    if (targetId === undefined || !this.isRunning) return TICK_MS
+    await this.attempt(targetId, leaseId)
+    return Math.min(TICK_MS, Math.max(BUSY_TICK_MS, this.nextAttemptAtMs - performance.now()))
+  }
+
+  /** Stops to use the claims of targets that are no longer cold. */
+  private retireWarm (cold: ReadonlySet<TargetId>): void {
+    for (const [targetId, claim] of this.held) {
+      if (cold.has(targetId)) continue
+      this.held.delete(targetId)
+      this.releasing.set(targetId, claim)
+    }
+    for (const targetId of this.attempts.keys()) if (!cold.has(targetId)) this.attempts.delete(targetId)
+  }
+
+  private async releaseNext (): Promise<void> {
+    const [next] = this.releasing
+    if (next === undefined) return
+    const [targetId, { modRevision }] = next
+    const isDone = await this.claimStore.release(targetId, modRevision)
+    this.noteStore(isDone)
+    if (!isDone) return
+    this.releasing.delete(targetId)
+    this.counters.released += 1
+    this.options.log.info('claim.released', { target: targetId })
+  }
+
+  /** Finds and releases a claim that a lost write left behind on a target that is warm again. */
+  private async resolveNext (cold: ReadonlySet<TargetId>, leaseId: string): Promise<void> {
+    const nowMs = performance.now()
+    const due = [...this.unresolved].find(([targetId, sinceMs]) => !cold.has(targetId) && nowMs - sinceMs > LATE_EFFECT_MS)
+    if (due === undefined) return
+    const [targetId] = due
+    const found = await this.claimStore.read(targetId, leaseId)
+    this.noteStore(found !== undefined)
+    if (found === undefined) return
+    this.unresolved.delete(targetId)
+    if (found.view.kind === 'own') this.releasing.set(targetId, { leaseId, modRevision: found.modRevision, usableAtMs: Infinity })
+  }
+
+  private chooseNext (cold: ReadonlySet<TargetId>): TargetId | undefined {
+    const nowMs = performance.now()
+    if (nowMs < this.nextAttemptAtMs) return undefined
+    let next: { targetId: TargetId, atMs: number } | undefined
+    for (const targetId of cold) {
+      if (this.held.has(targetId)) continue
+      const { nextTryAtMs } = this.attemptOf(targetId)
+      if (nextTryAtMs <= nowMs && (next === undefined || nextTryAtMs < next.atMs)) next = { targetId, atMs: nextTryAtMs }
+    }
+    return next?.targetId
+  }
+
+  private attemptOf (targetId: TargetId): Attempt {
+    const known = this.attempts.get(targetId)
+    if (known !== undefined) return known
+    const attempt = { nextTryAtMs: performance.now() + firstTryDelayMs(this.rankOf(targetId)), timesTaken: 0, holder: undefined }
+    this.attempts.set(targetId, attempt)
+    return attempt
+  }
+
+  private rankOf (targetId: TargetId): number {
+    return claimRank(targetId, this.options.instanceId, this.liveIds())
+  }
+
+  private liveIds (): InstanceId[] {
+    return this.options.membership.members().filter(({ state }) => state === 'serving').map(({ instanceId }) => instanceId)
+  }
+
+  private async attempt (targetId: TargetId, leaseId: string): Promise<void> {
+    this.counters.attempts += 1
+    this.nextAttemptAtMs = performance.now() + attemptPaceMs(this.options.membership.members().length)
+    this.releasing.delete(targetId)
+    const outcome = await this.claimStore.acquire(targetId, leaseId)
+    this.noteStore(outcome.kind !== 'failed')
+    // The lease can have been lost while the answer was under way; its claims are gone then.
+    const hasLease = this.isRunning && this.options.lease.current()?.leaseId === leaseId
+    this.applyOutcome(targetId, leaseId, outcome, hasLease)
+  }
+
+  private applyOutcome (targetId: TargetId, leaseId: string, outcome: AcquireOutcome, hasLease: boolean): void {
+    switch (outcome.kind) {
+      case 'acquired':
+        if (hasLease) this.hold(targetId, leaseId, outcome)
+        return
+      case 'taken':
+        this.counters.taken += 1
+        this.unresolved.delete(targetId)
+        this.waitForHolder(targetId, outcome.holder)
+        return
+      case 'failed':
+        this.counters.failed += 1
+        if (outcome.effect === 'unknown') this.unresolved.set(targetId, performance.now())
+    }
+  }
+
+  private hold (targetId: TargetId, leaseId: string, { modRevision, isCleanHandOver }: { modRevision: number, isCleanHandOver: boolean }): void {
+    const waitMs = isCleanHandOver ? 0 : this.options.requestTimeoutMs(targetId)
+    this.held.set(targetId, { leaseId, modRevision, usableAtMs: performance.now() + waitMs })
+    this.attempts.delete(targetId)
+    this.unresolved.delete(targetId)
+    this.counters.acquired += 1
+    this.options.log.info('claim.acquired', { target: targetId, waitMs })
+  }
+
+  private waitForHolder (targetId: TargetId, holder: InstanceId | undefined): void {
+    const attempt = this.attemptOf(targetId)
+    const isHolderLive = holder !== undefined && holder !== this.options.instanceId && this.liveIds().includes(holder)
+    const delayMs = takenRetryDelayMs({ rank: this.rankOf(targetId), isHolderLive, timesTaken: attempt.timesTaken })
+    attempt.nextTryAtMs = performance.now() + delayMs * (0.75 + this.options.random() / 2)
+    attempt.timesTaken += 1
+    attempt.holder = holder
+  }
+
+  /** Claims whose holder has gone are tried again soon. */
+  private reconsiderOrphans (): void {
+    const live = new Set(this.options.membership.members().map(({ instanceId }) => instanceId))
+    for (const [targetId, attempt] of this.attempts) {
+      if (attempt.holder === undefined || live.has(attempt.holder)) continue
+      attempt.holder = undefined
+      attempt.timesTaken = 0
+      attempt.nextTryAtMs = performance.now() + firstTryDelayMs(this.rankOf(targetId))
+    }
+  }
+
+  private noteStore (hasAnswered: boolean): void {
+    if (hasAnswered) this.backoff.reset()
+    else this.storeRetryAtMs = performance.now() + this.backoff.nextDelayMs()
+  }
+
+  private dropAll (): void {
+    this.dropOthers(undefined)
+  }
+
+  /** Forgets the claims of other leases than the given one. */
+  private dropOthers (leaseId: string | undefined): void {
+    for (const claims of [this.held, this.releasing]) {
+      for (const [targetId, claim] of claims) {
+        if (claim.leaseId === leaseId) continue
+        claims.delete(targetId)
+        this.counters.lost += 1
+        this.options.log.warn('claim.lost', { target: targetId })
+      }
+    }
+    this.unresolved.clear()
+  }
+}
