--- a/packages/control/src/commit.test.ts
+++ b/packages/control/src/commit.test.ts
@@ -158,6 +158,19 @@
       expect(await confirm(second, changeId)).to.include({ kind: 'accepted' })
     })
 
+    it('does not call a write failed that takes effect after its answer was lost, and does not return what it withdrew meanwhile', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.lateRequests = 1
+      expect(await confirm(first, changeId)).to.include({ kind: 'outcome-unknown', effect: 'unknown' })
+      for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += 100) {
+        await clock.tickAsync(100)
+        const uninformed = cluster.nodes.filter(node => node.revision < 4 && node.withdrawn.failureDomains.length === 0)
+        expect(uninformed.map(({ instanceId }) => instanceId)).to.deep.equal([])
+      }
+      expect(cluster.nodes.map(node => node.revision)).to.deep.equal([4, 4, 4, 4, 4])
+      expect((await settle(clock, second.control.actions.status(changeId))).kind).to.equal('accepted')
+    })
+
     it('refuses plans and confirmations without effect while the store is down or slow', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.store.setDown(true)
--- a/packages/control/src/testing/FakeStore.ts
+++ b/packages/control/src/testing/FakeStore.ts
@@ -8,14 +8,18 @@
   down: boolean
   /** Delay before each answer; above `timeoutMs` the answer is lost. */
   delayMs: number
-  /** Coming writes that take effect and whose answer is lost. */
+  /** Coming writes of the configuration that take effect and whose answer is lost. */
   loseAnswers: number
-  /** Coming writes that are lost before they take effect, without the caller knowing. */
+  /** Coming writes of the configuration that are lost before they take effect, without the caller knowing. */
   loseRequests: number
+  /** Coming writes of the configuration that take effect `LATE_MS` after the caller saw a failure. */
+  lateRequests: number
   /** Answers reads with the previous value of each key that has one. */
   stale: boolean
 }
 
+const LATE_MS = 3_000
+
 interface Watcher {
   prefix: string
   listener: WatchListener
@@ -23,7 +27,7 @@
 
 /** A `KeyValueStore` in memory. @internal */
 export class FakeStore implements KeyValueStore {
-  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, stale: false }
+  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, lateRequests: 0, stale: false }
   /** Runs before each swap takes effect, so that a test can race or cut at this step. */
   beforeSwap: (options: SwapOptions) => void = () => {}
   /** Runs after each swap took effect and before it is answered. */
@@ -45,7 +49,7 @@
   }
 
   async compareAndSwap (options: SwapOptions): Promise<Result<SwapOutcome, StoreFailure>> {
-    return await this.answer(() => this.swap(options), true)
+    return await this.answer(() => this.swap(options), options.key.endsWith('/configuration'))
   }
 
   async grantLease (ttlMs: number): Promise<Result<Lease, StoreFailure>> {
@@ -93,18 +97,23 @@
     return this.values.get(key)?.value
   }
 
-  private async answer<Value> (apply: () => Value, isWrite = false): Promise<Result<Value, StoreFailure>> {
+  private async answer<Value> (apply: () => Value, canLose = false): Promise<Result<Value, StoreFailure>> {
     this.calls += 1
     if (this.faults.down) return Result.err({ effect: 'none', reason: 'connection refused' })
-    if (isWrite && this.faults.loseRequests > 0) {
+    if (canLose && this.faults.loseRequests > 0) {
       this.faults.loseRequests -= 1
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
     }
+    if (canLose && this.faults.lateRequests > 0) {
+      this.faults.lateRequests -= 1
+      setTimeout(apply, LATE_MS)
+      return Result.err({ effect: 'unknown', reason: 'connection reset' })
+    }
     const value = apply()
     const { delayMs } = this.faults
     if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, Math.min(delayMs, this.timeoutMs)))
     if (delayMs > this.timeoutMs) return Result.err({ effect: 'unknown', reason: 'timeout' })
-    if (isWrite && this.faults.loseAnswers > 0) {
+    if (canLose && this.faults.loseAnswers > 0) {
       this.faults.loseAnswers -= 1
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
     }
