--- /dev/null
+++ b/packages/testbed/src/faults/targetFaults.test.ts
@@ -0,0 +1,61 @@
+import { expect } from 'chai'
+import { failedChecks } from '../checks/checkEvidence.js'
+import type { CallRecord } from '../caller/CallRecord.js'
+import type { CallerClient } from '../caller/CallerClient.js'
+import { Fleet } from '../fleet/Fleet.js'
+import { cutPointSchema, type TargetBehaviour } from '../target/TargetBehaviour.js'
+
+describe('one real instance between callers and faulty targets', function () {
+  this.timeout(60_000)
+  let fleet: Fleet
+  let client: CallerClient
+
+  before(async () => {
+    fleet = new Fleet()
+    await fleet.start({ instances: 1, targets: 3, service: { requestTimeoutMs: 1_000 } })
+  })
+  // A caller of its own for each test, so that one failure does not show in the tests that follow.
+  beforeEach(() => { client = fleet.createClient() })
+  after(() => fleet.stop())
+
+  async function callWith (fault: Partial<TargetBehaviour>, method: string): Promise<CallRecord> {
+    for (const target of fleet.targets) target.change(fault)
+    return await client.call({ service: 'orders', method, body: method === 'POST' ? '{}' : undefined, deadlineMs: 1_000 })
+  }
+
+  function expectChecksToPass (): void {
+    expect(failedChecks({ ...fleet.evidence(), calls: client.calls })).to.deep.equal([])
+  }
+
+  for (const point of cutPointSchema.options) {
+    for (const method of ['POST', 'GET']) {
+      it(`keeps every check at zero when the connection to the target is cut at ${point} of a ${method}`, async () => {
+        const before = fleet.targets.flatMap(target => target.ledger).length
+        const record = await callWith({ cut: { point, count: 1 } }, method)
+        for (const target of fleet.targets) target.change({ cut: undefined })
+        expectChecksToPass()
+        if (method === 'POST') expect(fleet.targets.flatMap(target => target.ledger).length - before).to.be.at.most(1)
+        if (!record.succeeded) expect(record.verdict).to.not.equal('answered')
+      })
+    }
+  }
+
+  const faults: Array<[name: string, fault: Partial<TargetBehaviour>, repair: Partial<TargetBehaviour>, succeeds: boolean]> = [
+    ['sends a second response', { surplusResponses: 1 }, { surplusResponses: 0 }, true],
+    ['answers after the deadline', { answerDelayMs: 1_200 }, { answerDelayMs: 0 }, false],
+    ['refuses', { refuseStatus: 503 }, { refuseStatus: undefined }, false],
+    ['fails fast', { failFast: true }, { failFast: false }, false],
+    ['is draining', { draining: true }, { draining: false }, true]
+  ]
+  for (const [name, fault, repair, succeeds] of faults) {
+    for (const method of ['POST', 'GET']) {
+      it(`keeps every check at zero when every target ${name} on a ${method}`, async () => {
+        const record = await callWith(fault, method)
+        expect(record.succeeded).to.equal(succeeds)
+        // The next call would receive what was left over on a connection.
+        await callWith(repair, method)
+        expectChecksToPass()
+      })
+    }
+  }
+})
--- /dev/null
+++ b/packages/testbed/src/fleet/Fleet.ts
@@ -0,0 +1,160 @@
+import { spawn } from 'node:child_process'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { configurationSchema, settingsSchema, type ServiceConfiguration } from '@carobpitch/schema'
+import { EtcdStore } from '@carobpitch/store'
+import { CallerClient } from '../caller/CallerClient.js'
+import type { Evidence, PlannedStop, Withdrawal } from '../checks/Evidence.js'
+import { seedStore } from '../deployment/seedStore.js'
+import { StandInStore } from '../StandInStore.js'
+import { StandInTarget } from '../StandInTarget.js'
+import type { TargetBehaviour } from '../target/TargetBehaviour.js'
+import { findPort } from './findPort.js'
+import { InstanceProcess } from './InstanceProcess.js'
+import { TcpLink } from './TcpLink.js'
+
+const TOOL = fileURLToPath(new URL('../../../cli/dist/main.js', import.meta.url))
+const OPERATOR_TOKEN = 'operator-token-for-tests'
+const DEPLOYMENT = 'fleet'
+const FAILURE_DOMAINS = ['north', 'east', 'south'] as const
+
+/**
+ * Options of `Fleet`.
+ * @internal
+ */
+export interface FleetOptions {
+  instances?: number
+  /** Targets of the one service, `orders`, dealt out to three failure domains in turn. */
+  targets?: number
+  behaviour?: Partial<TargetBehaviour>
+  service?: Partial<ServiceConfiguration>
+  answerTtlMs?: number
+}
+
+/**
+ * Result of a run of the operator's tool.
+ * @internal
+ */
+export interface ToolResult {
+  status: number
+  output: string
+}
+
+/**
+ * Real `carobpitchd` processes with a stand-in store, reached through a link each, and stand-in targets in the test's
+ * own process. For tests only, because programs start no other process.
+ * @internal
+ */
+export class Fleet {
+  readonly store = new StandInStore()
+  readonly targets: StandInTarget[] = []
+  readonly instances: InstanceProcess[] = []
+  /** Link of each instance to the store. */
+  readonly storeLinks: TcpLink[] = []
+  readonly withdrawals: Withdrawal[] = []
+  readonly plannedStops: PlannedStop[] = []
+  private readonly clients: CallerClient[] = []
+  private directory = ''
+
+  /** Starts everything. */
+  async start ({ instances = 3, targets = 6, behaviour = {}, service = {}, answerTtlMs = 500 }: FleetOptions = {}): Promise<void> {
+    this.directory = await mkdtemp(join(tmpdir(), 'carobpitch-fleet-'))
+    await this.store.start()
+    for (let index = 0; index < targets; index += 1) {
+      const target = new StandInTarget({ targetId: `orders-${index + 1}`, behaviour: { slots: 3, serviceTimeMs: 5, ...behaviour } })
+      await target.start()
+      this.targets.push(target)
+    }
+    await this.seed(service)
+    await this.prepareInstances(instances, answerTtlMs)
+    await Promise.all(this.instances.map(instance => instance.start()))
+  }
+
+  /** Creates a caller that knows all instances. */
+  createClient (): CallerClient {
+    const client = new CallerClient({ bootstrapUrls: this.instances.map(instance => instance.callerUrl()) })
+    this.clients.push(client)
+    return client
+  }
+
+  /** Targets in a failure domain. */
+  targetsIn (failureDomain: string): StandInTarget[] {
+    return this.targets.filter((_, index) => domainAt(index) === failureDomain)
+  }
+
+  /** Runs the operator's tool against an instance. */
+  async runTool (instance: number, args: readonly string[]): Promise<ToolResult> {
+    const url = (this.instances[instance] as InstanceProcess).operatorUrl()
+    const child = spawn(process.execPath, [TOOL, '--instance', url, '--token', OPERATOR_TOKEN, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    let output = ''
+    child.stdout.on('data', chunk => { output += String(chunk) })
+    child.stderr.on('data', chunk => { output += String(chunk) })
+    const status = await new Promise<number>(resolve => child.once('close', code => resolve(code ?? -1)))
+    return { status, output }
+  }
+
+  /** Everything recorded so far. */
+  evidence (): Evidence {
+    return {
+      targets: this.targets.map(target => target.snapshot()),
+      calls: this.clients.flatMap(client => client.calls),
+      sightings: this.clients.flatMap(client => [...client.sightings]),
+      withdrawals: this.withdrawals,
+      plannedStops: this.plannedStops
+    }
+  }
+
+  /** Ends everything that was started. */
+  async stop (): Promise<void> {
+    for (const client of this.clients) await client.close()
+    await Promise.all(this.instances.map(instance => instance.kill()))
+    for (const link of this.storeLinks) await link.stop()
+    for (const target of this.targets) await target.stop()
+    await this.store.stop()
+    await rm(this.directory, { recursive: true, force: true })
+  }
+
+  private async seed (service: Partial<ServiceConfiguration>): Promise<void> {
+    const configuration = configurationSchema.parse({
+      revision: 1,
+      services: { orders: { requestClass: 'booking', notRunStatuses: [503], ...service } },
+      failureDomains: Object.fromEntries(FAILURE_DOMAINS.map(domain => [domain, {}])),
+      targets: Object.fromEntries(this.targets.map((target, index) =>
+        [`orders-${index + 1}`, { service: 'orders', failureDomain: domainAt(index), url: target.url(), slots: target.behaviour.slots }]))
+    })
+    const store = new EtcdStore({ urls: [this.store.url()] })
+    await seedStore(store, DEPLOYMENT, configuration)
+    await store.close()
+  }
+
+  private async prepareInstances (count: number, answerTtlMs: number): Promise<void> {
+    const credentialsFile = join(this.directory, 'credentials.json')
+    await writeFile(credentialsFile, JSON.stringify({ peerToken: 'peer-token-for-tests', operatorTokens: { test: OPERATOR_TOKEN } }))
+    const peerPorts = await Promise.all(Array.from({ length: count }, () => findPort()))
+    for (const [index, peerPort] of peerPorts.entries()) {
+      const link = new TcpLink(Number(new URL(this.store.url()).port))
+      await link.start()
+      this.storeLinks.push(link)
+      const host = '127.0.0.1'
+      const settings = settingsSchema.parse({
+        deployment: DEPLOYMENT,
+        instanceId: `entry-${index + 1}`,
+        failureDomain: domainAt(index),
+        caller: { host, port: await findPort() },
+        peer: { host, port: peerPort },
+        operator: { host, port: await findPort() },
+        credentialsFile,
+        store: { urls: [link.url()] },
+        seedPeerUrls: peerPorts.filter(port => port !== peerPort).map(port => `http://${host}:${port}`),
+        answerTtlMs
+      })
+      this.instances.push(new InstanceProcess(settings, this.directory))
+    }
+  }
+}
+
+function domainAt (index: number): string {
+  return FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] as string
+}
--- /dev/null
+++ b/packages/testbed/src/fleet/WorkerLoad.ts
@@ -0,0 +1,56 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import type { Call, CallerClient } from '../caller/CallerClient.js'
+
+const POLL_INTERVAL_MS = 5
+/** Pause after a failed call, so that refusals at once do not make a busy loop. */
+const PAUSE_AFTER_FAILURE_MS = 20
+/** Bounds a load whose condition is never met. */
+const CALLS_MAX = 20_000
+
+/**
+ * Load by workers that call one after the other. Tests wait for numbers of calls instead of times,
+ * so that they do not depend on the speed of the machine.
+ * @internal
+ */
+export class WorkerLoad {
+  private readonly client: CallerClient
+  private readonly call: Omit<Call, 'requestId'>
+  private readonly workers: Array<Promise<void>>
+  private stopped = false
+  private callCount = 0
+  private succeededCount = 0
+
+  constructor ({ client, call, workers = 4 }: { client: CallerClient, call: Omit<Call, 'requestId'>, workers?: number }) {
+    this.client = client
+    this.call = call
+    this.workers = Array.from({ length: workers }, () => this.work())
+  }
+
+  /**
+   * Waits until `count` further calls have succeeded.
+   * @throws Error when the limit passes first.
+   */
+  async untilSucceeded (count: number, limitMs = 12_000): Promise<void> {
+    const goal = this.succeededCount + count
+    const limitAtMs = performance.now() + limitMs
+    while (this.succeededCount < goal) {
+      if (performance.now() > limitAtMs) throw new Error(`${this.succeededCount} calls succeeded of ${this.callCount}, ${goal} expected`)
+      await delay(POLL_INTERVAL_MS)
+    }
+  }
+
+  /** Ends the load and waits for the calls in progress. */
+  async stop (): Promise<void> {
+    this.stopped = true
+    await Promise.all(this.workers)
+  }
+
+  private async work (): Promise<void> {
+    while (!this.stopped && this.callCount < CALLS_MAX) {
+      this.callCount += 1
+      const { succeeded } = await this.client.call(this.call)
+      if (succeeded) this.succeededCount += 1
+      else await delay(PAUSE_AFTER_FAILURE_MS)
+    }
+  }
+}
