Test that responses with another request id or without an end reach no caller

Cause: both faults were seen to fail on the thin request path (a booking and a read each received the response to another request; a response without a determinable end counted as complete). Change: the two faults join the table of faults of targets.

--- a/packages/testbed/src/faults/targetFaults.test.ts
+++ b/packages/testbed/src/faults/targetFaults.test.ts
@@ -41,7 +41,9 @@
   }
 
   const faults: Array<[name: string, fault: Partial<TargetBehaviour>, repair: Partial<TargetBehaviour>, succeeds: boolean]> = [
+    ['answers with another request id', { mismatchedResponses: 1 }, { mismatchedResponses: 0 }, false],
     ['sends a second response', { surplusResponses: 1 }, { surplusResponses: 0 }, true],
+    ['sends a response without a determinable end', { unframedResponses: 1 }, { unframedResponses: 0 }, false],
     ['answers after the deadline', { answerDelayMs: 1_200 }, { answerDelayMs: 0 }, false],
     ['refuses', { refuseStatus: 503 }, { refuseStatus: undefined }, false],
     ['fails fast', { failFast: true }, { failFast: false }, false],
