Use the plan commands of the tool in the demo

Cause: the demo called domain-out and domain-in; the tool names the intents take-domain-out and return-domain. Change: the demo uses the tool's names.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -122,9 +122,9 @@
 }
 
 if $has_plans; then
-  change domain-out domain-out || true
+  change take-domain-out domain-out || true
   sleep 7
-  change domain-in domain-in || true
+  change return-domain domain-in || true
 else
   echo "== carobpitch has no plan command in this version; the failure domain stays in"
 fi
