Let steered instances claim cold targets first

Cause: claims were ordered by rendezvous hashing over all live members, but callers are steered to a few instances per service; a holder outside those gets no requests and the target stays cold. Ruled out: forwarding requests between instances to the holder, because it adds a hop and a verdict to carry. Change: ColdClaims takes the preferred holders of a target; they come first, and another holder gives the claim up. Result: two tests on a paused clock, which cannot pass without the option; membership tests pass.

--- a/packages/membership/src/claims/ColdClaims.test.ts
+++ b/packages/membership/src/claims/ColdClaims.test.ts
@@ -26,6 +26,7 @@
   isCut = false
   isFrozen = false
   requestTimeoutMs = REQUEST_TIMEOUT_MS
+  preferred: InstanceId[] = []
   private readonly viewListeners = new Set<() => void>()
 
   constructor (store: FakeStore, members: MemberRecord[], index: number) {
@@ -47,6 +48,7 @@
         }
       },
       coldTargets: () => this.cold,
+      preferredHolders: () => this.preferred,
       isReady: () => true,
       requestTimeoutMs: () => this.requestTimeoutMs,
       log,
@@ -161,6 +163,27 @@
     })
   })
 
+  describe('when callers are steered to some instances', () => {
+    it('is claimed by one of those, guarding against a holder that gets no requests to warm the target', async () => {
+      await launch(5)
+      const last = claimants.find(({ id, view }) => claimRank(T1, id, view.map(({ instanceId }) => instanceId)) === 4) as Claimant
+      for (const claimant of claimants) claimant.preferred = [last.id]
+      setCold([T1])
+      await timeUntil(() => holders().length === 1, 3_000)
+      expect(holders()).to.deep.equal([last])
+    })
+
+    it('passes to one of those when steering changes', async () => {
+      await launch(5)
+      setCold([T1])
+      await timeUntil(() => holders().length === 1, 3_000)
+      const next = claimants.find(claimant => claimant !== firstOf()) as Claimant
+      for (const claimant of claimants) claimant.preferred = [next.id]
+      await timeUntil(() => holders()[0] === next, 30_000)
+      expect(holders()).to.deep.equal([next])
+    })
+  })
+
   describe('when the holder fails', () => {
     it('passes to a successor after a crash, after the lease and one request timeout', async () => {
       await launch(3)
--- a/packages/membership/src/claims/ColdClaims.ts
+++ b/packages/membership/src/claims/ColdClaims.ts
@@ -26,6 +26,11 @@
   membership: MembershipSource
   /** Targets that are cold and may receive work. */
   coldTargets: () => readonly TargetId[]
+  /**
+   * Instances that callers of the target's service are steered to. Only they get the requests that warm the target,
+   * so they claim it before others, and another holder gives it up. Without it, all live members are equal.
+   */
+  preferredHolders?: (targetId: TargetId) => readonly InstanceId[]
   /** Whether warmth records have been loaded; before that every target looks cold. */
   isReady: () => boolean
   /** Longest time of one request to the target, by its service. */
@@ -79,7 +84,7 @@
   private isRunning = false
 
   constructor (options: ColdClaimsOptions) {
-    this.options = { random: Math.random, ...options }
+    this.options = { random: Math.random, preferredHolders: () => [], ...options }
     this.claimStore = new ClaimStore(options)
     this.backoff = new Backoff({ random: this.options.random, memberCount: () => options.membership.members().length })
   }
@@ -155,7 +160,7 @@
     const leaseId = this.options.lease.current()?.leaseId
     if (leaseId === undefined || !this.options.isReady() || performance.now() < this.storeRetryAtMs) return TICK_MS
     const cold = new Set(this.options.coldTargets())
-    this.retireWarm(cold)
+    this.retire(cold)
     await this.releaseNext()
     await this.resolveNext(cold, leaseId)
     const targetId = this.chooseNext(cold)
@@ -164,10 +169,10 @@
     return Math.min(TICK_MS, Math.max(BUSY_TICK_MS, this.nextAttemptAtMs - performance.now()))
   }
 
-  /** Stops to use the claims of targets that are no longer cold. */
-  private retireWarm (cold: ReadonlySet<TargetId>): void {
+  /** Stops to use the claims of targets that are no longer cold, or whose traffic goes to other instances. */
+  private retire (cold: ReadonlySet<TargetId>): void {
     for (const [targetId, claim] of this.held) {
-      if (cold.has(targetId)) continue
+      if (cold.has(targetId) && !this.hasBetterHolder(targetId)) continue
       this.held.delete(targetId)
       this.releasing.set(targetId, claim)
     }
@@ -220,7 +225,17 @@
   }
 
   private rankOf (targetId: TargetId): number {
-    return claimRank(targetId, this.options.instanceId, this.liveIds())
+    return claimRank(targetId, this.options.instanceId, this.liveIds(), this.livePreferred(targetId))
+  }
+
+  private livePreferred (targetId: TargetId): InstanceId[] {
+    const live = new Set(this.liveIds())
+    return this.options.preferredHolders(targetId).filter(id => live.has(id))
+  }
+
+  private hasBetterHolder (targetId: TargetId): boolean {
+    const preferred = this.livePreferred(targetId)
+    return preferred.length > 0 && !preferred.includes(this.options.instanceId)
   }
 
   private liveIds (): InstanceId[] {
--- a/packages/membership/src/claims/claimTurn.ts
+++ b/packages/membership/src/claims/claimTurn.ts
@@ -12,9 +12,11 @@
 const TAKEN_RETRY_MAX_MS = 300_000
 const ORPHANED_RETRY_MS = 1_500
 
-/** Place of an instance in the order in which the live members try to claim a target; 0 tries first. @internal */
-export function claimRank (targetId: TargetId, instanceId: InstanceId, members: readonly InstanceId[]): number {
-  const rank = rankByRendezvous(`claim ${targetId}`, members).indexOf(instanceId)
+/** Place of an instance in the order in which the live members try to claim a target, preferred ones first; 0 tries first. @internal */
+export function claimRank (targetId: TargetId, instanceId: InstanceId, members: readonly InstanceId[], preferred: readonly InstanceId[] = []): number {
+  const others = members.filter(id => !preferred.includes(id))
+  const order = [preferred, others].flatMap(group => rankByRendezvous(`claim ${targetId}`, group))
+  const rank = order.indexOf(instanceId)
   return rank < 0 ? members.length : rank
 }
 
