Add warmth synchronisation and the planned stop

Warmth records must survive a mass restart and reach all instances soon after a transition. WarmthSync writes the records that this instance changed, one compare-and-swap at a time, sends them to all members and repairs what was missed through a digest on pings and 32 bucket digests. Sending the whole table on a mismatch was ruled out: at 910 targets that is about 80 KB per pull. Until the store or a loaded peer has answered, isReady() is false, because every target looks cold.

A test found that the first version overwrote a newer record with an older one when the store's revision was known from the load; the record itself is now compared as well.

PlannedStop tells every live member directly before it counts the time to live of address lists, because other instances name it until they know.

--- a/packages/membership/src/claims/ColdClaims.ts
+++ b/packages/membership/src/claims/ColdClaims.ts
@@ -108,6 +108,11 @@
     return this.options.lease.current()?.leaseId === claim.leaseId && performance.now() >= claim.usableAtMs
   }
 
+  /** Targets of the claims on record, usable or not. */
+  heldTargets (): TargetId[] {
+    return [...this.held.keys()]
+  }
+
   /** Number of claims on record, usable or not. A lease with claims is not replaced. */
   heldCount (): number {
     return this.held.size + this.releasing.size
--- a/packages/membership/src/detection/Membership.ts
+++ b/packages/membership/src/detection/Membership.ts
@@ -169,6 +169,13 @@
     return true
   }
 
+  /** Tells every live member this instance's state directly. Returns the members that did not confirm. */
+  async tellLeaving (): Promise<InstanceId[]> {
+    const others = this.others('alive', 'suspect')
+    const answers = await Promise.all(others.map(async member => ({ id: member.instanceId, hasConfirmed: await this.ping(member) })))
+    return answers.filter(({ hasConfirmed }) => !hasConfirmed).map(({ id }) => id)
+  }
+
   /** Tells members directly that this instance has left, as the last step of a planned stop. */
   async announceLeft (): Promise<void> {
     this.table.leave()
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -13,3 +13,9 @@
 export { JoinProcess, type JoinProcessOptions, type JoinState } from './registry/JoinProcess.js'
 export { instanceListSchema, readInstanceList } from './registry/instanceList.js'
 export { ColdClaims, type ColdClaimsOptions, type HandOverReport } from './claims/ColdClaims.js'
+export type { WarmthSource } from './warmth/WarmthSource.js'
+export { WarmthSync, type WarmthSyncOptions } from './warmth/WarmthSync.js'
+export {
+  WARMTH_ROUTER, createTrpcWarmthTransport, createWarmthRouter, type WarmthHandler, type WarmthRouter, type WarmthTransport
+} from './warmth/WarmthTransport.js'
+export { PlannedStop, type PlannedStopOptions, type StopEnd, type StopReport, type StoppableProxy } from './stop/PlannedStop.js'
--- /dev/null
+++ b/packages/membership/src/warmth/WarmthStore.ts
@@ -0,0 +1,68 @@
+import { isNewerWarmth, parseJsonWith, warmthRecordSchema, type TargetId, type WarmthRecord } from '@carobpitch/schema'
+import type { KeyValueStore, StoredValue } from '@carobpitch/store'
+
+/** One write, and one after each record of another instance that it met. */
+const WRITE_TRIES_MAX = 4
+
+/**
+ * Outcome of writing a record.
+ * @internal
+ */
+export type WarmthWrite =
+  | { kind: 'written' }
+  /** The store holds this record, which is the same or newer. */
+  | { kind: 'superseded', stored: WarmthRecord }
+  | { kind: 'failed', reason: string }
+
+/**
+ * The durable warmth records in the store. A record is only ever replaced by a newer one, so that writes can be repeated.
+ * @internal
+ */
+export class WarmthStore {
+  private readonly store: KeyValueStore
+  private readonly prefix: string
+  /** What the store held when it was last read or written, so that most writes take one call. */
+  private readonly lastSeen = new Map<TargetId, { modRevision: number, record: WarmthRecord | undefined }>()
+
+  constructor ({ store, keyPrefix }: { store: KeyValueStore, keyPrefix: string }) {
+    this.store = store
+    this.prefix = `${keyPrefix}warmth/`
+  }
+
+  /** Reads all records; `undefined` when the store does not answer. */
+  async readAll (): Promise<WarmthRecord[] | undefined> {
+    const listed = await this.store.list(this.prefix)
+    if (listed.isErr) return undefined
+    return listed.value.map(value => this.parse(value)).filter(record => record !== undefined)
+  }
+
+  /** Writes a record unless the store holds one that is at least as new. */
+  async write (record: WarmthRecord): Promise<WarmthWrite> {
+    const { targetId } = record
+    for (let tries = 0; tries < WRITE_TRIES_MAX; tries += 1) {
+      const { modRevision: expectedModRevision, record: stored } = this.lastSeen.get(targetId) ?? { modRevision: 0, record: undefined }
+      if (stored !== undefined && !isNewerWarmth(record, stored)) return { kind: 'superseded', stored }
+      const swapped = await this.store.compareAndSwap({ key: this.prefix + targetId, value: JSON.stringify(record), expectedModRevision })
+      if (swapped.isErr) return { kind: 'failed', reason: swapped.error.reason }
+      if (swapped.value.kind === 'swapped') {
+        this.lastSeen.set(targetId, { modRevision: swapped.value.modRevision, record })
+        return { kind: 'written' }
+      }
+      this.noteCurrent(targetId, swapped.value.current)
+    }
+    return { kind: 'failed', reason: 'record changed at each try' }
+  }
+
+  private noteCurrent (targetId: TargetId, current: StoredValue | undefined): void {
+    if (current === undefined) this.lastSeen.delete(targetId)
+    else this.lastSeen.set(targetId, { modRevision: current.modRevision, record: this.parse(current) })
+  }
+
+  /** A value of unknown form counts as absent and is overwritten. */
+  private parse ({ key, value, modRevision }: StoredValue): WarmthRecord | undefined {
+    const parsed = parseJsonWith(warmthRecordSchema, value)
+    if (parsed.isErr || key !== this.prefix + parsed.value.targetId) return undefined
+    this.lastSeen.set(parsed.value.targetId, { modRevision, record: parsed.value })
+    return parsed.value
+  }
+}
--- /dev/null
+++ b/packages/membership/src/warmth/WarmthSync.test.ts
@@ -0,0 +1,197 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { Result } from 'true-myth'
+import { EventLog } from '@carobpitch/kernel'
+import { warmthRecordSchema, type WarmthRecord } from '@carobpitch/schema'
+import { FakeNetwork } from '../testing/FakeNetwork.js'
+import { FakeStore } from '../testing/FakeStore.js'
+import { FakeWarmthTable } from '../testing/FakeWarmthTable.js'
+import { createTestMember, seededRandom, type TestMember } from '../testing/TestCluster.js'
+import { WarmthSync } from './WarmthSync.js'
+import { bucketDigests, differingBuckets } from './warmthDigest.js'
+import type { WarmthHandler, WarmthTransport } from './WarmthTransport.js'
+
+const KEY_PREFIX = 'carobpitch/test/'
+const log = new EventLog({ silent: true })
+
+interface Node extends TestMember {
+  table: FakeWarmthTable
+  sync: WarmthSync
+}
+
+function recordOf (targetId: string, state: 'cold' | 'warm', { broughtInRevision = 1, coldTurns = 0 } = {}): WarmthRecord {
+  return warmthRecordSchema.parse({ targetId, broughtInRevision, coldTurns, state })
+}
+
+describe('WarmthSync', () => {
+  let clock: Clock
+  let network: FakeNetwork
+  let store: FakeStore
+  let nodes: Node[]
+  let handlers: Map<string, WarmthHandler>
+  let dropsPushes: boolean
+  let pulls: number
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ now: 1_000_000 })
+    network = new FakeNetwork()
+    store = new FakeStore()
+    nodes = []
+    handlers = new Map()
+    dropsPushes = false
+    pulls = 0
+  })
+
+  afterEach(async () => {
+    for (const { sync, membership } of nodes) {
+      await sync.stop()
+      await membership.stop()
+    }
+    clock.uninstall()
+  })
+
+  const transport: WarmthTransport = {
+    push: async (url, records) => {
+      if (dropsPushes) return Result.err({ reason: 'timeout' })
+      handlers.get(url)?.handlePush(records)
+      return Result.ok(true)
+    },
+    digests: async url => {
+      pulls += 1
+      return Result.ok((handlers.get(url) as WarmthHandler).digests())
+    },
+    records: async (url, buckets) => Result.ok((handlers.get(url) as WarmthHandler).recordsIn(buckets))
+  }
+
+  async function launch (count: number): Promise<void> {
+    const first = nodes.length
+    for (let index = first; index < first + count; index += 1) {
+      const member = createTestMember(network, `entry-${index + 1}`, { seed: index + 1 })
+      const table = new FakeWarmthTable()
+      const sync = new WarmthSync({ table, store: store.clientOf(), keyPrefix: KEY_PREFIX, membership: member.membership, transport, log, random: seededRandom(index) })
+      handlers.set(member.url, sync)
+      nodes.push({ ...member, table, sync })
+    }
+    const updates = nodes.map(({ membership }) => ({ record: membership.self(), status: 'alive' as const }))
+    for (const { membership } of nodes) membership.learn(updates)
+    for (const { membership, sync } of nodes.slice(first)) {
+      await membership.start()
+      await sync.start()
+    }
+    await clock.tickAsync(5_000)
+  }
+
+  const stored = (targetId: string): WarmthRecord | undefined => {
+    const entry = store.entry(`${KEY_PREFIX}warmth/${targetId}`)
+    return entry === undefined ? undefined : JSON.parse(entry.value) as WarmthRecord
+  }
+  const stateAt = (node: Node, id: string): string | undefined => node.table.get(recordOf(id, 'cold').targetId)?.state
+
+  it('sends a transition to all at once and writes it once, guarding against instances that overload a cold target', async () => {
+    await launch(5)
+    const before = store.callCount('swap')
+    nodes[0]?.table.merge(recordOf('t1', 'cold', { coldTurns: 1 }))
+    await clock.tickAsync(100)
+    for (const node of nodes) expect(stateAt(node, 't1')).to.equal('cold')
+    expect(stored('t1')?.coldTurns).to.equal(1)
+    expect(store.callCount('swap') - before).to.equal(1)
+  })
+
+  it('repairs missed messages by digests and is quiet afterwards, guarding against views that stay apart', async () => {
+    await launch(5)
+    dropsPushes = true
+    nodes[0]?.table.merge(recordOf('t1', 'warm'))
+    nodes[3]?.table.merge(recordOf('t2', 'cold', { coldTurns: 2 }))
+    await clock.tickAsync(10_000)
+    for (const node of nodes) expect([stateAt(node, 't1'), stateAt(node, 't2')]).to.deep.equal(['warm', 'cold'])
+    pulls = 0
+    await clock.tickAsync(10_000)
+    expect(pulls).to.equal(0)
+  })
+
+  it('loads the durable records after a mass restart, guarding against a fleet that takes all targets for cold', async () => {
+    await launch(3)
+    nodes[0]?.table.merge(recordOf('t1', 'warm'))
+    await clock.tickAsync(1_000)
+    for (const { sync, membership } of nodes) {
+      await sync.stop()
+      await membership.stop()
+    }
+    nodes = []
+    await launch(3)
+    for (const node of nodes) {
+      expect(node.sync.isReady()).to.equal(true)
+      expect(stateAt(node, 't1')).to.equal('warm')
+    }
+  })
+
+  it('is not ready before the store or a loaded peer has answered', async () => {
+    store.goDown()
+    await launch(2)
+    expect(nodes.map(({ sync }) => sync.isReady())).to.deep.equal([false, false])
+    store.isDown = false
+    await clock.tickAsync(5_000)
+    expect(nodes.map(({ sync }) => sync.isReady())).to.deep.equal([true, true])
+  })
+
+  it('starts from a peer during a store outage', async () => {
+    await launch(2)
+    nodes[0]?.table.merge(recordOf('t1', 'warm'))
+    await clock.tickAsync(1_000)
+    store.goDown()
+    await launch(1)
+    expect(nodes[2]?.sync.isReady()).to.equal(true)
+    expect(stateAt(nodes[2] as Node, 't1')).to.equal('warm')
+  })
+
+  it('writes a transition after an outage and with a lost answer', async () => {
+    await launch(2)
+    store.goDown()
+    nodes[0]?.table.merge(recordOf('t1', 'warm'))
+    await clock.tickAsync(3_000)
+    store.isDown = false
+    store.loseAnswers = 1
+    await clock.tickAsync(10_000)
+    expect(stored('t1')?.state).to.equal('warm')
+    expect(nodes[0]?.sync.dump()).to.deep.include({ unwritten: [] })
+  })
+
+  it('never replaces a newer record, guarding against a target that looks warm at an old epoch', async () => {
+    await launch(2)
+    nodes[0]?.table.merge(recordOf('t1', 'cold', { coldTurns: 3 }))
+    await clock.tickAsync(1_000)
+    dropsPushes = true
+    // A member that was cut off meanwhile reports an older epoch.
+    const late = new FakeWarmthTable()
+    const member = createTestMember(new FakeNetwork(), 'entry-9', { seed: 9 })
+    const sync = new WarmthSync({ table: late, store: store.clientOf(), keyPrefix: KEY_PREFIX, membership: member.membership, transport, log })
+    await sync.start()
+    await clock.tickAsync(0)
+    late.merge(recordOf('t1', 'warm', { coldTurns: 2 }))
+    await clock.tickAsync(2_000)
+    expect(stored('t1')).to.include({ coldTurns: 3, state: 'cold' })
+    expect([...late.records()][0]).to.include({ coldTurns: 3, state: 'cold' })
+    await sync.stop()
+  })
+
+  describe('digests', () => {
+    const records = fc.uniqueArray(fc.record({ id: fc.nat({ max: 500 }), turns: fc.nat({ max: 3 }), warm: fc.boolean() }), { selector: ({ id }) => id, maxLength: 60 })
+      .map(items => items.map(({ id, turns, warm }) => recordOf(`t${id}`, warm ? 'warm' : 'cold', { coldTurns: turns })))
+
+    it('do not depend on the order of records (seed 31)', () => {
+      fc.assert(fc.property(records, list => {
+        expect(bucketDigests(list)).to.deep.equal(bucketDigests([...list].reverse()))
+      }), { seed: 31 })
+    })
+
+    it('differ in the bucket of a changed record only (seed 32)', () => {
+      fc.assert(fc.property(records, fc.nat(), (list, pick) => {
+        const changed = list[pick % Math.max(1, list.length)]
+        if (changed === undefined) return
+        const after = list.map(record => record === changed ? { ...record, coldTurns: record.coldTurns + 1 } : record)
+        expect(differingBuckets(bucketDigests(list), bucketDigests(after))).to.have.length(1)
+      }), { seed: 32 })
+    })
+  })
+})
--- /dev/null
+++ b/packages/membership/src/warmth/WarmthTransport.ts
@@ -0,0 +1,68 @@
+import { initTRPC } from '@trpc/server'
+import type { Result } from 'true-myth'
+import { z } from 'zod'
+import { warmthRecordSchema, type WarmthRecord } from '@carobpitch/schema'
+import { settle } from '../detection/membershipRouter.js'
+import type { PeerFailure } from '../detection/PingTransport.js'
+import type { PeerLinks } from '../transport/PeerLinks.js'
+import { WARMTH_BUCKETS } from './warmthDigest.js'
+
+/** Name under which the router is mounted. @public */
+export const WARMTH_ROUTER = 'warmth'
+/** Most records in one message. */
+const RECORDS_MAX = 5_000
+
+const recordsSchema = z.array(warmthRecordSchema).max(RECORDS_MAX)
+const digestsSchema = z.array(z.int().min(0)).length(WARMTH_BUCKETS)
+const bucketsSchema = z.array(z.int().min(0).max(WARMTH_BUCKETS - 1)).max(WARMTH_BUCKETS)
+
+/**
+ * How warmth records reach other members. The daemon uses trpc; tests use memory.
+ * @public
+ */
+export interface WarmthTransport {
+  push(peerUrl: string, records: WarmthRecord[]): Promise<Result<boolean, PeerFailure>>
+  digests(peerUrl: string): Promise<Result<number[], PeerFailure>>
+  records(peerUrl: string, buckets: number[]): Promise<Result<WarmthRecord[], PeerFailure>>
+}
+
+/**
+ * What a member answers to messages about warmth.
+ * @public
+ */
+export interface WarmthHandler {
+  handlePush(records: WarmthRecord[]): void
+  digests(): number[]
+  recordsIn(buckets: number[]): WarmthRecord[]
+}
+
+const t = initTRPC.create()
+
+/** Builds the trpc router for warmth records. @public */
+
+/**
+ *
+ */
+export function createWarmthRouter (handler: WarmthHandler) {
+  return t.router({
+    push: t.procedure.input(recordsSchema).mutation(({ input }) => {
+      handler.handlePush(input)
+      return true
+    }),
+    digests: t.procedure.query(() => handler.digests()),
+    records: t.procedure.input(bucketsSchema).query(({ input }) => handler.recordsIn(input))
+  })
+}
+
+/** Type of the router for warmth records. @public */
+export type WarmthRouter = ReturnType<typeof createWarmthRouter>
+
+/** Reaches other members through trpc. Answers are validated, because a peer may run another version. @public */
+export function createTrpcWarmthTransport (links: PeerLinks): WarmthTransport {
+  const client = (peerUrl: string) => links.client<WarmthRouter>({ peerUrl }, WARMTH_ROUTER)
+  return {
+    push: (peerUrl, records) => settle(() => client(peerUrl).push.mutate(records)),
+    digests: peerUrl => settle(async () => digestsSchema.parse(await client(peerUrl).digests.query())),
+    records: (peerUrl, buckets) => settle(async () => recordsSchema.parse(await client(peerUrl).records.query(buckets)))
+  }
+}
