Test adoption, relays and the status of changes

Cause: removing behaviour from the code one piece at a time showed eight pieces that no test noticed: announcements and aborts on pings, stale reads as fresh, the majority for 'in force', the read-back of plans, the reach of the history, the start from peers and the commit deadline.

--- /dev/null
+++ b/packages/control/src/changeStatus.test.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai'
+import type { ChangeId, ChangeRecord, Configuration, Plan } from '@carobpitch/schema'
+import { changeStatusOf } from './changeStatus.js'
+import { makeConfiguration } from './testing/configurations.js'
+
+function withChanges (revision: number, count: number): Configuration {
+  const recentChanges = Array.from({ length: count }, (_, index): ChangeRecord => ({
+    changeId: `c${revision - index}` as ChangeId, revision: revision - index, operator: 'aya', summary: 's', acceptedAtEpochMs: 0
+  }))
+  return { ...makeConfiguration({ revision }), recentChanges }
+}
+
+describe('changeStatusOf', () => {
+  const plan = { changeId: 'mine', baseRevision: 10 } as Plan
+
+  function kindOf (configuration: Configuration, options: { isFromStore?: boolean, plan?: Plan | undefined } = {}): string {
+    return changeStatusOf({ changeId: 'mine' as ChangeId, configuration, isFromStore: true, plan, ...options }).kind
+  }
+
+  it('finds an accepted change even without its plan and without the store', () => {
+    const status = changeStatusOf({ changeId: 'c12' as ChangeId, configuration: withChanges(12, 2), isFromStore: false, plan: undefined })
+    expect(status.kind).to.equal('accepted')
+  })
+
+  it('denies a change only while the history reaches back to its base', () => {
+    expect(kindOf(withChanges(12, 2))).to.equal('not-accepted')
+    expect(kindOf(withChanges(61, 50))).to.equal('unknown')
+  })
+
+  it('calls a plan pending only after a read of the store', () => {
+    expect(kindOf(withChanges(10, 2))).to.equal('pending')
+    expect(kindOf(withChanges(10, 2), { isFromStore: false })).to.equal('unknown')
+    expect(kindOf(withChanges(9, 2))).to.equal('unknown')
+  })
+
+  it('does not deny a change whose plan is not known', () => {
+    expect(kindOf(withChanges(12, 2), { plan: undefined })).to.equal('unknown')
+    expect(kindOf(withChanges(12, 2), { plan: undefined, isFromStore: false })).to.equal('unknown')
+  })
+})
--- a/packages/control/src/commit.test.ts
+++ b/packages/control/src/commit.test.ts
@@ -193,6 +193,21 @@
       expect(stored().revision).to.equal(4)
     })
 
+    it('gives up when the instance was paused between announcement and write', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.callDelayMs = 4_000
+      const outcome = first.control.actions.confirm(changeId, 'aya')
+      expect(await settle(clock, outcome)).to.include({ kind: 'store-unavailable', effect: 'none' })
+      expect(stored().revision).to.equal(3)
+      cluster.callDelayMs = 2
+    })
+
+    it('recognises a plan whose stored answer was lost, and refuses one that was not stored', async () => {
+      cluster.store.faults.losePlanAnswers = 1
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      expect(await confirm(first, changeId)).to.include({ kind: 'accepted' })
+    })
+
     it('refuses to build on an invalid document or on a key that vanished', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.store.put(TEST_KEY, encodeConfiguration({ ...makeConfiguration({ revision: 9 }), services: {} }))
@@ -228,6 +243,16 @@
       expect(late.progress).to.deep.include({ inForce: true, cannotServe: ['entry-5'] })
     })
 
+    it('does not report in force from an instance that is cut off from the majority', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.afterSwap = () => cluster.isolate(first)
+      await confirm(first, changeId)
+      await clock.tickAsync(10_000)
+      const status = await settle(clock, first.control.actions.status(changeId))
+      expect(status.progress).to.deep.include({ inForce: false, confirmed: ['entry-1'] })
+      expect((await settle(clock, second.control.actions.status(changeId))).progress?.confirmed).to.include('entry-2')
+    })
+
     it('brings a member up to date that was partitioned, by ping and snapshot', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.node(5).isStoreReader = false
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -14,7 +14,6 @@
 import { FakeStore } from './FakeStore.js'
 
 const PING_INTERVAL_MS = 500
-const CALL_DELAY_MS = 2
 const CALL_TIMEOUT_MS = 1_000
 
 /** Key of the configuration in tests. @internal */
@@ -100,6 +99,8 @@
 export class FakeCluster {
   readonly store = new FakeStore()
   readonly nodes: FakeNode[] = []
+  /** Delay of each call between instances. */
+  callDelayMs = 2
   /** Pairs of instances, as `a|b`, that cannot reach each other. */
   private readonly cuts = new Set<string>()
   private readonly timers: NodeJS.Timeout[] = []
@@ -156,7 +157,7 @@
   async callPeer<Value> (from: FakeNode, to: InstanceId, run: (control: ControlService) => Value): Promise<Result<Value, PeerFailure>> {
     const target = this.nodes.find(node => node.instanceId === to)
     if (target === undefined || !this.canReach(from, target)) return await fail()
-    await sleep(CALL_DELAY_MS)
+    await sleep(this.callDelayMs)
     if (!this.canReach(from, target)) return await fail()
     return Result.ok(run(target.control))
   }
--- a/packages/control/src/testing/FakeStore.ts
+++ b/packages/control/src/testing/FakeStore.ts
@@ -14,6 +14,8 @@
   loseRequests: number
   /** Coming writes of the configuration that take effect `LATE_MS` after the caller saw a failure. */
   lateRequests: number
+  /** Coming writes of other keys that take effect and whose answer is lost. */
+  losePlanAnswers: number
   /** Answers reads with the previous value of each key that has one. */
   stale: boolean
 }
@@ -27,7 +29,7 @@
 
 /** A `KeyValueStore` in memory. @internal */
 export class FakeStore implements KeyValueStore {
-  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, lateRequests: 0, stale: false }
+  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, lateRequests: 0, losePlanAnswers: 0, stale: false }
   /** Runs before each swap takes effect, so that a test can race or cut at this step. */
   beforeSwap: (options: SwapOptions) => void = () => {}
   /** Runs after each swap took effect and before it is answered. */
@@ -49,7 +51,7 @@
   }
 
   async compareAndSwap (options: SwapOptions): Promise<Result<SwapOutcome, StoreFailure>> {
-    return await this.answer(() => this.swap(options), options.key.endsWith('/configuration'))
+    return await this.answer(() => this.swap(options), options.key.endsWith('/configuration') ? 'configuration' : 'plan')
   }
 
   async grantLease (ttlMs: number): Promise<Result<Lease, StoreFailure>> {
@@ -97,14 +99,14 @@
     return this.values.get(key)?.value
   }
 
-  private async answer<Value> (apply: () => Value, canLose = false): Promise<Result<Value, StoreFailure>> {
+  private async answer<Value> (apply: () => Value, write?: 'configuration' | 'plan'): Promise<Result<Value, StoreFailure>> {
     this.calls += 1
     if (this.faults.down) return Result.err({ effect: 'none', reason: 'connection refused' })
-    if (canLose && this.faults.loseRequests > 0) {
+    if (write === 'configuration' && this.faults.loseRequests > 0) {
       this.faults.loseRequests -= 1
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
     }
-    if (canLose && this.faults.lateRequests > 0) {
+    if (write === 'configuration' && this.faults.lateRequests > 0) {
       this.faults.lateRequests -= 1
       setTimeout(apply, LATE_MS)
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
@@ -113,10 +115,14 @@
     const { delayMs } = this.faults
     if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, Math.min(delayMs, this.timeoutMs)))
     if (delayMs > this.timeoutMs) return Result.err({ effect: 'unknown', reason: 'timeout' })
-    if (canLose && this.faults.loseAnswers > 0) {
+    if (write === 'configuration' && this.faults.loseAnswers > 0) {
       this.faults.loseAnswers -= 1
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
     }
+    if (write === 'plan' && this.faults.losePlanAnswers > 0) {
+      this.faults.losePlanAnswers -= 1
+      return Result.err({ effect: 'unknown', reason: 'connection reset' })
+    }
     return Result.ok(value)
   }
 
