Join cold claims, warmth records and the planned stop in the daemon

Cause: the daemon claimed every target for itself, so that the cold allowance held per instance only, and a signal ended the process at once. Change: WarmthTable, WarmthSync, ColdClaims and PlannedStop are registered as services; steered instances are the preferred holders; the first signal starts a planned stop, a second one ends it early (exit code 4). Ruled out: seeding tests with cold targets, because a running deployment has warm ones; tests of cold start make them cold.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -1,16 +1,19 @@
 import { readFile } from 'node:fs/promises'
 import { Result } from 'true-myth'
 import type { Kernel } from '@carobpitch/kernel'
+import { PlannedStop, type StopReport } from '@carobpitch/membership'
 import { credentialsSchema, parseJsonWith, type Credentials, type Settings, type Violation } from '@carobpitch/schema'
 import { createContext, type DaemonContext } from './DaemonContext.js'
 import { registerControl, registerOperatorListener } from './registerControl.js'
 import { registerMembership } from './registerMembership.js'
 import { registerCallerListener, registerScheduler } from './registerRequestPlane.js'
+import { registerWarmth } from './registerWarmth.js'
 import { StartGate } from './StartGate.js'
 
 declare module '@carobpitch/kernel' {
   interface ServiceMap {
     'start-gate': StartGate
+    'planned-stop': PlannedStop
   }
 }
 
@@ -25,10 +28,12 @@
     this.context = createContext(settings, credentials)
     registerMembership(this.context)
     registerControl(this.context)
+    registerWarmth(this.context)
     registerScheduler(this.context)
     registerOperatorListener(this.context)
     registerStartGate(this.context)
     registerCallerListener(this.context)
+    registerPlannedStop(this.context)
   }
 
   /** Services of this process by name. */
@@ -42,6 +47,16 @@
     this.kernel.get('start-gate').open()
   }
 
+  /**
+   * Planned stop: serves until no caller uses this instance any more, and then ends all services.
+   * A second call ends it early; the report tells what was cut off.
+   */
+  async stopGracefully (): Promise<StopReport> {
+    const report = await this.kernel.get('planned-stop').run()
+    await this.stop()
+    return report
+  }
+
   /** Ends all services at once. */
   async stop (): Promise<void> {
     await this.kernel.stop()
@@ -69,3 +84,15 @@
     log
   }))
 }
+
+function registerPlannedStop ({ settings, kernel, log }: DaemonContext): void {
+  kernel.register('planned-stop', new PlannedStop({
+    membership: kernel.get('membership'),
+    claims: kernel.get('claims'),
+    lease: kernel.get('lease'),
+    proxy: kernel.get('caller-listener'),
+    answerTtlMs: settings.answerTtlMs,
+    stopLimitMs: settings.stopLimitMs,
+    log
+  }))
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Program `carobpitchd`. Exit codes: 0 stopped, 1 failed to start, 2 invalid settings or credentials. */
+/** Program `carobpitchd`. Exit codes: 0 stopped, 1 failed to start, 2 invalid settings or credentials, 4 stopped early. */
 import { readFileSync } from 'node:fs'
 import { Command } from 'commander'
 import { parseJsonWith, settingsSchema, type Settings, type Violation } from '@carobpitch/schema'
@@ -7,6 +7,7 @@
 
 const EXIT_START_FAILED = 1
 const EXIT_INVALID = 2
+const EXIT_CUT_OFF = 4
 
 const program = new Command('carobpitchd')
   .description('Entry instance of the carobpitch load balancer')
@@ -21,7 +22,7 @@
 
 const daemon = new Daemon(settings, credentials.value)
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-  process.once(signal, () => { daemon.stop().finally(() => process.exit(0)) })
+  process.on(signal, () => { stop() })
 }
 try {
   await daemon.start()
@@ -30,6 +31,12 @@
   process.exit(EXIT_START_FAILED)
 }
 
+/** Both the first and a second signal come here; the planned stop ends early on the second. */
+async function stop (): Promise<void> {
+  const report = await daemon.stopGracefully()
+  process.exit(report.end === 'drained' ? 0 : EXIT_CUT_OFF)
+}
+
 function readSettings (file: string): Settings {
   let text: string
   try {
--- a/packages/daemon/src/registerRequestPlane.ts
+++ b/packages/daemon/src/registerRequestPlane.ts
@@ -1,5 +1,5 @@
 import { CallerListener } from '@carobpitch/proxy'
-import { routingPolicyOf, Scheduler, SteeringTable, type ProbeResult, type TargetView } from '@carobpitch/routing'
+import { routingPolicyOf, Scheduler, type ProbeResult, type TargetView } from '@carobpitch/routing'
 import type { DaemonContext } from './DaemonContext.js'
 import { LoadMeter } from './LoadMeter.js'
 import { probeTarget } from './probeTarget.js'
@@ -8,7 +8,6 @@
   interface ServiceMap {
     scheduler: Scheduler
     load: LoadMeter
-    steering: SteeringTable
     'caller-listener': CallerListener
   }
 }
@@ -18,6 +17,7 @@
   const membership = kernel.get('membership')
   const scheduler = new Scheduler({
     configuration,
+    warmth: kernel.get('warmth'),
     policy: routingPolicyOf(settings.routing.policy),
     probing: {
       instanceId: settings.instanceId,
@@ -35,10 +35,9 @@
 
 /** Registers the callers' listener. @internal */
 export function registerCallerListener ({ settings, kernel, configuration, metrics }: DaemonContext): void {
-  const steering = new SteeringTable({ configuration, membership: kernel.get('membership'), steering: settings.routing.steering })
+  const steering = kernel.get('steering')
   const scheduler = kernel.get('scheduler')
   const freshness = kernel.get('freshness')
-  kernel.register('steering', steering)
   kernel.register('caller-listener', new CallerListener({
     instanceId: settings.instanceId,
     listen: settings.caller,
--- a/packages/routing/src/SteeringTable.ts
+++ b/packages/routing/src/SteeringTable.ts
@@ -40,6 +40,11 @@
     return addressList({ service, members, steered: this.steeredFor(service), rotation })
   }
 
+  /** Instances that callers of a service are steered to; all members when lists name all. */
+  steeredTo (service: ServiceName): readonly InstanceId[] {
+    return this.steeredFor(service) ?? this.options.membership.members().map(({ instanceId }) => instanceId)
+  }
+
   /** Returns the steered instances by service. */
   dump (): unknown {
     return { steered: Object.fromEntries(this.current()) }
--- a/packages/testbed/src/fleet/Fleet.ts
+++ b/packages/testbed/src/fleet/Fleet.ts
@@ -44,6 +44,12 @@
   output: string
 }
 
+/** The parts of an instance's state dump that tests read. */
+interface InstanceDump {
+  configuration: { revision: number }
+  services: { scheduler?: { services: Record<string, { concurrency: number }> } }
+}
+
 /**
  * Real `carobpitchd` processes with a stand-in store, reached through a link each, and stand-in targets in the test's
  * own process. For tests only, because programs start no other process.
@@ -154,10 +160,20 @@
     await rm(this.directory, { recursive: true, force: true })
   }
 
+  /** Waits until an instance may send a request to at least one target. */
+  async waitUntilAdmissible (instance: number): Promise<void> {
+    const process = this.instances[instance] as InstanceProcess
+    while (((await this.dumpOf(process))?.services.scheduler?.services.orders?.concurrency ?? 0) === 0) await delay(POLL_INTERVAL_MS)
+  }
+
   private async revisionOf (instance: InstanceProcess): Promise<number | undefined> {
+    return (await this.dumpOf(instance))?.configuration.revision
+  }
+
+  private async dumpOf (instance: InstanceProcess): Promise<InstanceDump | undefined> {
     try {
       const response = await fetch(`${instance.operatorUrl()}/dump`, { headers: { authorization: `Bearer ${OPERATOR_TOKEN}` } })
-      return (await response.json() as { configuration: { revision: number } }).configuration.revision
+      return await response.json() as InstanceDump
     } catch {
       return undefined
     }
