Follow the platform's list for targets that are leaving

Cause: a target could announce its departure only by its own responses; the platform's list of live and leaving instances was used for addresses of peers alone. Change: store readers read the list once a second and name leaving targets on pings; a target is noted once, so that a lagging list cannot override an operator who brings it in. Empty doc comments that the linter's fixer had inserted are removed and that fixer is off. Ruled out: reading the list at every instance, because the readings would grow with the fleet. Result: 6 tests on a paused clock; the departure reaches all instances within one reading and one ping (1 s each) plus the list's lag.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,8 @@
         publicOnly: true,
         require: { ClassDeclaration: true, FunctionDeclaration: true },
         contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration', 'ExportNamedDeclaration > VariableDeclaration'],
-        checkConstructors: false
+        checkConstructors: false,
+        enableFixer: false
       }],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }]
     }
--- /dev/null
+++ b/packages/daemon/src/TargetDepartures.test.ts
@@ -0,0 +1,102 @@
+import { install, type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { Result } from 'true-myth'
+import { EventLog } from '@carobpitch/kernel'
+import type { ListedInstance, Piggyback } from '@carobpitch/membership'
+import { configurationSchema, type MemberRecord, type TargetId } from '@carobpitch/schema'
+import { TargetDepartures } from './TargetDepartures.js'
+
+const [T1, T2] = ['t1', 't2'] as TargetId[] as [TargetId, TargetId]
+const CONFIGURATION = configurationSchema.parse({
+  revision: 1,
+  services: { orders: {} },
+  failureDomains: { north: {} },
+  targets: {
+    t1: { service: 'orders', failureDomain: 'north', url: 'http://127.0.0.1:4001' },
+    t2: { service: 'orders', failureDomain: 'north', url: 'http://127.0.0.1:4002' }
+  }
+})
+
+describe('TargetDepartures', () => {
+  let clock: Clock
+  let departures: TargetDepartures
+  let drained: TargetId[]
+  let readings: number
+  let isReader: boolean
+  let list: Result<ListedInstance[], { reason: string }>
+  let piggyback: Piggyback
+
+  beforeEach(async () => {
+    clock = install()
+    drained = []
+    readings = 0
+    isReader = true
+    list = Result.ok([])
+    departures = new TargetDepartures({
+      configuration: { current: () => CONFIGURATION, onChange: () => () => {} },
+      membership: { isStoreReader: () => isReader, addPiggyback: (_name, value) => { piggyback = value } },
+      readList: async () => {
+        readings += 1
+        return list
+      },
+      noteDraining: targetId => drained.push(targetId),
+      log: new EventLog({ silent: true })
+    })
+    await departures.start()
+  })
+
+  afterEach(async () => {
+    await departures.stop()
+    clock.uninstall()
+  })
+
+  describe('at a store reader', () => {
+    it('stops new work to a target that the list calls leaving, guarding against work after it has left', async () => {
+      list = Result.ok([{ address: '127.0.0.1:4001', state: 'leaving' }, { address: '127.0.0.1:4002', state: 'live' }])
+      await clock.tickAsync(1_100)
+      expect(drained).to.deep.equal([T1])
+      expect(piggyback.provide()).to.deep.equal([T1])
+    })
+
+    it('notes a target once, guarding against a lagging list that overrides an operator who brings it in', async () => {
+      list = Result.ok([{ address: '127.0.0.1:4001', state: 'leaving' }])
+      await clock.tickAsync(30_000)
+      expect(drained).to.deep.equal([T1])
+    })
+
+    it('keeps what it knows while the list cannot be read', async () => {
+      list = Result.ok([{ address: '127.0.0.1:4001', state: 'leaving' }])
+      await clock.tickAsync(1_100)
+      list = Result.err({ reason: 'no answer' })
+      await clock.tickAsync(5_000)
+      expect(piggyback.provide()).to.deep.equal([T1])
+    })
+
+    it('notes a target again when it leaves a second time', async () => {
+      list = Result.ok([{ address: '127.0.0.1:4001', state: 'leaving' }])
+      await clock.tickAsync(1_100)
+      list = Result.ok([{ address: '127.0.0.1:4001', state: 'live' }])
+      await clock.tickAsync(15_000)
+      list = Result.ok([{ address: '127.0.0.1:4001', state: 'leaving' }])
+      await clock.tickAsync(1_100)
+      expect(drained).to.deep.equal([T1, T1])
+    })
+  })
+
+  describe('at another instance', () => {
+    beforeEach(() => { isReader = false })
+
+    it('learns leaving targets from pings and reads no list, guarding against readings that grow with the fleet', async () => {
+      piggyback.receive({} as MemberRecord, [T2])
+      await clock.tickAsync(5_000)
+      expect(drained).to.deep.equal([T2])
+      expect(readings).to.equal(0)
+      expect(piggyback.provide()).to.equal(undefined)
+    })
+
+    it('ignores a value of another form', () => {
+      piggyback.receive({} as MemberRecord, { t1: 'leaving' })
+      expect(drained).to.deep.equal([])
+    })
+  })
+})
--- a/packages/daemon/src/registerRequestPlane.ts
+++ b/packages/daemon/src/registerRequestPlane.ts
@@ -1,19 +1,22 @@
+import { readListedInstances } from '@carobpitch/membership'
 import { CallerListener } from '@carobpitch/proxy'
 import { routingPolicyOf, Scheduler, type ProbeResult, type TargetView } from '@carobpitch/routing'
 import type { DaemonContext } from './DaemonContext.js'
 import { LoadMeter } from './LoadMeter.js'
 import { probeTarget } from './probeTarget.js'
+import { TargetDepartures } from './TargetDepartures.js'
 
 declare module '@carobpitch/kernel' {
   interface ServiceMap {
     scheduler: Scheduler
     load: LoadMeter
+    departures: TargetDepartures
     'caller-listener': CallerListener
   }
 }
 
 /** Registers the scheduler and what measures its targets. @internal */
-export function registerScheduler ({ settings, kernel, configuration }: DaemonContext): void {
+export function registerScheduler ({ settings, kernel, log, configuration }: DaemonContext): void {
   const membership = kernel.get('membership')
   const scheduler = new Scheduler({
     configuration,
@@ -31,6 +34,15 @@
   })
   kernel.register('scheduler', scheduler)
   kernel.register('load', new LoadMeter(scheduler))
+  const { instanceListUrl } = settings
+  if (instanceListUrl === undefined) return
+  kernel.register('departures', new TargetDepartures({
+    configuration,
+    membership,
+    readList: () => readListedInstances(instanceListUrl),
+    noteDraining: targetId => scheduler.noteDraining(targetId),
+    log
+  }))
 }
 
 /** Registers the callers' listener. @internal */
--- a/packages/membership/src/detection/membershipRouter.ts
+++ b/packages/membership/src/detection/membershipRouter.ts
@@ -14,10 +14,6 @@
 const t = initTRPC.create()
 
 /** Builds the trpc router of the failure detector. @public */
-
-/**
- *
- */
 export function createMembershipRouter (handler: PingHandler) {
   return t.router({
     ping: t.procedure.input(pingMessageSchema).mutation(({ input }) => handler.handlePing(input)),
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -11,7 +11,7 @@
 export { leaseLengthMs, renewalIntervalMs } from './registry/leaseTimes.js'
 export { Registry, type RegistryOptions } from './registry/Registry.js'
 export { JoinProcess, type JoinProcessOptions, type JoinState } from './registry/JoinProcess.js'
-export { instanceListSchema, readInstanceList } from './registry/instanceList.js'
+export { instanceListSchema, readInstanceList, readListedInstances, type ListedInstance } from './registry/instanceList.js'
 export { ColdClaims, type ColdClaimsOptions, type HandOverReport } from './claims/ColdClaims.js'
 export type { WarmthSource } from './warmth/WarmthSource.js'
 export { WarmthSync, type WarmthSyncOptions } from './warmth/WarmthSync.js'
--- a/packages/membership/src/registry/instanceList.ts
+++ b/packages/membership/src/registry/instanceList.ts
@@ -15,19 +15,27 @@
   })).max(2_000)
 })
 
+/** One entry of the platform's list. @public */
+export type ListedInstance = z.infer<typeof instanceListSchema>['instances'][number]
+
 /**
  * Reads the platform's list of instances and returns the peer URLs of those it calls live. The list lags,
  * so that its addresses are worth a try and nothing more.
  * @public
  */
 export async function readInstanceList (url: string): Promise<Result<string[], { reason: string }>> {
+  const listed = await readListedInstances(url)
+  return listed.map(instances => instances.filter(({ state }) => state === 'live').map(({ address }) => `http://${address}`))
+}
+
+/** Reads all entries of the platform's list of instances. @public */
+export async function readListedInstances (url: string): Promise<Result<ListedInstance[], { reason: string }>> {
   const agent = new Agent()
   try {
     const fetchList = createPeerFetch({ agent, timeoutMs: LIST_TIMEOUT_MS, responseSizeMaxBytes: LIST_SIZE_MAX_BYTES })
     const response = await fetchList(url)
     if (!response.ok) return Result.err({ reason: `instance list answered status ${response.status}` })
-    const { instances } = instanceListSchema.parse(await response.json())
-    return Result.ok(instances.filter(({ state }) => state === 'live').map(({ address }) => `http://${address}`))
+    return Result.ok(instanceListSchema.parse(await response.json()).instances)
   } catch (error) {
     return Result.err({ reason: (error as Error).message })
   } finally {
--- a/packages/membership/src/warmth/WarmthTransport.ts
+++ b/packages/membership/src/warmth/WarmthTransport.ts
@@ -39,10 +39,6 @@
 const t = initTRPC.create()
 
 /** Builds the trpc router for warmth records. @public */
-
-/**
- *
- */
 export function createWarmthRouter (handler: WarmthHandler) {
   return t.router({
     push: t.procedure.input(recordsSchema).mutation(({ input }) => {
