--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -19,3 +19,4 @@
   WARMTH_ROUTER, createTrpcWarmthTransport, createWarmthRouter, type WarmthHandler, type WarmthRouter, type WarmthTransport
 } from './warmth/WarmthTransport.js'
 export { PlannedStop, type PlannedStopOptions, type StopEnd, type StopReport, type StoppableProxy } from './stop/PlannedStop.js'
+export { createMembershipStack, type MembershipStack, type MembershipStackOptions } from './MembershipStack.js'
--- a/packages/membership/src/testing/FakeStore.ts
+++ b/packages/membership/src/testing/FakeStore.ts
@@ -55,6 +55,13 @@
     this.cutWatches()
   }
 
+  /** Forgets all leases and watches without telling anyone, at the end of a test on the real clock. */
+  close (): void {
+    for (const { timer } of this.leases.values()) clearTimeout(timer)
+    this.leases.clear()
+    this.watches.clear()
+  }
+
   /** Ends all open watches. */
   cutWatches (): void {
     const watches = [...this.watches]
