Add the measurement of membership's control cost

The measurement runs 15, 50 and 150 instances over loopback sockets with 910 warmth records against the stand-in store, in a steady state and with the store down.

getModRevision reads the revision of a key without its value, because a store reader checks the configuration once per second and the value is large; the stand-in store honours keys_only and counts its bytes.

--- /dev/null
+++ b/packages/membership/src/bench/controlCost.ts
@@ -0,0 +1,105 @@
+/**
+ * Measures the control cost of membership per instance: `node packages/membership/dist/bench/controlCost.js`.
+ * Instances run in a few worker processes over loopback sockets against a stand-in store in this process.
+ * Writes `reports/membership-control-cost.json` and `.md`.
+ */
+import { fork, type ChildProcess } from 'node:child_process'
+import { mkdir, writeFile } from 'node:fs/promises'
+import { fileURLToPath } from 'node:url'
+import { parseArgs } from 'node:util'
+import type { FromWorker, ToWorker, WorkerTotals } from './benchMessages.js'
+import { figuresOf, LIMITS, toMarkdown, type PhaseFigures, type Sample } from './report.js'
+
+const INSTANCES_PER_WORKER = 38
+/** Joining, the spread of the last member updates and the first leases. */
+const SETTLE_MS = 25_000
+
+interface BenchStore {
+  faults: { down: boolean }
+  start(): Promise<void>
+  stop(): Promise<void>
+  url(): string
+  transferredBytes(): number
+  watchCount(): number
+  cutConnections(): void
+}
+
+const { values } = parseArgs({
+  options: {
+    sizes: { type: 'string', default: '15,50,150' },
+    'duration-ms': { type: 'string', default: '20000' },
+    out: { type: 'string', default: 'reports' }
+  }
+})
+
+async function measureSize (instanceCount: number, durationMs: number): Promise<PhaseFigures[]> {
+  // The testbed depends on this package, so that it is loaded by its path and not declared.
+  const { StandInStore } = await import(new URL('../../../testbed/dist/StandInStore.js', import.meta.url).href) as { StandInStore: new () => BenchStore }
+  const store = new StandInStore()
+  await store.start()
+  const workers = await startWorkers(instanceCount, store.url())
+  const sample = async (): Promise<Sample> => ({
+    workers: await Promise.all(workers.map(sampleWorker)),
+    storeBytes: store.transferredBytes(),
+    openWatches: store.watchCount()
+  })
+  await sleep(SETTLE_MS)
+  const steadyBegin = await sample()
+  await sleep(durationMs)
+  const steadyEnd = await sample()
+  store.faults.down = true
+  store.cutConnections()
+  await sleep(durationMs / 2)
+  const outageBegin = await sample()
+  await sleep(durationMs / 2)
+  const outageEnd = await sample()
+  await Promise.all(workers.map(stopWorker))
+  await store.stop()
+  return [figuresOf('steady', steadyBegin, steadyEnd), figuresOf('store down', outageBegin, outageEnd)]
+}
+
+async function startWorkers (instanceCount: number, storeUrl: string): Promise<ChildProcess[]> {
+  const workers: ChildProcess[] = []
+  let seedPeerUrls: string[] = []
+  for (let firstIndex = 0; firstIndex < instanceCount; firstIndex += INSTANCES_PER_WORKER) {
+    const worker = fork(fileURLToPath(new URL('./controlCostWorker.js', import.meta.url)))
+    workers.push(worker)
+    const count = Math.min(INSTANCES_PER_WORKER, instanceCount - firstIndex)
+    const started = await ask(worker, { kind: 'start', task: { storeUrl, firstIndex, instanceCount: count, seedPeerUrls } })
+    if (started.kind === 'started' && seedPeerUrls.length === 0) seedPeerUrls = started.peerUrls.slice(0, 3)
+  }
+  return workers
+}
+
+function ask (worker: ChildProcess, message: ToWorker): Promise<FromWorker> {
+  return new Promise((resolve, reject) => {
+    worker.once('message', answer => resolve(answer as FromWorker))
+    worker.once('error', reject)
+    worker.send(message)
+  })
+}
+
+async function sampleWorker (worker: ChildProcess): Promise<WorkerTotals> {
+  const answer = await ask(worker, { kind: 'sample' })
+  if (answer.kind !== 'sample') throw new Error(`unexpected answer ${answer.kind}`)
+  return answer.totals
+}
+
+async function stopWorker (worker: ChildProcess): Promise<void> {
+  const exited = new Promise(resolve => worker.once('exit', resolve))
+  worker.send({ kind: 'stop' } satisfies ToWorker)
+  await exited
+}
+
+function sleep (delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs))
+}
+
+const rows: PhaseFigures[] = []
+for (const size of values.sizes.split(',').map(Number)) {
+  rows.push(...await measureSize(size, Number(values['duration-ms'])))
+  console.log(toMarkdown(rows.slice(-2)))
+}
+await mkdir(values.out, { recursive: true })
+await writeFile(`${values.out}/membership-control-cost.json`, `${JSON.stringify({ measuredAt: new Date().toISOString(), node: process.version, limits: LIMITS, rows }, undefined, 2)}\n`)
+await writeFile(`${values.out}/membership-control-cost.md`, toMarkdown(rows))
--- /dev/null
+++ b/packages/membership/src/bench/controlCostWorker.ts
@@ -0,0 +1,149 @@
+/** Runs some instances of the control cost measurement in one process. */
+import { EventLog } from '@carobpitch/kernel'
+import { ConfigurationHolder, memberRecordSchema, warmthRecordSchema } from '@carobpitch/schema'
+import { EtcdStore } from '@carobpitch/store'
+import { createMembershipStack, type MembershipStack } from '../MembershipStack.js'
+import { FakeWarmthTable } from '../testing/FakeWarmthTable.js'
+import { PeerLinks } from '../transport/PeerLinks.js'
+import { PeerServer } from '../transport/PeerServer.js'
+import type { FromWorker, InstanceTotals, ToWorker, WorkerTask, WorkerTotals } from './benchMessages.js'
+
+const TOKEN = 'peer-token-for-the-measurement'
+const KEY_PREFIX = 'carobpitch/bench/'
+const CONFIGURATION_KEY = `${KEY_PREFIX}configuration`
+const READ_INTERVAL_MS = 1_000
+/** Targets at the size of the design. */
+const TARGETS = 910
+
+interface BenchInstance {
+  stack: MembershipStack
+  peerServer: PeerServer
+  peerLinks: PeerLinks
+  store: EtcdStore
+  stop(): Promise<void>
+}
+
+const instances: BenchInstance[] = []
+
+process.on('message', (message: ToWorker) => { handle(message) })
+
+async function handle (message: ToWorker): Promise<void> {
+  switch (message.kind) {
+    case 'start': {
+      const peerUrls = await startAll(message.task)
+      send({ kind: 'started', peerUrls })
+      return
+    }
+    case 'sample':
+      send({ kind: 'sample', totals: sample() })
+      return
+    case 'stop':
+      for (const instance of instances) await instance.stop()
+      process.exit(0)
+  }
+}
+
+function send (message: FromWorker): void {
+  process.send?.(message)
+}
+
+async function startAll ({ storeUrl, firstIndex, instanceCount, seedPeerUrls }: WorkerTask): Promise<string[]> {
+  const peerUrls: string[] = []
+  for (let index = firstIndex; index < firstIndex + instanceCount; index += 1) {
+    peerUrls.push(await startInstance(index, storeUrl, [...seedPeerUrls, ...peerUrls].slice(0, 3)))
+  }
+  return peerUrls
+}
+
+async function startInstance (index: number, storeUrl: string, seedPeerUrls: string[]): Promise<string> {
+  const log = new EventLog({ silent: true })
+  const peerServer = new PeerServer({ listen: { host: '127.0.0.1', port: 0 }, token: TOKEN, log })
+  await peerServer.start()
+  const peerUrl = `http://127.0.0.1:${peerServer.port()}`
+  const peerLinks = new PeerLinks({ token: TOKEN })
+  const store = new EtcdStore({ urls: [storeUrl] })
+  const self = memberRecordSchema.parse({
+    instanceId: `entry-${index}`,
+    incarnation: Date.now(),
+    failureDomain: `domain-${index % 7}`,
+    callerUrl: `http://127.0.0.1:${8_000 + index}`,
+    peerUrl,
+    state: 'serving',
+    adoptedRevision: 0
+  })
+  const stack = createMembershipStack({
+    self, peerServer, peerLinks, store, keyPrefix: KEY_PREFIX, configuration: new ConfigurationHolder(), warmth: warmTable(), seedPeerUrls, log
+  })
+  const services = [stack.membership, stack.lease, stack.registry, stack.join, stack.warmthSync, stack.claims]
+  for (const service of services) await service.start()
+  const endReads = readConfiguration(stack, store)
+  instances.push({
+    stack,
+    peerServer,
+    peerLinks,
+    store,
+    stop: async () => {
+      endReads()
+      for (const service of [...services].reverse()) await service.stop()
+      await peerLinks.stop()
+      await peerServer.stop()
+      await store.close()
+    }
+  })
+  return peerUrl
+}
+
+function warmTable (): FakeWarmthTable {
+  const table = new FakeWarmthTable()
+  for (let index = 0; index < TARGETS; index += 1) {
+    table.merge(warmthRecordSchema.parse({ targetId: `target-${index}`, broughtInRevision: 1, coldTurns: 0, state: 'warm' }))
+  }
+  return table
+}
+
+/** What control does at a store reader: a watch of the configuration key and one read of its revision per second. */
+function readConfiguration ({ membership, freshness }: MembershipStack, store: EtcdStore): () => void {
+  let watch: { close(): void } | undefined
+  const timer = setInterval(async () => {
+    if (!membership.isStoreReader()) {
+      watch?.close()
+      watch = undefined
+      return
+    }
+    watch ??= store.watch(CONFIGURATION_KEY, { onEvent: () => {}, onEnd: () => { watch = undefined } })
+    const startedAtMs = performance.now()
+    if ((await store.getModRevision(CONFIGURATION_KEY)).isOk) freshness.noteStoreRead(startedAtMs)
+  }, READ_INTERVAL_MS)
+  return () => {
+    clearInterval(timer)
+    watch?.close()
+  }
+}
+
+function sample (): WorkerTotals {
+  const { user, system } = process.cpuUsage()
+  const { heapUsed, rss } = process.memoryUsage()
+  return {
+    atMs: performance.now(),
+    processorMs: (user + system) / 1_000,
+    heapUsedBytes: heapUsed,
+    residentBytes: rss,
+    instances: instances.map(totalsOf)
+  }
+}
+
+function totalsOf ({ stack, peerServer, peerLinks, store }: BenchInstance): InstanceTotals {
+  const answered = [...peerServer.requestCounts.values()].reduce((sum, count) => sum + count, 0)
+  const { read, write, lease, watch } = store.callCounts
+  return {
+    isStoreReader: stack.membership.isStoreReader(),
+    liveMembers: stack.membership.members().length,
+    exchanges: answered + peerLinks.calls(),
+    peerBytes: peerServer.transferredBytes() + peerLinks.transferredBytes(),
+    storeReads: read,
+    storeWrites: write,
+    storeLeaseCalls: lease,
+    storeWatches: watch,
+    mayAcceptNewWork: stack.freshness.mayAcceptNewWork()
+  }
+}
--- a/packages/membership/src/transport/PeerLinks.ts
+++ b/packages/membership/src/transport/PeerLinks.ts
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Number of exchanges that this instance started. */
+  calls (): number {
+    return this.callCount
+  }
+
   /** Bytes received and sent so far on connections that completed an exchange. */
   transferredBytes (): number {
     let bytes = this.closedSocketBytes
--- a/packages/store/src/EtcdStore.ts
+++ b/packages/store/src/EtcdStore.ts
@@ -5,7 +5,7 @@
   encodeText, etcdEmptySchema, etcdKeepAliveSchema, etcdLeaseSchema, etcdRangeSchema, etcdTxnSchema, prefixRangeEnd
 } from './etcdMessages.js'
 import type {
-  KeyValueStore, Lease, StoredValue, StoreFailure, SwapOptions, SwapOutcome, Watch, WatchListener
+  KeyValueStore, Lease, RevisionReader, StoredValue, StoreFailure, SwapOptions, SwapOutcome, Watch, WatchListener
 } from './KeyValueStore.js'
 import { toStoredValue, WatchStream } from './WatchStream.js'
 
@@ -46,7 +46,7 @@
  * Adapter for the etcd v3 JSON gateway (`/v3/kv/range`, `/v3/kv/txn`, `/v3/lease/*`, `/v3/watch`).
  * @public
  */
-export class EtcdStore implements KeyValueStore {
+export class EtcdStore implements KeyValueStore, RevisionReader {
   readonly callCounts: StoreCallCounts = { read: 0, write: 0, lease: 0, watch: 0, failed: 0 }
   private readonly pools: Pool[]
   private readonly watchPools: Pool[]
@@ -71,6 +71,12 @@
     return answer.map(range => range.kvs.map(toStoredValue)[0])
   }
 
+  async getModRevision (key: string): Promise<Result<number, StoreFailure>> {
+    this.callCounts.read += 1
+    const answer = await this.call('/v3/kv/range', { key: encodeText(key), keys_only: true }, etcdRangeSchema)
+    return answer.map(range => Number(range.kvs[0]?.mod_revision ?? 0))
+  }
+
   async list (prefix: string): Promise<Result<StoredValue[], StoreFailure>> {
     this.callCounts.read += 1
     const body = { key: encodeText(prefix), range_end: prefixRangeEnd(prefix) }
--- a/packages/store/src/KeyValueStore.ts
+++ b/packages/store/src/KeyValueStore.ts
@@ -101,3 +101,12 @@
   /** Watches all keys with a prefix. */
   watch(prefix: string, listener: WatchListener): Watch
 }
+
+/**
+ * Reads the revision of a key without its value, for frequent checks of a large value.
+ * @public
+ */
+export interface RevisionReader {
+  /** Returns the store revision of the last write to a key; 0 for an absent key. */
+  getModRevision(key: string): Promise<Result<number, StoreFailure>>
+}
--- a/packages/testbed/src/StandInStore.test.ts
+++ b/packages/testbed/src/StandInStore.test.ts
@@ -29,6 +29,14 @@
       expect((await store.list('a/')).unwrapOrElse(fail).map(({ value }) => value)).to.deep.equal(['x'])
     })
 
+    it('reads a revision without the value, guarding against frequent checks that transfer the configuration', async () => {
+      const written = (await put('a/1', 'x'.repeat(100_000))).unwrapOrElse(fail)
+      const before = standIn.transferredBytes()
+      expect((await store.getModRevision('a/1')).unwrapOrElse(fail)).to.equal(written.kind === 'swapped' ? written.modRevision : -1)
+      expect((await store.getModRevision('a/2')).unwrapOrElse(fail)).to.equal(0)
+      expect(standIn.transferredBytes() - before).to.be.below(5_000)
+    })
+
     it('reports an answer of another form as a failure with unknown effect, guarding against undefined fields in use', async () => {
       standIn.faults.malformAnswers = 2
       expect((await put('a/1', 'x')).isErr && (await store.get('a/1')).isErr).to.equal(true)
--- a/packages/testbed/src/StandInStore.ts
+++ b/packages/testbed/src/StandInStore.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 interface Entry {
   value: string
@@ -27,6 +27,8 @@
 interface RangeRequest {
   key: string
   range_end?: string
+  /** Leaves out the values. */
+  keys_only?: boolean
 }
 
 /**
@@ -90,12 +92,15 @@
   private readonly leases = new Map<string, StoreLease>()
   private readonly watchers = new Set<Watcher>()
   private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+  private closedSocketBytes = 0
   private revision = 1
   private leaseCounter = 100
 
   constructor () {
     this.server = createServer((request, response) => { this.handle(request, response) })
     this.server.keepAliveTimeout = 60_000
+    this.server.on('connection', (socket: Socket) => this.track(socket))
   }
 
   /** Starts to listen. Port 0 takes a free port. */
@@ -154,11 +159,26 @@
     return this.entries.get(Buffer.from(key).toString('base64'))?.leaseId
   }
 
+  /** Bytes received and sent on all connections so far. */
+  transferredBytes (): number {
+    let bytes = this.closedSocketBytes
+    for (const socket of this.sockets) bytes += socket.bytesRead + socket.bytesWritten
+    return bytes
+  }
+
   /** Revision of the last write. */
   currentRevision (): number {
     return this.revision
   }
 
+  private track (socket: Socket): void {
+    this.sockets.add(socket)
+    socket.once('close', () => {
+      this.sockets.delete(socket)
+      this.closedSocketBytes += socket.bytesRead + socket.bytesWritten
+    })
+  }
+
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = request.url ?? ''
     this.callCounts.set(path, (this.callCounts.get(path) ?? 0) + 1)
@@ -224,10 +244,10 @@
     }
   }
 
-  private range ({ key, range_end: rangeEnd }: RangeRequest): unknown {
+  private range ({ key, range_end: rangeEnd, keys_only: keysOnly }: RangeRequest): unknown {
     const kvs = []
     for (const [entryKey, entry] of this.visibleEntries()) {
-      if (isInRange(entryKey, key, rangeEnd ?? '')) kvs.push(toKv(entryKey, entry))
+      if (isInRange(entryKey, key, rangeEnd ?? '')) kvs.push(toKv(entryKey, keysOnly === true ? { ...entry, value: '' } : entry))
     }
     kvs.sort((a, b) => Buffer.from(a.key, 'base64').compare(Buffer.from(b.key, 'base64')))
     return { ...this.header(), kvs, count: String(kvs.length) }
