Validate an adopted document once, and measure its cost

Cause: adopting validated twice, in the decoder and in the holder; a store reader that had adopted by the watch validated again at its next read. At 910 targets validation is most of the cost.

Change: the adopter leaves validation to the holder, leaves a document that is not newer before validation, and recognises its own encoded value; the store's reader does the same. measureConfiguration writes reports/control-configuration.md.

--- a/packages/control/src/ConfigurationAdopter.ts
+++ b/packages/control/src/ConfigurationAdopter.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from '@carobpitch/kernel'
 import type { AdoptionRefusal, Configuration, ConfigurationHolder, Violation } from '@carobpitch/schema'
-import { decodeConfiguration, encodeConfiguration } from './configurationCodec.js'
+import { decodeDocument, encodeConfiguration } from './configurationCodec.js'
 
 /** Where a candidate configuration came from. @public */
 export type AdoptionSource = 'store' | 'watch' | 'push' | 'snapshot' | 'commit'
@@ -77,9 +77,19 @@
     return { adoptedRevision: this.current().revision, encodedSizeBytes: this.encoded?.value.length, lastRejection: this.lastRejection }
   }
 
+  /** Returns the adopted configuration if this is its encoded form, so that it need not be decoded again. */
+  configurationOf (value: string): Configuration | undefined {
+    return this.encoded?.value === value && this.encoded.revision === this.current().revision ? this.current() : undefined
+  }
+
+  /** The holder validates. A document that is not newer is left before that, because validation is the larger part of the cost. */
   private decideOn (value: string): AdoptionOutcome {
-    const decoded = decodeConfiguration(value)
+    const adoptedRevision = this.current().revision
+    if (this.configurationOf(value) !== undefined) return { kind: 'not-newer', revision: adoptedRevision, adoptedRevision }
+    const decoded = decodeDocument(value)
     if (decoded.isErr) return { kind: 'invalid', violations: decoded.error }
+    const revision = revisionOf(decoded.value)
+    if (revision !== undefined && revision <= adoptedRevision) return { kind: 'not-newer', revision, adoptedRevision }
     const adopted = this.holder.adopt(decoded.value)
     if (adopted.isOk) return { kind: 'adopted', revision: adopted.value.revision }
     return outcomeOf(adopted.error)
@@ -92,6 +102,11 @@
   }
 }
 
+function revisionOf (document: unknown): number | undefined {
+  const revision = (document as { revision?: unknown } | null)?.revision
+  return typeof revision === 'number' ? revision : undefined
+}
+
 function outcomeOf (refusal: AdoptionRefusal): AdoptionOutcome {
   switch (refusal.kind) {
     case 'not-newer': return { kind: 'not-newer', revision: refusal.candidateRevision, adoptedRevision: refusal.adoptedRevision }
--- a/packages/control/src/ConfigurationStore.ts
+++ b/packages/control/src/ConfigurationStore.ts
@@ -20,6 +20,8 @@
 export interface ConfigurationStoreOptions {
   store: KeyValueStore
   key: string
+  /** Returns the configuration of an encoded value that is known to be valid already. */
+  known?: (value: string) => Configuration | undefined
 }
 
 /**
@@ -29,11 +31,13 @@
 export class ConfigurationStore {
   private readonly store: KeyValueStore
   readonly key: string
+  private readonly known: (value: string) => Configuration | undefined
   private lastDecoded: StoredConfiguration | undefined
 
-  constructor ({ store, key }: ConfigurationStoreOptions) {
+  constructor ({ store, key, known = () => undefined }: ConfigurationStoreOptions) {
     this.store = store
     this.key = key
+    this.known = known
   }
 
   /** Reads the key. A value whose store revision was seen before is not decoded again. */
@@ -47,7 +51,8 @@
   decode (stored: StoredValue | undefined): Result<StoredConfiguration, StoredConfigurationProblem> {
     if (stored === undefined) return Result.ok({ configuration: EMPTY_CONFIGURATION, value: undefined, modRevision: 0 })
     if (this.lastDecoded?.modRevision === stored.modRevision) return Result.ok(this.lastDecoded)
-    const decoded = decodeConfiguration(stored.value)
+    const known = this.known(stored.value)
+    const decoded: Result<Configuration, Violation[]> = known === undefined ? decodeConfiguration(stored.value) : Result.ok(known)
     if (decoded.isErr) return Result.err({ kind: 'invalid-document', violations: decoded.error })
     this.lastDecoded = { configuration: decoded.value, value: stored.value, modRevision: stored.modRevision }
     return Result.ok(this.lastDecoded)
--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -59,7 +59,6 @@
     this.options = options
     const { deployment, instanceId, store, holder, membership, peers, freshness, log, registry, random } = options
     const { localLoad = () => [], onWithdrawals = () => {} } = options
-    const configurationStore = new ConfigurationStore({ store, key: configurationKey(deployment) })
     const plans = new PlanStore({ store, deployment })
     this.announcements = new AnnouncementBook({ configuration: holder, onWithdrawals, log })
     const metrics = new ControlMetrics({
@@ -72,6 +71,7 @@
     })
     this.adopter = new ConfigurationAdopter({ holder, log, onOutcome: (outcome, source) => metrics.noteAdoption(outcome, source) })
     const { adopter, announcements } = this
+    const configurationStore = new ConfigurationStore({ store, key: configurationKey(deployment), known: value => adopter.configurationOf(value) })
     this.tracker = new InForceTracker({ instanceId, adopter, membership, peers, log, onInForce: elapsedMs => metrics.noteInForce(elapsedMs) })
     this.relay = new PeerRelay({ adopter, announcements, membership, peers })
     this.follower = new StoreFollower({ store, configurationStore, adopter, announcements, membership, freshness, log, random })
--- a/packages/control/src/configurationCodec.ts
+++ b/packages/control/src/configurationCodec.ts
@@ -1,6 +1,6 @@
 import { gunzipSync, gzipSync } from 'node:zlib'
 import { Result } from 'true-myth'
-import { configurationSchema, parseJsonWith, type Configuration, type Violation } from '@carobpitch/schema'
+import { configurationSchema, parseWith, type Configuration, type Violation } from '@carobpitch/schema'
 
 /** Largest stored value. The platform's store holds values up to 1 MB. @public */
 export const STORED_SIZE_MAX_BYTES = 1_000_000
@@ -13,16 +13,20 @@
   return gzipSync(JSON.stringify(configuration)).toString('base64')
 }
 
-/** Decodes and validates a stored or received configuration. @public */
-export function decodeConfiguration (value: string): Result<Configuration, Violation[]> {
+/** Decodes a stored or received value into a document that is not validated yet. @internal */
+export function decodeDocument (value: string): Result<unknown, Violation[]> {
   if (value.length > STORED_SIZE_MAX_BYTES) {
     return Result.err([{ path: '', message: `value of ${value.length} bytes exceeds ${STORED_SIZE_MAX_BYTES} bytes` }])
   }
-  let text: string
   try {
-    text = gunzipSync(Buffer.from(value, 'base64'), { maxOutputLength: JSON_SIZE_MAX_BYTES }).toString('utf8')
+    const text = gunzipSync(Buffer.from(value, 'base64'), { maxOutputLength: JSON_SIZE_MAX_BYTES }).toString('utf8')
+    return Result.ok(JSON.parse(text))
   } catch (error) {
-    return Result.err([{ path: '', message: `not a gzip value: ${(error as Error).message}` }])
+    return Result.err([{ path: '', message: `not a gzip JSON value: ${(error as Error).message}` }])
   }
-  return parseJsonWith(configurationSchema, text)
+}
+
+/** Decodes and validates a stored or received configuration. @public */
+export function decodeConfiguration (value: string): Result<Configuration, Violation[]> {
+  return decodeDocument(value).andThen(document => parseWith(configurationSchema, document))
 }
--- /dev/null
+++ b/packages/control/src/testing/measureConfiguration.ts
@@ -0,0 +1,125 @@
+/**
+ * Measures the processor time and the bytes of a configuration at several sizes and writes a report.
+ * Usage: node packages/control/dist/testing/measureConfiguration.js [report file]
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { dirname } from 'node:path'
+import { gzipSync } from 'node:zlib'
+import { EventLog } from '@carobpitch/kernel'
+import { ConfigurationHolder, configurationSchema, type ChangeRecord, type Configuration, type Operation } from '@carobpitch/schema'
+import { applyOperations } from '../applyOperations.js'
+import { serviceImpacts } from '../capacity.js'
+import { ConfigurationAdopter } from '../ConfigurationAdopter.js'
+import { decodeConfiguration, encodeConfiguration } from '../configurationCodec.js'
+import { makeConfiguration } from './configurations.js'
+import { withdrawalsOf } from '../withdrawals.js'
+
+interface Size {
+  targets: number
+  services: number
+  failureDomains: number
+}
+
+const SIZES: Size[] = [
+  { targets: 34, services: 3, failureDomains: 3 },
+  { targets: 300, services: 15, failureDomains: 5 },
+  { targets: 910, services: 46, failureDomains: 7 }
+]
+const ROUNDS = 15
+const ITERATIONS_PER_ROUND = 8
+/** Calls before the first round, so that the first figure is not that of uncompiled code. */
+const WARM_UP_CALLS = 60
+const REPORT_DEFAULT = 'reports/control-configuration.md'
+
+/** Processor time of one call: median and quartiles over rounds. */
+interface Cost {
+  medianMs: number
+  lowMs: number
+  highMs: number
+}
+
+function costOf (run: () => void): Cost {
+  for (let index = 0; index < WARM_UP_CALLS; index += 1) run()
+  const samples: number[] = []
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const start = process.cpuUsage()
+    for (let index = 0; index < ITERATIONS_PER_ROUND; index += 1) run()
+    const { user, system } = process.cpuUsage(start)
+    samples.push((user + system) / 1_000 / ITERATIONS_PER_ROUND)
+  }
+  samples.sort((first, second) => first - second)
+  const at = (share: number): number => samples[Math.floor(share * (samples.length - 1))] ?? 0
+  return { medianMs: at(0.5), lowMs: at(0.25), highMs: at(0.75) }
+}
+
+function configurationOf ({ targets, services, failureDomains }: Size): Configuration {
+  const full = makeConfiguration({
+    revision: 100,
+    services: Array.from({ length: services }, (_, index) => `service-${index}`),
+    failureDomains: Array.from({ length: failureDomains }, (_, index) => `domain-${index}`),
+    targetsEach: Math.ceil(targets / services / failureDomains)
+  })
+  const recentChanges = Array.from({ length: 50 }, (_, index): ChangeRecord => ({
+    changeId: `${(index * 7919 + 1).toString(16).padStart(12, 'a')}` as ChangeRecord['changeId'],
+    revision: 100 - index,
+    operator: 'aya',
+    summary: `take failure domain domain-${index % failureDomains} out`,
+    acceptedAtEpochMs: 1_700_000_000_000 + index * 48_000
+  }))
+  // Addresses and epochs that vary compress as real ones do.
+  const varied = Object.entries(full.targets).slice(0, targets).map(([id, target], index) => {
+    const mixed = (index * 2_654_435_761) % 4_294_967_296
+    const url = `http://10.${mixed >>> 24}.${(mixed >>> 16) & 255}.${(mixed >>> 8) & 255}:${8_000 + index % 100}`
+    return [id, { ...target, url, broughtInRevision: mixed % 100 }]
+  })
+  return configurationSchema.parse({ ...full, targets: Object.fromEntries(varied), recentChanges })
+}
+
+function measure (size: Size): string[][] {
+  const configuration = configurationOf(size)
+  const json = JSON.stringify(configuration)
+  const value = encodeConfiguration(configuration)
+  const operations: Operation[] = [{ kind: 'take-domain-out', failureDomain: Object.keys(configuration.failureDomains)[0] as never }]
+  const after = applyOperations(configuration, operations).unwrapOr(configuration)
+  const announcement = { attemptId: '0'.repeat(16), changeId: '0'.repeat(12), baseRevision: 100, withdrawals: withdrawalsOf(configuration, after) }
+  const log = new EventLog({ silent: true })
+  const adopter = new ConfigurationAdopter({ holder: new ConfigurationHolder(), log })
+  adopter.offer(value, 'store')
+  const name = String(size.targets)
+  const costs: Array<[string, Cost]> = [
+    ['validate the document', costOf(() => { configurationSchema.parse(JSON.parse(json)) })],
+    ['encode (JSON, gzip, base64)', costOf(() => { encodeConfiguration(configuration) })],
+    ['decode and validate', costOf(() => { decodeConfiguration(value) })],
+    ['adopt from an encoded value', costOf(() => { new ConfigurationAdopter({ holder: new ConfigurationHolder(), log }).offer(value, 'push') })],
+    ['adopt the value that is adopted already', costOf(() => { adopter.offer(value, 'push') })],
+    ['apply one operation', costOf(() => { applyOperations(configuration, operations) })],
+    ['describe the impact', costOf(() => { serviceImpacts({ before: configuration, after, loads: [] }) })]
+  ]
+  const bytes: Array<[string, number]> = [
+    ['JSON', json.length],
+    ['gzip', gzipSync(json).length],
+    ['stored value (base64 of gzip)', value.length],
+    ['announcement that takes a failure domain out', JSON.stringify(announcement).length]
+  ]
+  return [
+    ...costs.map(([what, { medianMs, lowMs, highMs }]) => [name, what, `${medianMs.toFixed(2)} ms`, `${lowMs.toFixed(2)} to ${highMs.toFixed(2)} ms`]),
+    ...bytes.map(([what, count]) => [name, `size: ${what}`, `${count} bytes`, ''])
+  ]
+}
+
+const report = process.argv[2] ?? REPORT_DEFAULT
+const rows = SIZES.flatMap(measure)
+const lines = [
+  '# Cost of a configuration',
+  '',
+  'Written by `node packages/control/dist/testing/measureConfiguration.js`. Processor time per call: median of',
+  `${ROUNDS} rounds of ${ITERATIONS_PER_ROUND} calls, with quartiles. The machine is shared; compare values of one run only.`,
+  '',
+  '| targets | what | median | quartiles |',
+  '|---|---|---|---|',
+  ...rows.map(cells => `| ${cells.join(' | ')} |`),
+  ''
+]
+mkdirSync(dirname(report), { recursive: true })
+writeFileSync(report, lines.join('\n'))
+console.log(lines.join('\n'))
