Ask for the claim again in the tick that writes a request

Cause: a grant for a cold target was checked by the limit cached in its view; a process frozen between grant and write, while a connection opens, could write after its lease had passed to another instance. Ruled out: refreshing the limits on a timer, because a frozen process runs no timers either. Change: Scheduler.maySend recomputes one target's limit; the proxy asks it when the head is about to be written.

--- a/packages/daemon/src/registerRequestPlane.ts
+++ b/packages/daemon/src/registerRequestPlane.ts
@@ -57,6 +57,7 @@
     scheduler,
     instancesFor: service => steering.instancesFor(service),
     mayAcceptNewWork: () => freshness.mayAcceptNewWork(),
+    maySend: target => scheduler.maySend(target.targetId),
     takeRetryToken: service => scheduler.takeRetryToken(service),
     limits: settings.limits,
     answerTtlMs: settings.answerTtlMs,
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -3,7 +3,7 @@
 import type { Duplex } from 'node:stream'
 import polka from 'polka'
 import { Registry } from 'prom-client'
-import type { Scheduler } from '@carobpitch/routing'
+import type { Scheduler, TargetView } from '@carobpitch/routing'
 import { settingsSchema, type ConfigurationSource, type InstanceId, type ListenerSettings, type MemberRecord, type ServiceName, type Settings } from '@carobpitch/schema'
 import { AddressBook } from './AddressBook.js'
 import { writeOwnResponse } from './CallerResponse.js'
@@ -35,6 +35,8 @@
   instancesFor: (service: ServiceName) => readonly MemberRecord[]
   /** Asked before each dispatch; while it is false, requests are refused as not run. */
   mayAcceptNewWork: () => boolean
+  /** Whether a granted request may still be sent, asked in the tick that writes it. By default the grant's limit decides. */
+  maySend?: (target: TargetView) => boolean
   /** Takes a token from the service's retry budget. By default no request is sent again. */
   takeRetryToken?: (service: ServiceName) => boolean
   limits?: Partial<Settings['limits']>
@@ -64,7 +66,7 @@
   private inFlight = 0
 
   constructor (options: CallerListenerOptions) {
-    const { instanceId, configuration, scheduler, instancesFor, mayAcceptNewWork, takeRetryToken = () => false, answerTtlMs = 5_000 } = options
+    const { instanceId, configuration, scheduler, instancesFor, mayAcceptNewWork, takeRetryToken = () => false, maySend = hasLimit, answerTtlMs = 5_000 } = options
     const limits = { ...DEFAULT_LIMITS, ...options.limits }
     this.options = options
     this.registry = options.registry ?? new Registry()
@@ -76,6 +78,7 @@
       configuration,
       scheduler,
       takeRetryToken,
+      maySend,
       mayAcceptNewWork,
       mustCloseConnections: () => this.addresses.haveAllListsExpired(),
       pools: this.pools,
@@ -229,3 +232,7 @@
 }
 
 const DEFAULT_LIMITS: Settings['limits'] = settingsSchema.shape.limits.parse(undefined)
+
+function hasLimit ({ limit }: TargetView): boolean {
+  return limit > 0
+}
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -3,7 +3,7 @@
 import type { Readable } from 'node:stream'
 import type { Result } from 'true-myth'
 import type { Client } from 'undici'
-import type { AttemptOutcome, Refusal, Scheduler, TargetGrant } from '@carobpitch/routing'
+import type { AttemptOutcome, Refusal, Scheduler, TargetGrant, TargetView } from '@carobpitch/routing'
 import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
 import { breakOff, writeOwnResponse, writeTargetHead, type ResponseFacts } from './CallerResponse.js'
@@ -29,6 +29,7 @@
   scheduler: Pick<Scheduler, 'acquire'>
   takeRetryToken: (service: ServiceName) => boolean
   mayAcceptNewWork: () => boolean
+  maySend: (target: TargetView) => boolean
   /** Whether callers must not send further requests over their connections. */
   mustCloseConnections: () => boolean
   pools: TargetPools
@@ -230,7 +231,7 @@
   /** Repeats the checks of dispatch when the head is about to be written, because opening a connection takes time. */
   private objectionTo ({ target }: TargetGrant): Reason | undefined {
     if (!this.context.mayAcceptNewWork()) return 'isolated'
-    return target.limit > 0 ? undefined : 'target-withdrawn'
+    return this.context.maySend(target) ? undefined : 'target-withdrawn'
   }
 
   private release (attempt: Attempt, { reason, kind, isReusable }: AttemptResult): void {
--- a/packages/routing/src/Scheduler.test.ts
+++ b/packages/routing/src/Scheduler.test.ts
@@ -220,6 +220,17 @@
       expect(inFlight(probes)).to.have.length(2, 'a regained claim is noticed without a call')
     })
 
+    it('asks for the claim again before a granted request is written, guarding against a process frozen in between', async () => {
+      let isHeld = true
+      create({ targets: 1, slots: 3 }, { isWarm: false, holdsClaim: () => isHeld })
+      const { grant } = await send()
+      expect(scheduler.maySend(target(1))).to.equal(true)
+      isHeld = false
+      expect(grant?.target.limit).to.equal(1, 'the limit of the grant does not follow the claim by itself')
+      expect(scheduler.maySend(target(1))).to.equal(false)
+      expect(scheduler.maySend(target(9))).to.equal(false)
+    })
+
     it('declares a cold turn after a few very slow responses and leaves the target to its claim, guarding against full load on a cold target', async () => {
       create({ targets: 1, slots: 3 }, { holdsClaim: () => false })
       for (let count = 0; count < 30; count += 1) await serve(10)
--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -108,6 +108,14 @@
     return this.services.get(service)?.retryBudget.take() ?? false
   }
 
+  /**
+   * Whether a granted request may still be sent. To be asked in the tick that writes the request: between the grant and
+   * the write the process may have been frozen and a claim or a lease may have passed to another instance.
+   */
+  maySend (targetId: TargetId): boolean {
+    return this.serviceOf(targetId)?.targets.isAdmissible(targetId) ?? false
+  }
+
   /** Sets the targets and domains that announced changes withdraw. They get no new work from this call on. */
   setAnnouncedWithdrawals (withdrawals: AnnouncedWithdrawals): void {
     this.withdrawals = withdrawals
--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -122,6 +122,14 @@
     return false
   }
 
+  /** Whether a target may receive work at this moment; asks for its claim anew. */
+  isAdmissible (targetId: TargetId): boolean {
+    const state = this.states.get(targetId)
+    if (state === undefined) return false
+    state.view.limit = this.limitOf(state)
+    return state.view.limit > 0
+  }
+
   /** Chooses a target with room and counts an attempt at it. */
   begin (exclude: ReadonlySet<TargetId>): Attempt | undefined {
     const candidates: TargetView[] = []
