--- a/packages/testbed/src/fleet/InstanceProcess.ts
+++ b/packages/testbed/src/fleet/InstanceProcess.ts
@@ -56,6 +56,11 @@
     throw new Error(`${this.settings.instanceId} did not start, see ${this.logFile()}`)
   }
 
+  /** Id of the running process. */
+  pid (): number {
+    return this.child?.pid ?? 0
+  }
+
   /** Kills the process at once. */
   async kill (): Promise<void> {
     if (!this.isRunning()) return
