--- a/packages/testbed/src/path.test.ts
+++ b/packages/testbed/src/path.test.ts
@@ -4,9 +4,10 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { gzipSync } from 'node:zlib'
 import { expect } from 'chai'
+import { configurationSchema } from '@carobpitch/schema'
 import { EtcdStore } from '@carobpitch/store'
+import { seedStore } from './deployment/seedStore.js'
 import { StandInStore } from './StandInStore.js'
 import { StandInTarget } from './StandInTarget.js'
 
@@ -40,7 +41,7 @@
         store: { urls: [store.url()] }
       }))
       daemon = spawn(process.execPath, [DAEMON, '--settings', join(directory, 'settings.json')], { stdio: 'inherit' })
-      await waitUntilServing(`http://127.0.0.1:${operatorPort}/healthz`)
+      await waitUntilServing(`http://127.0.0.1:${operatorPort}/readyz`)
     })
 
     after(async () => {
@@ -55,7 +56,7 @@
       const response = await fetch(`${url}/stock/42`, { headers: { 'carobpitch-service': 'menzaiko', 'carobpitch-request-id': 'r1' } })
       expect(response.status).to.equal(200)
       expect(response.headers.get('carobpitch-verdict')).to.equal('answered')
-      expect(await response.json()).to.deep.equal({ target: 'menzaiko-1', requestId: 'r1' })
+      expect(await response.json()).to.deep.equal({ target: 'menzaiko-1', requestId: 'r1', ran: true, end: true })
       expect(target.ledger.map(run => run.requestId)).to.deep.equal(['r1'])
     })
 
@@ -66,7 +67,7 @@
     })
 
     it('shows the state by the command-line tool', async () => {
-      const output = await runTool(['--instance', `http://127.0.0.1:${operatorPort}`, '--token', TOKEN, 'dump'])
+      const output = await runTool(['--instance', `http://127.0.0.1:${operatorPort}`, 'dump'])
       expect(JSON.parse(output).configuration.revision).to.equal(1)
     })
   })
@@ -80,9 +81,7 @@
     failureDomains: { fukuoka: {} },
     targets: { 'menzaiko-1': { service: 'menzaiko', failureDomain: 'fukuoka', url: targetUrl } }
   }
-  const value = gzipSync(JSON.stringify(document)).toString('base64')
-  const outcome = await store.compareAndSwap({ key: 'carobpitch/hakata/configuration', value, expectedModRevision: 0 })
-  expect(outcome.unwrapOr(undefined)?.kind).to.equal('swapped')
+  await seedStore(store, 'hakata', configurationSchema.parse(document))
   await store.close()
 }
 
@@ -104,7 +103,7 @@
 }
 
 async function runTool (args: string[]): Promise<string> {
-  const child = spawn(process.execPath, [TOOL, ...args], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const child = spawn(process.execPath, [TOOL, ...args], { stdio: ['ignore', 'pipe', 'inherit'], env: { ...process.env, CAROBPITCH_TOKEN: TOKEN } })
   let output = ''
   for await (const chunk of child.stdout) output += String(chunk)
   return output
