--- /dev/null
+++ b/packages/testbed/src/bench/policies.ts
@@ -0,0 +1,190 @@
+/**
+ * Compares routing policies over real sockets between separate processes and writes reports/policies.{json,md}.
+ * Usage: node packages/testbed/dist/bench/policies.js [--rounds n] [--cells text] [--out name]
+ */
+import { fork, type ChildProcess } from 'node:child_process'
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { Command } from 'commander'
+import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
+import { VARIANTS, type CallerMix, type EntryCommand, type EntryReady, type LoadCommand, type LoadResult, type TargetCommand, type TargetsReady, type Variant } from './policiesMessages.js'
+import { formatReport, judgeGoals, percentileOf, type CellResult } from './policiesReport.js'
+
+const TARGETS = 10
+const TARGET_PROCESSES = 5
+const LOAD_PROCESSES = 2
+/** Requests per second that keep all slots busy: 10 targets of 3 slots, 10 ms each. */
+const FULL_RATE_PER_SECOND = 3_000
+const WARM_UP_MS = 1_000
+/** One slow and one normal period of the straggler. */
+const MEASURED_MS = 4_000
+const PAUSE_MS = 500
+const FRESH_CALLERS: CallerMix = { callers: 60, oldListShare: 0, unsteeredShare: 0 }
+const MIXED_CALLERS: CallerMix = { callers: 60, oldListShare: 0.2, unsteeredShare: 0.1 }
+
+/** A kind of cell: a scenario at a load. */
+interface Cell {
+  scenario: 'even' | 'straggler' | 'old-lists' | 'uneven-tenants'
+  loadPercent: number
+  variants: readonly Variant[]
+}
+
+const CELLS: Cell[] = [
+  ...[50, 70, 85].flatMap((loadPercent): Cell[] => [
+    { scenario: 'even', loadPercent, variants: VARIANTS },
+    { scenario: 'straggler', loadPercent, variants: VARIANTS }
+  ]),
+  { scenario: 'old-lists', loadPercent: 70, variants: ['least-in-flight', 'steered'] },
+  { scenario: 'old-lists', loadPercent: 85, variants: ['least-in-flight', 'steered'] },
+  { scenario: 'uneven-tenants', loadPercent: 85, variants: ['least-in-flight', 'steered'] }
+]
+
+const options = new Command('policies')
+  .description('Compares routing policies')
+  .option('--instances <count>', 'entry processes', Number, 15)
+  .option('--rounds <count>', 'rounds over all cells', Number, 2)
+  .option('--cells <pattern>', 'only cells whose "scenario load" matches', '')
+  .option('--variants <names>', 'only these variants, comma-separated', VARIANTS.join(','))
+  .option('--out <name>', 'name of the reports', 'policies')
+  .parse().opts<{ instances: number, rounds: number, cells: string, variants: string, out: string }>()
+
+const children: ChildProcess[] = []
+const command = `node packages/testbed/dist/bench/policies.js ${process.argv.slice(2).join(' ')}`.trim()
+
+try {
+  await main()
+} finally {
+  for (const child of children) child.kill()
+}
+
+async function main (): Promise<void> {
+  const targets = await startTargets()
+  const urls = targets.flatMap(({ urls }) => urls)
+  const instanceUrls = await startEntries(urls)
+  const loads = Array.from({ length: LOAD_PROCESSES }, () => start('policiesLoad.js'))
+  const cells = CELLS.filter(({ scenario, loadPercent }) => new RegExp(options.cells).test(`${scenario} ${loadPercent}`))
+  const samples = new Map<string, LoadResult[]>()
+  for (let round = 0; round < options.rounds; round += 1) {
+    for (const cell of cells) {
+      for (const variant of cell.variants.filter(name => options.variants.split(',').includes(name))) {
+        for (const { child } of targets) child.send({ kind: 'cell', stragglerIndex: cell.scenario === 'straggler' ? 0 : undefined } satisfies TargetCommand)
+        const parts = await Promise.all(loads.map(async (load, index) => await runCell(load, cell, instanceUrls[variant] ?? [], 1_000 * round + 10 * cell.loadPercent + index)))
+        const key = `${cell.scenario}|${cell.loadPercent}|${variant}`
+        const merged = mergeParts(parts)
+        samples.set(key, [...samples.get(key) ?? [], merged])
+        console.log(`round=${round + 1} scenario=${cell.scenario} loadPercent=${cell.loadPercent} variant=${variant} p99Ms=${percentileOf(allTimes(merged), 0.99).toFixed(1)} unanswered=${merged.unanswered}`)
+        await new Promise(resolve => setTimeout(resolve, PAUSE_MS))
+      }
+    }
+  }
+  writeReports([...samples].map(([key, rounds]) => summarise(key, rounds)))
+}
+
+async function startTargets (): Promise<Array<{ child: ChildProcess, urls: string[] }>> {
+  const perProcess = TARGETS / TARGET_PROCESSES
+  return await Promise.all(Array.from({ length: TARGET_PROCESSES }, async (_, index) => {
+    const child = start('policiesTargets.js', [perProcess, index * perProcess, 1])
+    const { urls } = await next<TargetsReady>(child)
+    return { child, urls }
+  }))
+}
+
+/** Starts the entry processes and one more for the shared queue; returns the URLs by variant. */
+async function startEntries (targetUrls: string[]): Promise<Record<string, string[]>> {
+  const members: Record<string, MemberRecord[]> = Object.fromEntries(VARIANTS.map(variant => [variant, []]))
+  const entries = await Promise.all(Array.from({ length: options.instances + 1 }, async (_, index) => {
+    const child = start('policiesEntry.js')
+    const instanceId = `entry-${index + 1}` as InstanceId
+    const variants = VARIANTS.filter(variant => (variant === 'shared-queue') === (index === options.instances))
+    child.send({ kind: 'start', index, instanceId, targetUrls, variants } satisfies EntryCommand)
+    const { ports } = await next<EntryReady>(child)
+    return { child, instanceId, index, ports }
+  }))
+  for (const { instanceId, index, ports } of entries) {
+    for (const [variant, port] of Object.entries(ports)) members[variant]?.push(memberOf(instanceId, index, port))
+  }
+  for (const { child } of entries) child.send({ kind: 'members', members } satisfies EntryCommand)
+  return Object.fromEntries(Object.entries(members).map(([variant, records]) => [variant, records.map(({ callerUrl }) => callerUrl)]))
+}
+
+async function runCell (load: ChildProcess, { scenario, loadPercent }: Cell, instanceUrls: string[], seed: number): Promise<LoadResult> {
+  load.send({
+    kind: 'cell',
+    instanceUrls,
+    ratePerSecond: FULL_RATE_PER_SECOND * loadPercent / 100 / LOAD_PROCESSES,
+    warmUpMs: WARM_UP_MS,
+    durationMs: MEASURED_MS,
+    mix: scenario === 'old-lists' ? MIXED_CALLERS : FRESH_CALLERS,
+    firstTenantShare: scenario === 'uneven-tenants' ? 0.8 : 0.5,
+    seed
+  } satisfies LoadCommand)
+  return await next<LoadResult>(load)
+}
+
+function mergeParts (parts: readonly LoadResult[]): LoadResult {
+  return {
+    kind: 'result',
+    timesMs: { first: parts.flatMap(({ timesMs }) => timesMs.first), second: parts.flatMap(({ timesMs }) => timesMs.second) },
+    unanswered: parts.reduce((sum, { unanswered }) => sum + unanswered, 0)
+  }
+}
+
+function allTimes ({ timesMs }: LoadResult): number[] {
+  return [...timesMs.first, ...timesMs.second]
+}
+
+function summarise (key: string, rounds: readonly LoadResult[]): CellResult {
+  const [scenario = '', loadPercent, variant] = key.split('|')
+  const merged = mergeParts(rounds)
+  const times = allTimes(merged)
+  return {
+    scenario,
+    loadPercent: Number(loadPercent),
+    variant: variant as Variant,
+    requests: times.length,
+    unanswered: merged.unanswered,
+    p50Ms: percentileOf(times, 0.5),
+    p99Ms: percentileOf(times, 0.99),
+    roundP99Ms: rounds.map(round => percentileOf(allTimes(round), 0.99)),
+    p99MsByTenant: { first: percentileOf(merged.timesMs.first, 0.99), second: percentileOf(merged.timesMs.second, 0.99) }
+  }
+}
+
+function writeReports (results: readonly CellResult[]): void {
+  const goals = judgeGoals(results)
+  const directory = fileURLToPath(new URL('../../../../reports/', import.meta.url))
+  mkdirSync(directory, { recursive: true })
+  writeFileSync(`${directory}${options.out}.json`, JSON.stringify({ command, options, results, goals }, undefined, 2) + '\n')
+  const page = formatReport(command, results, goals)
+  writeFileSync(`${directory}${options.out}.md`, page)
+  console.log(page)
+}
+
+function memberOf (instanceId: InstanceId, index: number, port: number): MemberRecord {
+  return {
+    instanceId,
+    incarnation: 1,
+    failureDomain: `d${index % 3 + 1}` as FailureDomainId,
+    callerUrl: `http://127.0.0.1:${port}`,
+    peerUrl: 'http://127.0.0.1:1',
+    state: 'serving',
+    adoptedRevision: 1
+  }
+}
+
+function start (file: string, args: readonly number[] = []): ChildProcess {
+  const child = fork(fileURLToPath(new URL(file, import.meta.url)), args.map(String))
+  children.push(child)
+  return child
+}
+
+async function next<Message> (child: ChildProcess): Promise<Message> {
+  return await new Promise((resolve, reject) => {
+    const onExit = (code: number | null): void => reject(new Error(`a process of the comparison exited with ${code}`))
+    child.once('exit', onExit)
+    child.once('message', message => {
+      child.off('exit', onExit)
+      resolve(message as Message)
+    })
+  })
+}
