Bound the work for documents that are not valid and log reads that are not current

Cause: during an upgrade a member can hold a document that an older member rejects; the older one would pull and decode it at every ping, and a store reader decode an invalid value every second. A read that finds the key gone or an earlier revision left no trace.

Change: an invalid revision is pulled again after 10 s only, an invalid value is decoded once, lists on pings are cut to what the validator admits, and such reads count and log as failed.

--- a/packages/control/src/ConfigurationAdopter.ts
+++ b/packages/control/src/ConfigurationAdopter.ts
@@ -95,7 +95,8 @@
     return outcomeOf(adopted.error)
   }
 
-  private noteRejection (violations: Violation[], source: AdoptionSource): void {
+  /** Logs a document that is not valid and keeps its violations for the dump. */
+  noteRejection (violations: Violation[], source: AdoptionSource): void {
     this.lastRejection = { source, violations }
     const first = violations[0]
     this.log.error('configuration.rejected', { source, violations: violations.length, path: first?.path, message: first?.message })
--- a/packages/control/src/ConfigurationStore.ts
+++ b/packages/control/src/ConfigurationStore.ts
@@ -33,6 +33,7 @@
   readonly key: string
   private readonly known: (value: string) => Configuration | undefined
   private lastDecoded: StoredConfiguration | undefined
+  private lastInvalid: { modRevision: number, violations: Violation[] } | undefined
 
   constructor ({ store, key, known = () => undefined }: ConfigurationStoreOptions) {
     this.store = store
@@ -51,9 +52,13 @@
   decode (stored: StoredValue | undefined): Result<StoredConfiguration, StoredConfigurationProblem> {
     if (stored === undefined) return Result.ok({ configuration: EMPTY_CONFIGURATION, value: undefined, modRevision: 0 })
     if (this.lastDecoded?.modRevision === stored.modRevision) return Result.ok(this.lastDecoded)
+    if (this.lastInvalid?.modRevision === stored.modRevision) return Result.err({ kind: 'invalid-document', violations: this.lastInvalid.violations })
     const known = this.known(stored.value)
     const decoded: Result<Configuration, Violation[]> = known === undefined ? decodeConfiguration(stored.value) : Result.ok(known)
-    if (decoded.isErr) return Result.err({ kind: 'invalid-document', violations: decoded.error })
+    if (decoded.isErr) {
+      this.lastInvalid = { modRevision: stored.modRevision, violations: decoded.error }
+      return Result.err({ kind: 'invalid-document', violations: decoded.error })
+    }
     this.lastDecoded = { configuration: decoded.value, value: stored.value, modRevision: stored.modRevision }
     return Result.ok(this.lastDecoded)
   }
--- a/packages/control/src/PeerRelay.ts
+++ b/packages/control/src/PeerRelay.ts
@@ -6,11 +6,17 @@
 import type { ControlMembership } from './ControlMembership.js'
 import type { ConfigurationSnapshot, ControlPeers } from './ControlPeers.js'
 
+const ANNOUNCEMENTS_MAX = 100
+const ABORTS_MAX = 1_000
+
+/** Time for which a revision is not pulled again after its document was not valid here, as during an upgrade. */
+const REJECTION_PAUSE_MS = 10_000
+
 /** Validator of what control carries on pings. @internal */
 export const relayStateSchema = z.strictObject({
   revision: z.int().min(0),
-  announcements: z.array(announcementSchema).max(100),
-  aborts: z.array(attemptIdSchema).max(1_000)
+  announcements: z.array(announcementSchema).max(ANNOUNCEMENTS_MAX),
+  aborts: z.array(attemptIdSchema).max(ABORTS_MAX)
 })
 /** What control carries on pings. @internal */
 export type RelayState = z.infer<typeof relayStateSchema>
@@ -31,6 +37,7 @@
 export class PeerRelay {
   private readonly options: PeerRelayOptions
   private pull: Promise<void> | undefined
+  private rejection = { revision: 0, atMs: 0 }
 
   constructor (options: PeerRelayOptions) {
     this.options = options
@@ -39,7 +46,11 @@
   /** The value that this instance sends on pings. */
   provide (): RelayState {
     const { adopter, announcements } = this.options
-    return { revision: adopter.current().revision, announcements: announcements.announcements(), aborts: announcements.recentAborts() }
+    return {
+      revision: adopter.current().revision,
+      announcements: announcements.announcements().slice(-ANNOUNCEMENTS_MAX),
+      aborts: announcements.recentAborts().slice(-ABORTS_MAX)
+    }
   }
 
   /** Takes the value that a member sent. An invalid value is ignored. */
@@ -49,7 +60,7 @@
     const { revision, announcements, aborts } = parsed.value
     for (const attemptId of aborts) this.options.announcements.abort(attemptId, `told by ${from}`)
     for (const announcement of announcements) this.options.announcements.accept(announcement)
-    if (revision > this.options.adopter.current().revision) this.pullFrom(from)
+    if (revision > this.options.adopter.current().revision && !this.isPaused(revision)) this.pullFrom(from)
   }
 
   /** Asks members in turn for their snapshot until one gives a configuration. Returns whether one did. */
@@ -69,8 +80,13 @@
       .then(() => { this.pull = undefined })
   }
 
-  private takeSnapshot ({ value, announcements }: ConfigurationSnapshot): boolean {
+  private isPaused (revision: number): boolean {
+    return revision === this.rejection.revision && performance.now() - this.rejection.atMs < REJECTION_PAUSE_MS
+  }
+
+  private takeSnapshot ({ revision, value, announcements }: ConfigurationSnapshot): boolean {
     const outcome = value === undefined ? undefined : this.options.adopter.offer(value, 'snapshot')
+    if (outcome?.kind === 'invalid') this.rejection = { revision, atMs: performance.now() }
     for (const announcement of announcements) this.options.announcements.accept(announcement)
     return outcome?.kind === 'adopted'
   }
--- a/packages/control/src/StoreFollower.ts
+++ b/packages/control/src/StoreFollower.ts
@@ -2,7 +2,7 @@
 import type { KeyValueStore, Watch } from '@carobpitch/store'
 import { ANNOUNCEMENT_HOLD_MS, type AnnouncementBook } from './AnnouncementBook.js'
 import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
-import type { ConfigurationStore } from './ConfigurationStore.js'
+import type { ConfigurationStore, StoredConfigurationProblem } from './ConfigurationStore.js'
 import type { ControlFreshness, ControlMembership } from './ControlMembership.js'
 
 /** Interval of a store reader's reads. @public */
@@ -64,15 +64,13 @@
     const { configurationStore, adopter, announcements, freshness } = this.options
     const startedAtMs = performance.now()
     const stored = await configurationStore.read()
-    if (stored.isErr) {
-      this.noteFailure(stored.error.kind === 'store-unavailable' ? stored.error.reason : 'the stored document is invalid')
-      return false
-    }
-    this.noteSuccess()
+    if (stored.isErr) return this.noteProblem(stored.error)
     const { configuration: { revision }, value } = stored.value
     if (value !== undefined && revision > adopter.current().revision) adopter.offer(value, 'store')
-    // A stale read shows an earlier revision and says nothing about the present one.
-    if (revision < adopter.current().revision) return false
+    const adoptedRevision = adopter.current().revision
+    // A stale read, or one that finds the key gone, says nothing about the present revision.
+    if (revision < adoptedRevision) return this.noteFailure(`the store shows revision ${revision}, revision ${adoptedRevision} is in force`)
+    this.noteSuccess()
     announcements.noteStoreRead(revision, startedAtMs)
     freshness.noteStoreRead(startedAtMs)
     return true
@@ -136,10 +134,20 @@
     watch?.close()
   }
 
-  private noteFailure (reason: string): void {
+  private noteProblem (problem: StoredConfigurationProblem): false {
+    switch (problem.kind) {
+      case 'store-unavailable': return this.noteFailure(problem.reason)
+      case 'invalid-document':
+        if (this.failures === 0) this.options.adopter.noteRejection(problem.violations, 'store')
+        return this.noteFailure('the stored document is not valid')
+    }
+  }
+
+  private noteFailure (reason: string): false {
     this.failures += 1
     this.lastFailure = reason
     if (this.failures === 1) this.options.log.warn('store.read-failed', { reason })
+    return false
   }
 
   private noteSuccess (): void {
--- a/packages/control/src/adoption.test.ts
+++ b/packages/control/src/adoption.test.ts
@@ -78,6 +78,7 @@
       for (const node of cluster.nodes) node.storeReadsAtMs.length = 0
       cluster.store.put(TEST_KEY, encodeConfiguration({ ...makeConfiguration({ revision: 9 }), failureDomains: {} }))
       await clock.tickAsync(3_000)
+      expect(JSON.stringify(cluster.node(1).control.dump())).to.include('unknown failure domain fukuoka').and.include('the stored document is not valid')
       cluster.store.put(TEST_KEY, 'not gzip')
       await clock.tickAsync(3_000)
       expect(cluster.nodes.map(node => [node.revision, node.storeReadsAtMs])).to.deep.equal([1, 2, 3].map(() => [3, []]))
@@ -137,6 +138,21 @@
       expect(answer.problem).to.include('unknown service')
     })
 
+    it('does not pull a revision that is not valid here at every ping', async () => {
+      const [node, peer] = [cluster.node(1), cluster.node(2)]
+      const snapshot = peer.control.peerHandlers.snapshot.bind(peer.control.peerHandlers)
+      let pulls = 0
+      peer.control.peerHandlers.snapshot = () => {
+        pulls += 1
+        return { ...snapshot(), revision: 9, value: encodeConfiguration({ ...makeConfiguration({ revision: 9 }), services: {} }) }
+      }
+      for (let ping = 0; ping < 16; ping += 1) {
+        node.piggyback?.receive(peer.instanceId, { revision: 9, announcements: [], aborts: [] })
+        await clock.tickAsync(1_000)
+      }
+      expect([pulls, node.revision]).to.deep.equal([2, 3])
+    })
+
     it('ignores malformed values on pings', () => {
       const node = cluster.node(1)
       for (const value of [undefined, 'x', { revision: -1, announcements: [], aborts: [] }, { revision: 9 }]) node.piggyback?.receive(cluster.node(2).instanceId, value)
