--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,22 @@
-export {}
+export { PeerServer, type PeerServerOptions } from './transport/PeerServer.js'
+export { PeerLinks, type PeerAddress, type PeerLinksOptions } from './transport/PeerLinks.js'
+export { Membership, type MembershipOptions, type Piggyback } from './detection/Membership.js'
+export { MEMBERSHIP_ROUTER, createMembershipRouter, createTrpcPingTransport, type MembershipRouter } from './detection/membershipRouter.js'
+export { memberUpdateSchema, supersedes, type MemberStatus, type MemberUpdate } from './detection/memberUpdate.js'
+export { chooseStoreReaders, storeReaderCount } from './detection/storeReaders.js'
+export type { PeerFailure, PingTransport } from './detection/PingTransport.js'
+export { Freshness, FRESHNESS_LIMIT_MS, isMajority, type FreshnessOptions, type PeerContact } from './freshness/Freshness.js'
+export type { RandomSource } from './random.js'
+export { LeaseKeeper, type HeldLease, type LeaseKeeperOptions, type LeaseListener } from './registry/LeaseKeeper.js'
+export { leaseLengthMs, renewalIntervalMs } from './registry/leaseTimes.js'
+export { Registry, type RegistryOptions } from './registry/Registry.js'
+export { JoinProcess, type JoinProcessOptions, type JoinState } from './registry/JoinProcess.js'
+export { instanceListSchema, readInstanceList, readListedInstances, type ListedInstance } from './registry/instanceList.js'
+export { ColdClaims, type ColdClaimsOptions, type HandOverReport } from './claims/ColdClaims.js'
+export type { WarmthSource } from './warmth/WarmthSource.js'
+export { WarmthSync, type WarmthSyncOptions } from './warmth/WarmthSync.js'
+export {
+  WARMTH_ROUTER, createTrpcWarmthTransport, createWarmthRouter, type WarmthHandler, type WarmthRouter, type WarmthTransport
+} from './warmth/WarmthTransport.js'
+export { PlannedStop, type PlannedStopOptions, type StopEnd, type StopReport, type StoppableProxy } from './stop/PlannedStop.js'
+export { createMembershipStack, type MembershipStack, type MembershipStackOptions } from './MembershipStack.js'
