Leave the rotation of address lists to steering

Cause: SteeringTable.instancesFor rotates the steered instances with each call, and the listener rotated them once more. With two steered instances the two rotations cancel out, and every caller gets the same first one.

Change: the listener keeps the order it is given and only leaves out members that are leaving.

--- a/packages/proxy/src/AddressBook.ts
+++ b/packages/proxy/src/AddressBook.ts
@@ -10,6 +10,7 @@
 export interface AddressBookOptions {
   instanceId: InstanceId
   configuration: ConfigurationSource
+  /** Members for one list, in the order in which a caller shall try them. */
   instancesFor: (service: ServiceName) => readonly MemberRecord[]
   answerTtlMs: number
 }
@@ -20,7 +21,6 @@
  */
 export class AddressBook {
   private readonly options: AddressBookOptions
-  private readonly turns = new Map<ServiceName, number>()
   private lastExpiryAtMs = 0
   private leaving = false
 
@@ -34,15 +34,7 @@
     if (typeof service !== 'string' || service === '') return Result.err('missing-service')
     const { services, revision } = configuration.current()
     if (!Object.hasOwn(services, service)) return Result.err('unknown-service')
-    const name = service as ServiceName
-    const turn = this.turns.get(name) ?? 0
-    this.turns.set(name, turn + 1)
-    const instances = listInstances({
-      members: instancesFor(name),
-      steeredInstances: services[name]?.steeredInstances ?? 1,
-      turn,
-      leaving: this.leaving ? instanceId : undefined
-    })
+    const instances = listInstances(instancesFor(service as ServiceName), this.leaving ? instanceId : undefined)
     if (instances.length === 0) return Result.err('no-instance')
     if (instances.some(listed => listed.instanceId === instanceId)) this.lastExpiryAtMs = performance.now() + answerTtlMs
     return Result.ok({ service, revision, ttlMs: answerTtlMs, instances })
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -31,7 +31,7 @@
   listen: ListenerSettings
   configuration: ConfigurationSource
   scheduler: Pick<Scheduler, 'acquire'>
-  /** Members that serve a service, in steered order: the steered ones, then alternatives. */
+  /** Members for one address list, in the order in which a caller shall try them; asked once for each list, so that it can rotate them. */
   instancesFor: (service: ServiceName) => readonly MemberRecord[]
   /** Asked before each dispatch; while it is false, requests are refused as not run. */
   mayAcceptNewWork: () => boolean
