Do not count the confirmation of a member that has restarted since

Cause: instances are diskless; one that restarts under its id begins without a configuration, while the tracker still held its earlier confirmation.

Change: a confirmation belongs to the incarnation that gave it.

--- a/packages/control/src/InForceTracker.ts
+++ b/packages/control/src/InForceTracker.ts
@@ -42,6 +42,8 @@
 }
 
 interface MemberState {
+  /** Incarnation that the adopted revision belongs to: a restarted member starts without a configuration. */
+  incarnation: number
   adoptedRevision: number
   isPushing: boolean
   /** Start of the first unanswered push since the last answer, on the monotonic clock. */
@@ -128,10 +130,11 @@
     else progress.waiting.push({ instanceId, reason: state?.lastReason ?? 'not asked yet' })
   }
 
-  /** A member's adopted revision never falls, so any report of it is a lower bound. */
+  /** A member's adopted revision never falls until it restarts, so any report of this incarnation is a lower bound. */
   private hasAdopted (member: MemberRecord, state: MemberState | undefined, revision: number): boolean {
     if (member.instanceId === this.options.instanceId) return this.options.adopter.current().revision >= revision
-    return Math.max(member.adoptedRevision, state?.adoptedRevision ?? 0) >= revision
+    const answered = state?.incarnation === member.incarnation ? state.adoptedRevision : 0
+    return Math.max(member.adoptedRevision, answered) >= revision
   }
 
   private pushRound (track: Track): void {
@@ -162,6 +165,7 @@
       return
     }
     state.unreachableSinceMs = undefined
+    state.incarnation = member.incarnation
     state.adoptedRevision = answer.value.adoptedRevision
     state.lastReason = answer.value.problem ?? `holds revision ${answer.value.adoptedRevision}`
     this.noteCompletion(track)
@@ -185,7 +189,7 @@
 function stateOf (track: Track, instanceId: InstanceId): MemberState {
   const known = track.members.get(instanceId)
   if (known !== undefined) return known
-  const state: MemberState = { adoptedRevision: 0, isPushing: false, unreachableSinceMs: undefined, lastReason: 'not asked yet' }
+  const state: MemberState = { incarnation: 0, adoptedRevision: 0, isPushing: false, unreachableSinceMs: undefined, lastReason: 'not asked yet' }
   track.members.set(instanceId, state)
   return state
 }
--- a/packages/control/src/commit.test.ts
+++ b/packages/control/src/commit.test.ts
@@ -243,6 +243,15 @@
       expect(late.progress).to.deep.include({ inForce: true, cannotServe: ['entry-5'] })
     })
 
+    it('does not count the confirmation of a member that has restarted since', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      await confirm(first, changeId)
+      await clock.tickAsync(1_000)
+      cluster.node(5).incarnation += 1
+      const { progress } = await settle(clock, first.control.actions.status(changeId))
+      expect(progress?.waiting.map(({ instanceId }) => instanceId)).to.deep.equal(['entry-5'])
+    })
+
     it('does not report in force from an instance that is cut off from the majority', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.store.afterSwap = () => cluster.isolate(first)
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -32,6 +32,7 @@
   readonly storeReadsAtMs: number[] = []
   isStoreReader = true
   isDead = false
+  incarnation = 0
   piggyback: ControlPiggyback | undefined
   private readonly cluster: FakeCluster
 
@@ -62,7 +63,7 @@
   record (): MemberRecord {
     return {
       instanceId: this.instanceId,
-      incarnation: 0,
+      incarnation: this.incarnation,
       failureDomain: failureDomainIdSchema.parse('fukuoka'),
       callerUrl: '',
       peerUrl: '',
