--- a/packages/cli/src/ToolContext.ts
+++ b/packages/cli/src/ToolContext.ts
@@ -20,6 +20,8 @@
   program: Command
   output: ToolOutput
   environment: Readonly<Record<string, string | undefined>>
+  /** Instances to use instead of those that the operator named. */
+  urls?: readonly string[]
 }
 
 interface GlobalOptions {
@@ -53,6 +55,11 @@
     return this.knownClient
   }
 
+  /** Returns a context for other instances with its own output and exit code. */
+  forInstances (urls: readonly string[], output: ToolOutput): ToolContext {
+    return new ToolContext({ ...this.options, urls, output })
+  }
+
   /** Whether answers are printed as JSON. */
   isJson (): boolean {
     return this.globals().json === true
@@ -73,10 +80,10 @@
     return this.options.program.opts<GlobalOptions>()
   }
 
-  private instanceUrls (): string[] {
+  private instanceUrls (): readonly string[] {
     const named = this.globals().instance ?? []
     const fromEnvironment = (this.options.environment[INSTANCE_VARIABLE] ?? '').split(',').map(url => url.trim()).filter(url => url !== '')
-    const urls = named.length > 0 ? named : fromEnvironment
+    const urls = this.options.urls ?? (named.length > 0 ? named : fromEnvironment)
     if (urls.length === 0) throw new CommandFailure(EXIT.invalid, `name an instance with --instance or ${INSTANCE_VARIABLE}`)
     for (const url of urls) {
       if (!URL.canParse(url) || !/^https?:$/.test(new URL(url).protocol)) throw new CommandFailure(EXIT.invalid, `--instance ${url}: must be http://<host>:<port>`)
--- /dev/null
+++ b/packages/cli/src/applyDeclaration.ts
@@ -0,0 +1,73 @@
+import { CommandFailure } from './CommandFailure.js'
+import { confirmChange } from './confirmChange.js'
+import { EXIT, type ExitCode } from './exitCodes.js'
+import { formatPlanOutcome } from './formatAnswers.js'
+import { planCode } from './outcomeCodes.js'
+import { readDocument } from './readDocument.js'
+import type { ToolContext } from './ToolContext.js'
+
+/** A region's name and its instances. @internal */
+export interface Region {
+  name: string
+  urls: string[]
+}
+
+/** Options of `apply`. @internal */
+export interface ApplyOptions {
+  yes?: boolean
+  acceptWarnings?: boolean
+  wait: number
+  region?: Region[]
+}
+
+interface RegionResult {
+  region: string
+  exitCode: ExitCode
+  text: string
+}
+
+/** Plans a declaration and confirms it on request, in one deployment or in several regions in turn. @internal */
+export async function applyDeclaration (context: ToolContext, file: string, options: ApplyOptions): Promise<void> {
+  const declaration = readDocument(file)
+  const { region: regions = [] } = options
+  if (regions.length === 0) return await applyOnce(context, declaration, options)
+  const results: RegionResult[] = []
+  for (const region of regions) results.push(await applyInRegion(context, region, declaration, options))
+  const text = results.map(result => `${result.region} (exit code ${result.exitCode}):\n${result.text}`).join('\n\n')
+  const answers = results.map(({ region, exitCode, text }) => ({ region, exitCode, answer: answerOf(text) }))
+  context.report(answers, text, results.find(({ exitCode }) => exitCode !== EXIT.ok)?.exitCode ?? EXIT.ok)
+}
+
+/** Regions are independent deployments, so a failure in one does not keep the others from being tried. */
+async function applyInRegion (context: ToolContext, { name, urls }: Region, declaration: unknown, options: ApplyOptions): Promise<RegionResult> {
+  const printed: string[] = []
+  const regional = context.forInstances(urls, { out: text => printed.push(text), err: text => context.note(`${name}: ${text}`) })
+  try {
+    await applyOnce(regional, declaration, options)
+    return { region: name, exitCode: regional.exitCode, text: printed.join('\n') }
+  } catch (error) {
+    if (!(error instanceof CommandFailure)) throw error
+    return { region: name, exitCode: error.exitCode, text: error.message }
+  }
+}
+
+async function applyOnce (context: ToolContext, declaration: unknown, { yes = false, acceptWarnings = false, wait }: ApplyOptions): Promise<void> {
+  const operations = [{ kind: 'apply-declaration', declaration }]
+  const outcome = await context.client().call((client, signal) => client.plan.mutate({ operations }, { signal }))
+  const text = formatPlanOutcome(outcome)
+  if (outcome.kind !== 'planned' || !yes) return context.report(outcome, text, planCode(outcome))
+  context.note(text)
+  if (outcome.plan.warnings.length > 0 && !acceptWarnings) {
+    context.note('The plan carries warnings, so it is not confirmed.')
+    return context.report(outcome, `Not confirmed. Confirm with: carobpitch confirm ${outcome.plan.changeId}`, EXIT.warned)
+  }
+  await confirmChange(context, outcome.plan.changeId, wait)
+}
+
+function answerOf (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return { message: text }
+  }
+}
--- a/packages/cli/src/changeCommands.ts
+++ b/packages/cli/src/changeCommands.ts
@@ -1,9 +1,10 @@
 import type { Command } from 'commander'
 import type { ChangeId } from '@carobpitch/schema'
+import { applyDeclaration, type ApplyOptions } from './applyDeclaration.js'
 import { confirmChange } from './confirmChange.js'
-import { formatDiff, formatHistory, formatPlanOutcome, formatStatus } from './formatAnswers.js'
-import { diffCode, planCode, statusCode } from './outcomeCodes.js'
-import { parseChangeId, parseSeconds } from './parseArguments.js'
+import { formatDiff, formatHistory, formatStatus } from './formatAnswers.js'
+import { diffCode, statusCode } from './outcomeCodes.js'
+import { collectRegion, parseChangeId, parseSeconds } from './parseArguments.js'
 import { readDocument } from './readDocument.js'
 import type { ToolContext } from './ToolContext.js'
 
@@ -44,24 +45,6 @@
     .option('--yes', 'confirm the plan at once unless it carries warnings')
     .option('--accept-warnings', 'with --yes: confirm even if the plan carries warnings')
     .option('--wait <seconds>', 'with --yes: longest wait for the change to be in force', parseSeconds, WAIT_DEFAULT_MS)
+    .option('--region <name=url,url>', 'apply to this region instead of --instance; can be given several times, each region reports by name', collectRegion)
     .action(async (file: string, options: ApplyOptions) => await applyDeclaration(context, file, options))
 }
-
-interface ApplyOptions {
-  yes?: boolean
-  acceptWarnings?: boolean
-  wait: number
-}
-
-async function applyDeclaration (context: ToolContext, file: string, { yes = false, acceptWarnings = false, wait }: ApplyOptions): Promise<void> {
-  const operations = [{ kind: 'apply-declaration', declaration: readDocument(file) }]
-  const outcome = await context.client().call((client, signal) => client.plan.mutate({ operations }, { signal }))
-  const text = formatPlanOutcome(outcome)
-  if (outcome.kind !== 'planned' || !yes) return context.report(outcome, text, planCode(outcome))
-  context.note(text)
-  if (outcome.plan.warnings.length > 0 && !acceptWarnings) {
-    context.note('The plan carries warnings, so it is not confirmed.')
-    return context.report(outcome, `Confirm with: carobpitch confirm ${outcome.plan.changeId}`, planCode(outcome))
-  }
-  await confirmChange(context, outcome.plan.changeId, wait)
-}
--- a/packages/cli/src/exitCodes.ts
+++ b/packages/cli/src/exitCodes.ts
@@ -25,7 +25,9 @@
   /** `diff` found differences. */
   different: 10,
   /** The change is not accepted; its plan can still be confirmed. */
-  pending: 11
+  pending: 11,
+  /** `apply --yes` made a plan and did not confirm it, because it carries warnings. */
+  warned: 12
 } as const
 
 /** An exit code. @public */
@@ -45,4 +47,7 @@
    8  missing or unknown credential
    9  no plan or change has this id
   10  diff found differences
-  11  status: not accepted, the plan can still be confirmed`
+  11  status: not accepted, the plan can still be confirmed
+  12  apply --yes: not confirmed, because the plan carries warnings
+
+With apply --region the code is that of the first region that did not end with 0.`
--- a/packages/cli/src/parseArguments.ts
+++ b/packages/cli/src/parseArguments.ts
@@ -1,5 +1,6 @@
 import { InvalidArgumentError } from 'commander'
 import { changeIdSchema, parseWith, type ChangeId } from '@carobpitch/schema'
+import type { Region } from './applyDeclaration.js'
 
 /** Parses a change id from the command line. @internal */
 export function parseChangeId (text: string): ChangeId {
@@ -26,6 +27,14 @@
   return [...values, value]
 }
 
+/** Collects regions, each a name and the URLs of its instances. @internal */
+export function collectRegion (text: string, regions: Region[] = []): Region[] {
+  const [, name, urls] = /^([\w.-]+)=(.+)$/.exec(text) ?? []
+  if (name === undefined || urls === undefined) throw new InvalidArgumentError('must be <name>=<url>,<url>')
+  if (regions.some(region => region.name === name)) throw new InvalidArgumentError(`region ${name} is named twice`)
+  return [...regions, { name, urls: urls.split(',') }]
+}
+
 /** Collects `field=value` pairs; a value that is JSON is taken as such, any other as text. @internal */
 export function collectField (pair: string, fields: Record<string, unknown>): Record<string, unknown> {
   const [, name, text] = /^([A-Za-z]+)=(.*)$/s.exec(pair) ?? []
--- a/packages/cli/src/runTool.test.ts
+++ b/packages/cli/src/runTool.test.ts
@@ -150,12 +150,27 @@
       answers.plan = { kind: 'planned', plan: PLAN }
       answers.confirm = { kind: 'accepted', effect: 'accepted', changeId: 'c1', record: RECORD, progress: progressOf(true) }
       const file = fileOf('declaration.json', { services: {}, failureDomains: {}, targets: {} })
-      expect((await run(['apply', file, '--yes'])).out).to.include('Confirm with')
+      const warned = await run(['apply', file, '--yes'])
+      expect([warned.code, warned.out.includes('Confirm with')]).to.deep.equal([12, true])
       expect(received).to.have.length(1)
       expect((await run(['apply', file, '--yes', '--accept-warnings'])).code).to.equal(0)
       expect(received.slice(1)).to.deep.equal([[{ kind: 'apply-declaration', declaration: { services: {}, failureDomains: {}, targets: {} } }], 'c1'])
     })
 
+    it('applies a file to several regions and reports each by name, guarding against a region that fails unnoticed', async () => {
+      answers.plan = { kind: 'planned', plan: { ...PLAN, warnings: [] } }
+      answers.confirm = { kind: 'accepted', effect: 'accepted', changeId: 'c1', record: RECORD, progress: progressOf(true) }
+      const file = fileOf('declaration.json', { services: {}, failureDomains: {}, targets: {} })
+      const regions = ['--region', `kansai=${await closedUrl()}`, '--region', `kyushu=${url}`]
+      const { code, out } = await run(['apply', file, '--yes', ...regions])
+      expect([code, received.length]).to.deep.equal([3, 2])
+      expect(out).to.match(/kansai \(exit code 3\):\nno instance answers/).and.match(/kyushu \(exit code 0\):\nChange c1 is accepted/)
+      const json = JSON.parse((await run(['--json', 'apply', file, '--yes', ...regions])).out)
+      expect(json.map(({ region, exitCode, answer }: { region: string, exitCode: number, answer: { kind?: string } }) => [region, exitCode, answer.kind]))
+        .to.deep.equal([['kansai', 3, undefined], ['kyushu', 0, 'accepted']])
+      expect((await run(['apply', file, '--region', 'kyushu'])).code).to.equal(2)
+    })
+
     it('exits with its own code when a file differs', async () => {
       answers.diff = { kind: 'different', baseRevision: 4, services: [{ service: 'chumon', changes: ['slots 3 → 6'] }], failureDomains: [] }
       const { code, out } = await run(['diff', fileOf('declaration.json', {})])
@@ -172,10 +187,7 @@
 
   describe('instances and credentials', () => {
     it('tries instances in order', async () => {
-      const server = createServer()
-      await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-      const closed = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
-      await new Promise(resolve => server.close(resolve))
+      const closed = await closedUrl()
       const { code, err } = await run(['--instance', closed, '--instance', url, 'history'])
       expect([code, err.includes(`${closed} does not answer (ECONNREFUSED)`)]).to.deep.equal([0, true])
       expect((await run(['--instance', closed, 'confirm', 'c1'])).code).to.equal(3)
@@ -208,3 +220,12 @@
     })
   })
 })
+
+/** URL of a port on which nothing listens. */
+async function closedUrl (): Promise<string> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return `http://127.0.0.1:${port}`
+}
