--- a/packages/testbed/src/bench/addedLatency.ts
+++ b/packages/testbed/src/bench/addedLatency.ts
@@ -1,6 +1,6 @@
 /**
  * Measures the latency that carobpitch adds to a call: direct calls to a target, a bare polka and undici pass-through,
- * and the full path through a daemon, interleaved in one run. Writes a JSON report and a Markdown table.
+ * the request path alone, and the full path through a daemon, interleaved in one run. Writes a JSON report and a Markdown table.
  * Usage: node packages/testbed/dist/bench/addedLatency.js [--repetitions n] [--seconds s] [--rates list] [--out directory]
  */
 import { spawn, type ChildProcess } from 'node:child_process'
@@ -85,8 +85,9 @@
 async function startPaths (): Promise<Record<PathName, MeasuredProcess>> {
   const direct = await startRole('target')
   const passThrough = await startRole('pass-through', direct.url)
+  const requestPath = await startRole('request-path', direct.url)
   const full = await startDaemon((await startRole('store', direct.url)).url)
-  return { direct, 'pass-through': passThrough, full }
+  return { direct, 'pass-through': passThrough, 'request-path': requestPath, full }
 }
 
 async function startRole (...args: string[]): Promise<MeasuredProcess> {
