--- a/packages/testbed/src/bench/policiesEntry.ts
+++ b/packages/testbed/src/bench/policiesEntry.ts
@@ -31,6 +31,12 @@
   configuration.adopt(documentOf(targetUrls)).unwrapOrElse(refusal => { throw new Error(JSON.stringify(refusal)) })
   const warmth = new WarmthTable({ configuration, holdsClaim: () => false })
   for (const id of Object.keys(configuration.current().targets)) warmth.merge({ targetId: id as TargetId, broughtInRevision: 0, coldTurns: 0, state: 'warm' })
+  // No target turns cold here and no claims are held: a declared cold turn is a false one, which is logged and undone.
+  warmth.onChange(record => {
+    if (record.state === 'warm') return
+    console.error(`event=false-cold-turn instance=${instanceId} variant=${variant} target=${record.targetId}`)
+    setImmediate(() => warmth.merge({ ...record, state: 'warm' }))
+  })
   const policy = routingPolicyOf(variant === 'random' || variant === 'two-choices' ? variant : 'least-in-flight')
   const scheduler = new Scheduler({ configuration, warmth, policy })
   const membership: MembershipSource = {
