--- a/packages/control/src/Committer.ts
+++ b/packages/control/src/Committer.ts
@@ -165,6 +165,9 @@
     const record = recordOf(configuration, plan.changeId)
     if (record !== undefined) return this.accept(record, value)
     if (value !== undefined) this.options.adopter.offer(value, 'store')
+    if (configuration.revision < plan.baseRevision) {
+      return this.abort(announcement, { kind: 'store-unavailable', effect: 'none', reason: 'the configuration key has vanished or was set back in the store' })
+    }
     return this.abort(announcement, outdated(plan.baseRevision, configuration))
   }
 
--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -105,6 +105,7 @@
     return {
       adoption: this.adopter.dump(),
       announcements: this.announcements.dump(),
+      relay: this.relay.dump(),
       storeFollower: this.follower.dump(),
       inForce: this.tracker.dump()
     }
--- a/packages/control/src/PeerRelay.ts
+++ b/packages/control/src/PeerRelay.ts
@@ -72,6 +72,10 @@
     return false
   }
 
+  dump (): unknown {
+    return { isPulling: this.pull !== undefined, rejectedRevision: this.rejection.revision || undefined }
+  }
+
   private pullFrom (from: InstanceId): void {
     if (this.pull !== undefined) return
     const member = this.options.membership.members().find(({ instanceId }) => instanceId === from)
--- a/packages/control/src/commit.test.ts
+++ b/packages/control/src/commit.test.ts
@@ -202,6 +202,15 @@
       cluster.callDelayMs = 2
     })
 
+    it('says that the key has vanished instead of naming a winner that does not exist', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.beforeSwap = () => {
+        cluster.store.beforeSwap = () => {}
+        cluster.store.remove(TEST_KEY)
+      }
+      expect(await confirm(first, changeId)).to.deep.include({ kind: 'store-unavailable', effect: 'none' })
+    })
+
     it('recognises a plan whose stored answer was lost, and refuses one that was not stored', async () => {
       cluster.store.faults.losePlanAnswers = 1
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
--- a/packages/control/src/testing/FakeStore.ts
+++ b/packages/control/src/testing/FakeStore.ts
@@ -103,6 +103,11 @@
     this.write({ key, value, expectedModRevision: this.values.get(key)?.modRevision ?? 0 })
   }
 
+  /** Deletes a key. */
+  remove (key: string): void {
+    this.values.delete(key)
+  }
+
   /** Value of a key, past all faults. */
   peek (key: string): string | undefined {
     return this.values.get(key)?.value
