--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -3,7 +3,7 @@
 import type { Readable } from 'node:stream'
 import type { Result } from 'true-myth'
 import type { Client } from 'undici'
-import type { AttemptOutcome, Refusal, Scheduler, TargetGrant } from '@carobpitch/routing'
+import type { AttemptOutcome, Refusal, Scheduler, TargetGrant, TargetView } from '@carobpitch/routing'
 import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
 import { breakOff, writeOwnResponse, writeTargetHead, type ResponseFacts } from './CallerResponse.js'
@@ -15,7 +15,7 @@
 import type { Reason } from './Reason.js'
 import { readBody } from './RequestBody.js'
 import { attemptHeaders, endToEndHeaders } from './requestHeaders.js'
-import type { ResponseHead } from './responseHead.js'
+import type { ResponseFraming, ResponseHead } from './responseHead.js'
 import type { TargetConnections } from './TargetConnections.js'
 import type { TargetPools } from './TargetPools.js'
 
@@ -29,6 +29,7 @@
   scheduler: Pick<Scheduler, 'acquire'>
   takeRetryToken: (service: ServiceName) => boolean
   mayAcceptNewWork: () => boolean
+  maySend: (target: TargetView) => boolean
   /** Whether callers must not send further requests over their connections. */
   mustCloseConnections: () => boolean
   pools: TargetPools
@@ -48,6 +49,8 @@
 
 type Stage = 'reading' | 'queued' | 'attempting' | 'ended'
 
+/** Largest body that is joined with its head. Above it, copying costs more than a second buffer. */
+const JOINED_BODY_MAX_BYTES = 8_192
 const NO_TARGETS: ReadonlySet<TargetId> = new Set()
 
 /**
@@ -76,6 +79,8 @@
   private verdict: Verdict = 'not-run'
   private lastReason: Reason | undefined
   private isResendDecided = false
+  private framing: ResponseFraming | undefined
+  private wholeBody: Buffer | undefined
   private mustClose = false
   /** A reason from outside the attempt, which rules out another one. */
   private interruption: Reason | undefined
@@ -157,11 +162,16 @@
     }
     const reason = verdict === 'not-run' ? 'refused-by-target' : undefined
     writeTargetHead(this.response, head, this.facts(combineVerdicts(this.verdict, verdict), reason))
+    this.framing = head.framing
     return true
   }
 
   /** @internal */
   takeData (chunk: Buffer): boolean {
+    if (this.isSmallWhole(chunk)) {
+      this.wholeBody = chunk
+      return true
+    }
     if (this.response.write(chunk)) return true
     this.response.once('drain', this.onDrain)
     return false
@@ -230,7 +240,7 @@
   /** Repeats the checks of dispatch when the head is about to be written, because opening a connection takes time. */
   private objectionTo ({ target }: TargetGrant): Reason | undefined {
     if (!this.context.mayAcceptNewWork()) return 'isolated'
-    return target.limit > 0 ? undefined : 'target-withdrawn'
+    return this.context.maySend(target) ? undefined : 'target-withdrawn'
   }
 
   private release (attempt: Attempt, { reason, kind, isReusable }: AttemptResult): void {
@@ -275,10 +285,17 @@
     else this.running.attempt.cancel(reason, reason === 'deadline-exceeded' ? 'timed-out' : 'cancelled')
   }
 
+  /** Whether a chunk is a small response body as a whole. It is sent together with the head. */
+  private isSmallWhole ({ length }: Buffer): boolean {
+    return length <= JOINED_BODY_MAX_BYTES && this.framing?.kind === 'length' && this.framing.lengthBytes === length
+  }
+
   /** Ends a response whose head has been forwarded. */
   private endForwarded ({ isComplete, reason }: AttemptResult): void {
     this.conclude(reason)
-    if (isComplete) this.response.end()
+    // Node joins a string, but not a buffer, with the head into one write.
+    if (isComplete && this.wholeBody !== undefined) this.response.end(this.wholeBody.toString('latin1'), 'latin1')
+    else if (isComplete) this.response.end()
     else breakOff(this.response)
     this.dropRestOfBody()
   }
