Compare primitive fields without serializing them when a plan is described

Cause: describing the impact of a plan serialized every field of every target and held the event loop for nearly as long as validating the document.

Change: fields are compared by identity first; only objects are serialized.

--- a/packages/control/src/capacity.ts
+++ b/packages/control/src/capacity.ts
@@ -90,10 +90,16 @@
 
 /** Describes the fields that differ between two records. @internal */
 export function describeFields (old: object, next: object): string[] {
-  const fields = new Map<string, unknown>(Object.entries(old))
+  const before = old as Record<string, unknown>
   return Object.entries(next)
-    .filter(([name, value]) => JSON.stringify(fields.get(name)) !== JSON.stringify(value))
-    .map(([name, value]) => `${name} ${JSON.stringify(fields.get(name))} → ${JSON.stringify(value)}`)
+    .filter(([name, value]) => !isSame(before[name], value))
+    .map(([name, value]) => `${name} ${JSON.stringify(before[name])} → ${JSON.stringify(value)}`)
+}
+
+/** Most fields are primitive, so they are compared as such before they are serialized. */
+function isSame (old: unknown, next: unknown): boolean {
+  if (old === next) return true
+  return typeof old === 'object' && JSON.stringify(old) === JSON.stringify(next)
 }
 
 function targetsInByService (configuration: Configuration): Map<ServiceName, TargetConfiguration[]> {
