--- /dev/null
+++ b/packages/testbed/src/faults/stopAndFreeze.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai'
+import { failedChecks } from '../checks/checkEvidence.js'
+import { Fleet } from '../fleet/Fleet.js'
+import type { InstanceProcess } from '../fleet/InstanceProcess.js'
+import { WorkerLoad } from '../fleet/WorkerLoad.js'
+
+const BOOKING = { service: 'orders', method: 'POST', body: '{}', deadlineMs: 1_000 } as const
+const SOME_CALLS = 30
+const IN_FORCE = 0
+
+/** Withdrawals are recorded once they are in force and all earlier calls have ended, so that no later work is allowed. */
+const BOUNDS = { withdrawalMs: 0 }
+
+describe('a real fleet under bookings with instances that stop or freeze', function () {
+  this.timeout(90_000)
+  let fleet: Fleet
+  let load: WorkerLoad
+
+  beforeEach(async () => {
+    fleet = new Fleet()
+    await fleet.start()
+    load = new WorkerLoad({ client: fleet.createClient(), call: BOOKING })
+    await load.untilSucceeded(SOME_CALLS)
+  })
+  afterEach(async () => {
+    await load.stop()
+    await fleet.stop()
+  })
+
+  function instanceAt (index: number): InstanceProcess {
+    return fleet.instances[index] as InstanceProcess
+  }
+
+  async function takeOut (failureDomain: string, instance: number): Promise<void> {
+    const changeId = await fleet.plan(instance, 'take-domain-out', failureDomain)
+    expect(await fleet.runTool(instance, ['confirm', changeId, '--wait', '40'])).to.have.property('status', IN_FORCE)
+    await load.untilCurrentCallsEnd()
+    const targetIds = fleet.targetsIn(failureDomain).map(target => target.snapshot().targetId)
+    fleet.withdrawals.push({ targetIds, fromEpochMs: Date.now(), untilEpochMs: Infinity })
+  }
+
+  async function expectChecksToPass (): Promise<void> {
+    await load.untilSucceeded(SOME_CALLS)
+    await load.stop()
+    expect(failedChecks(fleet.evidence(), BOUNDS)).to.deep.equal([])
+  }
+
+  it('cuts off no booking by a planned stop, guarding against an exit with requests in flight', async () => {
+    for (const target of fleet.targets) target.change({ serviceTimeMs: 50 })
+    fleet.plannedStops.push(await instanceAt(0).stop())
+    await expectChecksToPass()
+  })
+
+  it('cuts off no booking by a planned stop while the store is down', async () => {
+    fleet.store.faults.down = true
+    fleet.store.cutConnections()
+    fleet.plannedStops.push(await instanceAt(0).stop())
+    await expectChecksToPass()
+  })
+
+  it('sends nothing to a domain that was taken out while an instance was frozen, guarding against use of old knowledge', async () => {
+    instanceAt(0).freeze()
+    await takeOut('north', 1)
+    instanceAt(0).resume()
+    await load.untilSucceeded(SOME_CALLS)
+    await fleet.untilRevision(2)
+    await expectChecksToPass()
+  })
+
+  it('keeps an accepted change when an instance restarts while the store is down', async () => {
+    await takeOut('north', 0)
+    fleet.store.faults.down = true
+    fleet.store.cutConnections()
+    await instanceAt(1).kill()
+    await instanceAt(1).start()
+    await fleet.untilRevision(2)
+    await expectChecksToPass()
+  })
+})
