Keep the place of an unfinished request at a cold target until its deadline

Cause: in a run of the whole suite a cold target that bears one request had two (coldTargets.test.ts, instance frozen and others killed). A request that was cancelled, timed out or failed freed its place at once, while the target may still run it until it notices the closed connection or the deadline; the next request was then one too many. Ruled out: the claim itself, because a second holder would have exceeded the allowance by more than the one request and the claim tests over frozen instances pass.

--- a/packages/routing/src/Prober.ts
+++ b/packages/routing/src/Prober.ts
@@ -4,6 +4,8 @@
 
 /** Interval at which targets are considered for a probe. */
 const CONSIDER_INTERVAL_MS = 500
+/** Time for which a probe without a response counts as work at a cold target. */
+const FAILED_PROBE_HOLD_MS = 1_000
 
 /**
  * Result of one probe.
@@ -69,7 +71,9 @@
   private async probe ({ targetId, isCold, view }: ProbeWish): Promise<void> {
     if (isCold) view.inFlight += 1
     const result = await this.options.send(view).catch((): ProbeResult => ({ kind: 'failed' }))
-    if (isCold) view.inFlight -= 1
+    if (isCold && result.kind !== 'failed') view.inFlight -= 1
+    // A probe without a response may still occupy the target.
+    else if (isCold) setTimeout(() => { view.inFlight -= 1 }, FAILED_PROBE_HOLD_MS)
     this.options.onResult(targetId, result)
   }
 }
--- a/packages/routing/src/Scheduler.test.ts
+++ b/packages/routing/src/Scheduler.test.ts
@@ -220,6 +220,20 @@
       expect(inFlight(probes)).to.have.length(2, 'a regained claim is noticed without a call')
     })
 
+    for (const kind of ['cancelled', 'timed-out', 'failed'] as const) {
+      it(`counts a request that ${kind} at a cold target until its deadline, guarding against a second one beside it`, async () => {
+        create({ targets: 1, slots: 3 }, { isWarm: false, holdsClaim: () => true })
+        const first = await send({ deadlineAtMs: performance.now() + 500 })
+        const second = await send({ deadlineAtMs: performance.now() + 5_000 })
+        await clock.tickAsync(100)
+        await release(first, { kind, elapsedMs: 100 })
+        await clock.tickAsync(450)
+        expect(inFlight([second])).to.deep.equal([])
+        await clock.tickAsync(100)
+        expect(inFlight([second])).to.have.length(1)
+      })
+    }
+
     it('asks for the claim again before a granted request is written, guarding against a process frozen in between', async () => {
       let isHeld = true
       create({ targets: 1, slots: 3 }, { isWarm: false, holdsClaim: () => isHeld })
--- a/packages/routing/src/ServiceScheduler.ts
+++ b/packages/routing/src/ServiceScheduler.ts
@@ -143,7 +143,7 @@
   /** Runs in the tick in which `p-queue` found the waiter runnable; ends when the grant is released. */
   private async run (waiter: Waiter): Promise<void> {
     const isExpired = performance.now() >= waiter.deadlineAtMs
-    const attempt = isExpired ? undefined : this.targets.begin(waiter.exclude)
+    const attempt = isExpired ? undefined : this.targets.begin(waiter.exclude, waiter.deadlineAtMs)
     if (attempt === undefined) {
       waiter.settle(this.refuse(isExpired ? 'deadline-unreachable' : 'no-target'))
       return
--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -8,6 +8,8 @@
 import type { WarmthTable } from './WarmthTable.js'
 import { isInService, type AnnouncedWithdrawals } from './Withdrawals.js'
 
+/** Time after its deadline by which a target has dropped a request: network delay and the target's own timers. */
+const DROP_GRACE_MS = 100
 /** Limit of a target in trial after an ejection. */
 const TRIAL_LIMIT = 1
 
@@ -19,6 +21,7 @@
   readonly view: TargetView
   readonly epoch: string
   readonly sentAtMs: number
+  readonly deadlineAtMs: number
   readonly inFlightAtSend: number
 }
 
@@ -132,7 +135,7 @@
   }
 
   /** Chooses a target with room and counts an attempt at it. */
-  begin (exclude: ReadonlySet<TargetId>): Attempt | undefined {
+  begin (exclude: ReadonlySet<TargetId>, deadlineAtMs: number): Attempt | undefined {
     const candidates: TargetView[] = []
     for (const { view } of this.states.values()) {
       if (hasRoom(view) && !exclude.has(view.targetId)) candidates.push(view)
@@ -140,13 +143,13 @@
     const view = this.options.policy(candidates, this.options.random)
     if (view === undefined) return undefined
     view.inFlight += 1
-    return { view, epoch: this.options.warmth.epochOf(view.targetId), sentAtMs: performance.now(), inFlightAtSend: view.inFlight }
+    return { view, epoch: this.options.warmth.epochOf(view.targetId), sentAtMs: performance.now(), deadlineAtMs, inFlightAtSend: view.inFlight }
   }
 
   /** Takes the outcome of an attempt. Returns for how long it occupied the target. */
   end (attempt: Attempt, outcome: AttemptOutcome): number {
     const { view } = attempt
-    view.inFlight -= 1
+    this.free(attempt, outcome)
     const nowMs = performance.now()
     const heldMs = nowMs - attempt.sentAtMs
     // A response that the caller reads slowly says nothing about the target, nor does time spent in the queue.
@@ -217,6 +220,19 @@
     return { targets: Object.fromEntries(targets), ejection: this.ejection.dump() }
   }
 
+  /**
+   * Frees the place of an attempt. A request that ended without a response may still run at the target until its
+   * deadline; at a target that is not warm it keeps its place until then, because the next one would be one too many.
+   */
+  private free ({ view, deadlineAtMs }: Attempt, { kind }: AttemptOutcome): void {
+    const mayStillRun = kind === 'cancelled' || kind === 'timed-out' || kind === 'failed'
+    if (!mayStillRun || this.options.warmth.stateOf(view.targetId) === 'warm') {
+      view.inFlight -= 1
+      return
+    }
+    setTimeout(() => { view.inFlight -= 1 }, Math.max(0, deadlineAtMs - performance.now()) + DROP_GRACE_MS)
+  }
+
   private limitOf ({ view, isInService, drainingSinceRevision }: TargetState): number {
     if (!isInService || drainingSinceRevision !== undefined) return 0
     const warmLimit = this.options.warmth.limitOf(view.targetId)
