--- a/packages/proxy/src/wholeAnswers.test.ts
+++ b/packages/proxy/src/wholeAnswers.test.ts
@@ -41,6 +41,26 @@
       })
     }
 
+    it('never lets a response look complete, whatever byte it is cut off at', async () => {
+      let length = 0
+      await start(({ socket }) => socket.end(RESPONSE.slice(0, length)))
+      for (; length < RESPONSE.length; length += 1) {
+        const isForeign = await rig.call().then(({ status, isComplete }) => status !== 502 && isComplete, () => false)
+        expect(isForeign, `cut off after ${length} bytes`).to.equal(false)
+      }
+    })
+
+    it('passes on a response whole, whatever byte it pauses at', async () => {
+      let length = 1
+      await start(({ socket }) => {
+        const isFirstPartSent = new Promise(resolve => socket.write(RESPONSE.slice(0, length), resolve))
+        isFirstPartSent.then(() => setImmediate(() => socket.write(RESPONSE.slice(length))))
+      })
+      for (; length < RESPONSE.length; length += 1) {
+        expect((await rig.call()).body, `pause after ${length} bytes`).to.equal('0123456789')
+      }
+    })
+
     it('destroys the connection of a chunked response without its last chunk', async () => {
       await start(({ socket }) => socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n5\r\n01234\r\n'))
       expect(await looksComplete(rig.call())).to.equal(false)
