Leave an absent target to probes where they are sent

Cause: a killed target returns cold, and until its first response every instance tried it after its own ejection: up to three requests at once at a target that bears one. Change: with probes, a target that refused three connections gets no requests until a probe, or a record from another instance, finds it back. An instance also probes what it suspects itself, because nobody else may know; the minimum interval keeps the budget even if all do.

--- a/packages/routing/src/AbsenceTracker.ts
+++ b/packages/routing/src/AbsenceTracker.ts
@@ -39,6 +39,11 @@
     return (this.targets.get(targetId)?.connectFailures ?? 0) >= CONNECT_FAILURES_MIN
   }
 
+  /** Ends an absence, because another instance has found the target back. */
+  forget (targetId: TargetId): void {
+    this.targets.delete(targetId)
+  }
+
   /** Forgets targets that were removed. */
   retain (targetIds: ReadonlySet<TargetId>): void {
     for (const known of [this.targets, this.lastResponseAtMs]) {
--- a/packages/routing/src/ProbeBudget.ts
+++ b/packages/routing/src/ProbeBudget.ts
@@ -40,6 +40,8 @@
   targetId: TargetId
   slots: number
   isCold: boolean
+  /** Whether this instance itself saw the target draining or absent. Others may not know, so it looks itself. */
+  isSuspect: boolean
   /** Whether this instance holds the target's claim. Matters only for a cold target. */
   holdsClaim: boolean
 }
@@ -87,8 +89,10 @@
   }
 
   /** A cold target is measured by the holder of its claim alone, because a probe uses its allowance. */
-  private isMeasurer ({ targetId, isCold, holdsClaim }: ProbeCandidate): boolean {
+  private isMeasurer ({ targetId, isCold, isSuspect, holdsClaim }: ProbeCandidate): boolean {
     if (isCold) return holdsClaim
+    // The interval keeps the budget even if every instance suspects the target.
+    if (isSuspect) return true
     return measurerOf(targetId, this.options.members()) === this.options.instanceId
   }
 }
--- a/packages/routing/src/Scheduler.test.ts
+++ b/packages/routing/src/Scheduler.test.ts
@@ -302,6 +302,18 @@
       expect(inFlight(await sendMany(3, { exclude: new Set([target(2)]) }))).to.have.length(1)
     })
 
+    it('leaves an absent target to its measurer, guarding against requests from all instances when it returns cold', async () => {
+      result = { kind: 'failed' }
+      for (let count = 0; count < 3; count += 1) {
+        await release(await send({ exclude: new Set([target(2)]) }), { kind: 'connect-failed', elapsedMs: 1 })
+      }
+      expect((await send({ exclude: new Set([target(2)]) })).refusal?.reason).to.equal('no-target')
+      await clock.tickAsync(60_000)
+      expect((await send({ exclude: new Set([target(2)]) })).refusal?.reason).to.equal('no-target')
+      scheduler.warmth.merge({ targetId: target(1), broughtInRevision: 0, coldTurns: 1, state: 'warm' })
+      expect((await send({ exclude: new Set([target(2)]) })).grant).to.not.equal(undefined, 'another instance found it')
+    })
+
     it('stops with the scheduler', async () => {
       await scheduler.stop()
       await clock.tickAsync(60_000)
--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -139,7 +139,8 @@
   private configure (): void {
     const configuration = this.options.configuration.current()
     const { warmth, absence } = this
-    const { policy = chooseLeastInFlight, random = Math.random } = this.options
+    const { policy = chooseLeastInFlight, random = Math.random, probing } = this.options
+    const isProbing = probing !== undefined
     for (const [name, service] of this.services) {
       if (name in configuration.services) continue
       this.services.delete(name)
@@ -148,7 +149,7 @@
     }
     for (const [id, serviceConfiguration] of Object.entries(configuration.services)) {
       const name = id as ServiceName
-      const service = this.services.get(name) ?? new ServiceScheduler(serviceConfiguration, { warmth, absence, policy, random })
+      const service = this.services.get(name) ?? new ServiceScheduler(serviceConfiguration, { warmth, absence, policy, random, isProbing })
       this.services.set(name, service)
       service.configure(serviceConfiguration)
       service.targets.configure(name, configuration, this.withdrawals)
@@ -170,8 +171,10 @@
       service.targets.refresh()
       for (const view of service.targets.views()) {
         if (!service.targets.needsProbe(view.targetId, IDLE_BEFORE_PROBE_MS)) continue
-        const state = this.warmth.stateOf(view.targetId)
-        wishes.push({ view, targetId: view.targetId, slots: view.configuration.slots, isCold: state !== 'warm', holdsClaim: state === 'warming' })
+        const { targetId, configuration: { slots } } = view
+        const state = this.warmth.stateOf(targetId)
+        const isSuspect = service.targets.isSuspect(targetId)
+        wishes.push({ view, targetId, slots, isCold: state !== 'warm', isSuspect, holdsClaim: state === 'warming' })
       }
     }
     return wishes
--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -31,6 +31,8 @@
   absence: AbsenceTracker
   policy: RoutingPolicy
   random: () => number
+  /** Whether probes find absent targets; otherwise each instance has to try them with requests. */
+  isProbing: boolean
 }
 
 /** What one instance knows of one target beyond its view. */
@@ -178,13 +180,19 @@
   needsProbe (targetId: TargetId, idleAfterMs: number): boolean {
     const state = this.states.get(targetId)
     if (state === undefined || !state.isInService) return false
-    if (state.drainingSinceRevision !== undefined || this.options.absence.isAbsent(targetId)) return true
+    if (this.isSuspect(targetId)) return true
     return state.view.inFlight === 0 && performance.now() - state.lastOutcomeAtMs >= idleAfterMs
   }
 
+  /** Whether this instance itself saw the target draining or absent. */
+  isSuspect (targetId: TargetId): boolean {
+    return this.states.get(targetId)?.drainingSinceRevision !== undefined || this.options.absence.isAbsent(targetId)
+  }
+
   /** Follows a change of a target's warmth. */
   noteWarmthChange (targetId: TargetId): void {
     this.states.get(targetId)?.detector.reset()
+    this.options.absence.forget(targetId)
     this.ejection.reset(targetId)
   }
 
@@ -209,6 +217,8 @@
 
   private limitOf ({ view, isInService, drainingSinceRevision }: TargetState): number {
     if (!isInService || drainingSinceRevision !== undefined) return 0
+    // A target that was killed returns cold. If all instances tried it at once, it would get more than its allowance.
+    if (this.options.isProbing && this.options.absence.isAbsent(view.targetId)) return 0
     const warmLimit = this.options.warmth.limitOf(view.targetId)
     switch (this.ejection.stateOf(view.targetId)) {
       case 'in': return warmLimit
--- a/packages/routing/src/budgets.test.ts
+++ b/packages/routing/src/budgets.test.ts
@@ -39,7 +39,7 @@
   })
 
   describe('ProbeBudget', () => {
-    const warm = { targetId: target(1), slots: 3, isCold: false, holdsClaim: false }
+    const warm = { targetId: target(1), slots: 3, isCold: false, isSuspect: false, holdsClaim: false }
 
     function createBudget (instanceId: string, members: readonly InstanceId[]): ProbeBudget {
       return new ProbeBudget({ instanceId: instanceId as InstanceId, instancesMax: 17, members: () => members })
@@ -66,6 +66,13 @@
       expect(costMs - 17 * 6).to.be.at.most(0.01 * slotTimeMs)
     })
 
+    it('lets an instance look itself at a target that it suspects, guarding against a target that only it leaves unused', () => {
+      const other = createBudget('i1', ['i2' as InstanceId])
+      expect(other.take(warm)).to.equal(false)
+      expect(other.take({ ...warm, isSuspect: true })).to.equal(true)
+      expect(other.take({ ...warm, isSuspect: true })).to.equal(false, 'the interval applies')
+    })
+
     it('leaves a cold target to the holder of its claim, guarding against probes beyond its allowance', () => {
       const alone = createBudget('i1', ['i1' as InstanceId])
       expect(alone.take({ ...warm, isCold: true })).to.equal(false)
--- a/packages/testbed/src/replay/ReplayFleet.ts
+++ b/packages/testbed/src/replay/ReplayFleet.ts
@@ -1,5 +1,5 @@
-import { Scheduler, WarmthTable } from '@carobpitch/routing'
-import { ConfigurationHolder, type TargetId, type WarmthRecord } from '@carobpitch/schema'
+import { Scheduler, WarmthTable, type SendProbe } from '@carobpitch/routing'
+import { ConfigurationHolder, type InstanceId, type TargetId, type WarmthRecord } from '@carobpitch/schema'
 import type { TraceDomainEvent, TraceHead } from './Trace.js'
 
 /** Delay of warmth records between instances. */
@@ -18,14 +18,18 @@
   private readonly claimTimer: NodeJS.Timeout
   private document: Record<string, unknown> & { revision: number, failureDomains: Record<string, { state: 'in' | 'out' }> }
 
-  constructor (head: TraceHead, random: () => number) {
+  constructor (head: TraceHead, random: () => number, send: SendProbe) {
+    const members = Array.from({ length: head.instances }, (_, index) => `entry-${index + 1}` as InstanceId)
     this.document = documentOf(head)
     this.configuration.adopt(this.document).unwrapOrElse(refusal => { throw new Error(JSON.stringify(refusal)) })
-    for (let index = 0; index < head.instances; index += 1) {
+    for (const [index, instanceId] of members.entries()) {
       const warmth = new WarmthTable({ configuration: this.configuration, holdsClaim: id => this.claims.get(id) === index })
       for (const id of Object.keys(head.targets)) warmth.merge(warmRecord(id as TargetId))
       warmth.onChange((record, origin) => { if (origin === 'local') this.share(record, warmth) })
-      this.schedulers.push(new Scheduler({ configuration: this.configuration, warmth, random }))
+      const probing = { instanceId, instancesMax: head.instances, members: () => members, send }
+      const scheduler = new Scheduler({ configuration: this.configuration, warmth, random, probing })
+      scheduler.start()
+      this.schedulers.push(scheduler)
     }
     this.claimTimer = setInterval(() => this.claim(), CLAIM_INTERVAL_MS)
   }
@@ -46,8 +50,9 @@
     return turns
   }
 
-  /** Ends the claim stand-in. */
+  /** Ends probes and the claim stand-in. */
   stop (): void {
+    for (const scheduler of this.schedulers) scheduler.stop()
     clearInterval(this.claimTimer)
   }
 
--- a/packages/testbed/src/replay/ReplayTarget.ts
+++ b/packages/testbed/src/replay/ReplayTarget.ts
@@ -1,4 +1,4 @@
-import type { AttemptOutcome } from '@carobpitch/routing'
+import type { AttemptOutcome, ProbeResult } from '@carobpitch/routing'
 import type { TraceTargetEvent } from './Trace.js'
 
 /** Time that a refused connection or a failure of a cold target takes. */
@@ -62,6 +62,13 @@
     }
   }
 
+  /** Responds to a probe. */
+  async probe (): Promise<ProbeResult> {
+    await delay(FAILURE_MS)
+    if (this.isStopped) return { kind: 'failed' }
+    return { kind: this.isDraining ? 'draining' : 'healthy' }
+  }
+
   /** Runs a request. Resolves when the response or failure is complete. */
   async send (request: number, serviceTimeMs: number): Promise<AttemptOutcome> {
     const sentAtMs = performance.now()
--- a/packages/testbed/src/replay/Replayer.ts
+++ b/packages/testbed/src/replay/Replayer.ts
@@ -40,8 +40,9 @@
  * @public
  */
 export async function replay (trace: Trace, advance: (ms: number) => Promise<unknown>): Promise<ReplayReport> {
-  const fleet = new ReplayFleet(trace.head, createRandom(trace.head.seed))
   const targets = new Map(Object.entries(trace.head.targets).map(([id, { slots }]) => [id, new ReplayTarget(id, slots)]))
+  const targetOf = (id: string): ReplayTarget => targets.get(id) as ReplayTarget
+  const fleet = new ReplayFleet(trace.head, createRandom(trace.head.seed), async ({ targetId }) => await targetOf(targetId).probe())
   const results: ReplayResult[] = []
   const startedAtMs = performance.now()
   for (const [index, event] of trace.events.entries()) {
@@ -80,7 +81,7 @@
       }
       const { target, release } = granted.value
       exclude.add(target.targetId)
-      const outcome = await (targets.get(target.targetId) as ReplayTarget).send(index, request.serviceTimeMs)
+      const outcome = await targetOf(target.targetId).send(index, request.serviceTimeMs)
       release(outcome)
       const attemptVerdict = outcome.kind === 'answered' ? 'answered' : outcome.kind === 'connect-failed' ? 'not-run' : 'may-have-run'
       verdict = combineVerdicts(verdict, attemptVerdict)
