Smooth latencies longer before they eject a target

Cause: in a trial on a paused clock (real schedulers, modelled targets, 85% load) an average over about nine responses of exponential length passed three times the median by chance: 7 ejections in 8 s with three senders and no fault. Each takes a tenth of the slots; the shared queue under a straggler lost two targets and reached a p99 of 138 ms. Ruled out: a higher ratio, which would miss a straggler five times slower in its first second. Change: weight 0.1 instead of 0.2, ten responses before the first verdict, five in a trial.

--- a/packages/routing/src/EjectionTable.ts
+++ b/packages/routing/src/EjectionTable.ts
@@ -5,16 +5,16 @@
 /** Ratio of a target's smoothed latency to the service median that ejects it. */
 const LATENCY_RATIO = 3
 /** Responses before a smoothed latency may eject. */
-const LATENCY_SAMPLES_MIN = 5
-/** Weight of a new response in the smoothed latency. */
-const LATENCY_WEIGHT = 0.2
+const LATENCY_SAMPLES_MIN = 10
+/** Weight of a new response in the smoothed latency. 0.2 ejects healthy targets with exponential service times. */
+const LATENCY_WEIGHT = 0.1
 /** First ejection period; doubles with each further ejection. */
 const PERIOD_MIN_MS = 500
 const PERIOD_MAX_MS = 30_000
 /** Time without ejection after which the period halves once. */
 const PERIOD_DECAY_MS = 10_000
 /** Good responses, one at a time, that end the trial after an ejection. */
-const TRIAL_SUCCESSES = 3
+const TRIAL_SUCCESSES = 5
 /** Share of a service's targets that may be ejected at once, so that a misleading signal cannot empty a service. */
 const EJECTED_SHARE_MAX = 1 / 3
 
--- a/packages/testbed/src/replay/Trace.ts
+++ b/packages/testbed/src/replay/Trace.ts
@@ -73,6 +73,8 @@
   | { kind: 'outcome', check: 'answered-share', class?: RequestClass, tenant?: string, atLeast: number }
   /** 99th percentile of the time to the response, of answered requests. */
   | { kind: 'outcome', check: 'p99-ms', class?: RequestClass, tenant?: string, fromMs?: number, atMost: number }
+  /** 99th percentile of the time to the response beyond the request's own service time. */
+  | { kind: 'outcome', check: 'p99-wait-ms', class?: RequestClass, tenant?: string, fromMs?: number, atMost: number }
   /** No request starts at the target within the time. */
   | { kind: 'outcome', check: 'no-start', targetId: string, fromMs: number, untilMs: number }
   /** Most requests at the target at once within the time. */
--- a/packages/testbed/src/replay/checkOutcomes.ts
+++ b/packages/testbed/src/replay/checkOutcomes.ts
@@ -19,10 +19,10 @@
       const share = results.filter(({ verdict }) => verdict === 'answered').length / results.length
       return share >= outcome.atLeast ? undefined : `share ${share.toFixed(4)}`
     }
-    case 'p99-ms': {
-      const p99Ms = percentile(select(report, outcome).filter(({ verdict }) => verdict === 'answered').map(({ elapsedMs }) => elapsedMs), 0.99)
-      return p99Ms <= outcome.atMost ? undefined : `p99 ${p99Ms.toFixed(1)} ms`
-    }
+    case 'p99-ms':
+      return beyond(outcome.atMost, answeredOf(report, outcome).map(({ elapsedMs }) => elapsedMs))
+    case 'p99-wait-ms':
+      return beyond(outcome.atMost, answeredOf(report, outcome).map(({ elapsedMs, request }) => elapsedMs - request.serviceTimeMs))
     case 'no-start': {
       const starts = report.starts.filter(({ targetId, startedAtMs }) => targetId === outcome.targetId && startedAtMs >= outcome.fromMs && startedAtMs < outcome.untilMs)
       return starts.length === 0 ? undefined : `${starts.length} starts`
@@ -46,6 +46,15 @@
     (filter.tenant ?? request.tenant) === request.tenant && request.atMs >= (filter.fromMs ?? 0))
 }
 
+function answeredOf (report: ReplayReport, filter: { class?: RequestClass, tenant?: string, fromMs?: number }): ReplayResult[] {
+  return select(report, filter).filter(({ verdict }) => verdict === 'answered')
+}
+
+function beyond (atMost: number, values: number[]): string | undefined {
+  const p99Ms = percentile(values, 0.99)
+  return p99Ms <= atMost ? undefined : `p99 ${p99Ms.toFixed(1)} ms`
+}
+
 function startCounts ({ starts }: ReplayReport): Map<number, number> {
   const counts = new Map<number, number>()
   for (const { request } of starts) counts.set(request, (counts.get(request) ?? 0) + 1)
--- a/packages/testbed/src/replay/recordTraces.ts
+++ b/packages/testbed/src/replay/recordTraces.ts
@@ -127,7 +127,7 @@
       ...ALWAYS,
       ...['bottler-b', 'bottler-c', 'bottler-d'].flatMap((tenant): StatedOutcome[] => [
         { kind: 'outcome', check: 'answered-share', tenant, atLeast: 1 },
-        { kind: 'outcome', check: 'p99-ms', tenant, atMost: 500 }
+        { kind: 'outcome', check: 'p99-wait-ms', tenant, atMost: 320 }
       ])
     ]
   },
