--- a/packages/routing/src/RoutingPolicy.ts
+++ b/packages/routing/src/RoutingPolicy.ts
@@ -19,11 +19,31 @@
 }
 
 /** Chooses the candidate with the fewest own requests in flight; ties go to lower latency, then to chance. @public */
-export const chooseLeastInFlight: RoutingPolicy = (candidates, random) => {
+export const chooseLeastInFlight: RoutingPolicy = (candidates, random) => chooseLeast(candidates, random, compareLoad)
+
+/**
+ * Chooses the candidate with the fewest own requests in flight; ties go to chance alone.
+ * Baseline that shows what the tie break by latency is worth.
+ * @public
+ */
+export const chooseLeastInFlightRandomTies: RoutingPolicy = (candidates, random) => chooseLeast(candidates, random, compareInFlight)
+
+/** Returns the policy with a configured name. @public */
+export function routingPolicyOf (name: RoutingPolicyName): RoutingPolicy {
+  switch (name) {
+    case 'least-in-flight': return chooseLeastInFlight
+    case 'random': return chooseRandom
+    case 'two-choices': return chooseTwoChoices
+  }
+}
+
+type Comparison = (first: TargetView, second: TargetView) => number
+
+function chooseLeast (candidates: readonly TargetView[], random: () => number, compare: Comparison): TargetView | undefined {
   let best: TargetView | undefined
   let ties = 0
   for (const candidate of candidates) {
-    const order = best === undefined ? -1 : compareLoad(candidate, best)
+    const order = best === undefined ? -1 : compare(candidate, best)
     if (order < 0) {
       best = candidate
       ties = 1
@@ -35,16 +55,10 @@
   return best
 }
 
-/** Returns the policy with a configured name. @public */
-export function routingPolicyOf (name: RoutingPolicyName): RoutingPolicy {
-  switch (name) {
-    case 'least-in-flight': return chooseLeastInFlight
-    case 'random': return chooseRandom
-    case 'two-choices': return chooseTwoChoices
-  }
+function compareLoad (first: TargetView, second: TargetView): number {
+  return compareInFlight(first, second) || first.smoothedLatencyMs - second.smoothedLatencyMs
 }
 
-function compareLoad (first: TargetView, second: TargetView): number {
-  if (first.inFlight !== second.inFlight) return first.inFlight - second.inFlight
-  return first.smoothedLatencyMs - second.smoothedLatencyMs
+function compareInFlight (first: TargetView, second: TargetView): number {
+  return first.inFlight - second.inFlight
 }
--- a/packages/testbed/src/bench/policiesEntry.ts
+++ b/packages/testbed/src/bench/policiesEntry.ts
@@ -1,6 +1,6 @@
 /** Process of the policy comparison that is one entry instance, with a caller listener per variant. */
 import { CallerListener } from '@carobpitch/proxy'
-import { routingPolicyOf, Scheduler, SteeringTable, WarmthTable } from '@carobpitch/routing'
+import { chooseLeastInFlight, chooseLeastInFlightRandomTies, chooseRandom, chooseTwoChoices, Scheduler, SteeringTable, WarmthTable, type RoutingPolicy } from '@carobpitch/routing'
 import { ConfigurationHolder, type InstanceId, type MemberRecord, type MembershipSource, type TargetId } from '@carobpitch/schema'
 import type { EntryCommand, EntryReady, Variant } from './policiesMessages.js'
 
@@ -8,6 +8,15 @@
 const REQUEST_TIMEOUT_MS = 5_000
 const LIST_TTL_MS = 1_000
 
+const POLICIES: Record<Variant, RoutingPolicy> = {
+  random: chooseRandom,
+  'two-choices': chooseTwoChoices,
+  'least-in-flight': chooseLeastInFlight,
+  'random-ties': chooseLeastInFlightRandomTies,
+  steered: chooseLeastInFlight,
+  'shared-queue': chooseLeastInFlight
+}
+
 const members: Record<string, MemberRecord[]> = {}
 const membershipListeners = new Set<() => void>()
 
@@ -37,8 +46,7 @@
     console.error(`event=false-cold-turn instance=${instanceId} variant=${variant} target=${record.targetId}`)
     setImmediate(() => warmth.merge({ ...record, state: 'warm' }))
   })
-  const policy = routingPolicyOf(variant === 'random' || variant === 'two-choices' ? variant : 'least-in-flight')
-  const scheduler = new Scheduler({ configuration, warmth, policy })
+  const scheduler = new Scheduler({ configuration, warmth, policy: POLICIES[variant] })
   const membership: MembershipSource = {
     members: () => members[variant] ?? [],
     onChange: listener => {
--- a/packages/testbed/src/bench/policiesMessages.ts
+++ b/packages/testbed/src/bench/policiesMessages.ts
@@ -1,8 +1,12 @@
 /** Messages between the policy comparison and the processes that it starts. */
 import type { InstanceId, MemberRecord } from '@carobpitch/schema'
 
-/** Ways to route that are compared. @internal */
-export const VARIANTS = ['random', 'two-choices', 'least-in-flight', 'steered', 'shared-queue'] as const
+/**
+ * Ways to route that are compared. All but `steered` and `shared-queue` spread callers over all instances;
+ * `random-ties` is least in flight without the tie break by latency.
+ * @internal
+ */
+export const VARIANTS = ['random', 'two-choices', 'least-in-flight', 'random-ties', 'steered', 'shared-queue'] as const
 
 /** A way to route. @internal */
 export type Variant = typeof VARIANTS[number]
--- a/packages/testbed/src/bench/policiesReport.ts
+++ b/packages/testbed/src/bench/policiesReport.ts
@@ -38,7 +38,9 @@
     }
   }
   goals.push(...ratioGoal(results, 'even', 70, 'shared-queue', 1.1))
-  for (const loadPercent of [70, 85]) goals.push(...ratioGoal(results, 'straggler', loadPercent, 'least-in-flight', 0.5))
+  for (const variant of ['least-in-flight', 'random-ties'] as const) {
+    for (const loadPercent of [70, 85]) goals.push(...ratioGoal(results, 'straggler', loadPercent, variant, 0.5))
+  }
   return goals
 }
 
