Keep the lease while claims hang on it, and test single bad links

A lease that is replaced while it carries claims leaves the target idle until the old lease lapses. The option mayReplace was easy to forget when the parts are wired elsewhere; ColdClaims now puts the hold on the lease itself (holdWhile). New tests: the lease is kept while the fleet grows, one cut link between two members is bridged by indirect pings, and the procedure handler serves queries and reports errors, bad input and unknown paths.

--- a/packages/membership/src/MembershipStack.ts
+++ b/packages/membership/src/MembershipStack.ts
@@ -77,7 +77,6 @@
   const lease: LeaseKeeper = new LeaseKeeper({
     store,
     memberCount: () => membership.knownMembers().length,
-    mayReplace: () => claims.heldCount() === 0,
     log,
     random
   })
--- a/packages/membership/src/claims/ColdClaims.test.ts
+++ b/packages/membership/src/claims/ColdClaims.test.ts
@@ -25,15 +25,17 @@
   cold: TargetId[] = []
   isCut = false
   isFrozen = false
+  memberCount: number
   requestTimeoutMs = REQUEST_TIMEOUT_MS
   private readonly viewListeners = new Set<() => void>()
 
   constructor (store: FakeStore, members: MemberRecord[], index: number) {
     this.id = (members[index] as MemberRecord).instanceId
     this.view = members
+    this.memberCount = members.length
     const random = seededRandom(index + 1)
     const client = this.freezable(store.clientOf(() => this.isCut))
-    this.lease = new LeaseKeeper({ store: client, memberCount: () => members.length, log, random, mayReplace: () => this.claims.heldCount() === 0 })
+    this.lease = new LeaseKeeper({ store: client, memberCount: () => this.memberCount, log, random })
     this.claims = new ColdClaims({
       instanceId: this.id,
       store: client,
@@ -154,6 +156,21 @@
       expect(holders()).to.deep.equal([])
     })
 
+    it('keeps its lease while the fleet grows, guarding against claims that are lost with a replaced lease', async () => {
+      await launch(3)
+      setCold([T1])
+      await timeUntil(() => holders().length === 1, 3_000)
+      const [holder] = holders() as [Claimant]
+      const before = holder.lease.current()?.leaseId
+      holder.memberCount = 150
+      await clock.tickAsync(20_000)
+      expect(holder.lease.current()?.leaseId).to.equal(before)
+      expect(holders()).to.deep.equal([holder])
+      setCold([])
+      await clock.tickAsync(20_000)
+      expect(holder.lease.current()?.ttlMs).to.equal(90_000)
+    })
+
     it('spreads many cold targets and stays within the rate of claims', async () => {
       await launch(4)
       setCold(TARGETS)
--- a/packages/membership/src/claims/ColdClaims.ts
+++ b/packages/membership/src/claims/ColdClaims.ts
@@ -87,6 +87,7 @@
   async start (): Promise<void> {
     this.isRunning = true
     this.unsubscribes.push(this.options.lease.subscribe({ onLost: () => this.dropAll(), onGranted: ({ leaseId }) => this.dropOthers(leaseId) }))
+    this.unsubscribes.push(this.options.lease.holdWhile(() => this.heldCount() > 0))
     this.unsubscribes.push(this.options.membership.onChange(() => this.reconsiderOrphans()))
     this.schedule()
   }
--- a/packages/membership/src/detection/Membership.test.ts
+++ b/packages/membership/src/detection/Membership.test.ts
@@ -83,6 +83,17 @@
     })
   })
 
+  describe('when one link fails', () => {
+    it('keeps both members alive by indirect pings, guarding against removal over a single bad path', async () => {
+      members = await startTestCluster(network, 6)
+      const [first, second] = members as [TestMember, TestMember]
+      network.cutLink(first.url, second.url)
+      await clock.tickAsync(30_000)
+      for (const member of members) expect(liveIds(member)).to.have.length(6)
+      for (const { membership } of members) expect(membership.self().incarnation).to.equal(1)
+    })
+  })
+
   describe('when the network is partitioned', () => {
     it('keeps the other side known, and both sides join again, guarding against two memberships', async () => {
       members = await startTestCluster(network, 9)
--- a/packages/membership/src/registry/LeaseKeeper.ts
+++ b/packages/membership/src/registry/LeaseKeeper.ts
@@ -44,8 +44,6 @@
   store: KeyValueStore
   memberCount: () => number
   log: EventLog
-  /** Whether a lease of another length may take the place of the current one now. */
-  mayReplace?: () => boolean
   random?: RandomSource
 }
 
@@ -57,13 +55,14 @@
   private readonly options: Required<LeaseKeeperOptions>
   private readonly backoff: Backoff
   private readonly listeners = new Set<LeaseListener>()
+  private readonly holds = new Set<() => boolean>()
   private lease: HeldLease | undefined
   private timer: NodeJS.Timeout | undefined
   private isRunning = false
   private lastFailure: string | undefined
 
   constructor (options: LeaseKeeperOptions) {
-    this.options = { mayReplace: () => true, random: Math.random, ...options }
+    this.options = { random: Math.random, ...options }
     this.backoff = new Backoff(this.options)
   }
 
@@ -90,6 +89,15 @@
     return () => this.listeners.delete(listener)
   }
 
+  /**
+   * Keeps the lease from being replaced by one of another length while keys other than the registry record hang on it.
+   * Returns a function that removes the hold.
+   */
+  holdWhile (isInUse: () => boolean): () => void {
+    this.holds.add(isInUse)
+    return () => this.holds.delete(isInUse)
+  }
+
   /** Ends the lease and its keys, as the last step of a planned stop. Returns whether the store confirmed it. */
   async revoke (): Promise<boolean> {
     await this.stop()
@@ -156,7 +164,7 @@
   private mustReplace (lease: HeldLease): boolean {
     const wantedMs = leaseLengthMs(this.options.memberCount())
     const isUnfit = wantedMs > lease.ttlMs * REPLACE_WHEN_SHORTER_BY || wantedMs * REPLACE_WHEN_LONGER_BY < lease.ttlMs
-    return isUnfit && this.options.mayReplace()
+    return isUnfit && ![...this.holds].some(isInUse => isInUse())
   }
 
   /** The jitter keeps instances that started together from renewing together. */
--- a/packages/membership/src/testing/FakeNetwork.ts
+++ b/packages/membership/src/testing/FakeNetwork.ts
@@ -13,6 +13,7 @@
   private readonly handlers = new Map<string, PingHandler>()
   private readonly groups = new Map<string, number>()
   private readonly frozen = new Set<string>()
+  private readonly cutLinks = new Set<string>()
 
   constructor ({ delayMs = 2, timeoutMs = 400 } = {}) {
     this.delayMs = delayMs
@@ -35,6 +36,11 @@
     groups.forEach((urls, index) => urls.forEach(url => this.groups.set(url, index)))
   }
 
+  /** Drops all messages between two members, in both directions. */
+  cutLink (first: string, second: string): void {
+    this.cutLinks.add(`${first} ${second}`).add(`${second} ${first}`)
+  }
+
   /** Makes a member silent without closing its connections. */
   freeze (peerUrl: string): void {
     this.frozen.add(peerUrl)
@@ -54,7 +60,7 @@
   }
 
   private isReachable (from: string, to: string): boolean {
-    if (this.frozen.has(to) || this.frozen.has(from)) return false
+    if (this.frozen.has(to) || this.frozen.has(from) || this.cutLinks.has(`${from} ${to}`)) return false
     return this.handlers.has(to) && this.groups.get(from) === this.groups.get(to)
   }
 
--- a/packages/membership/src/transport/PeerServer.test.ts
+++ b/packages/membership/src/transport/PeerServer.test.ts
@@ -9,6 +9,9 @@
 const t = initTRPC.create()
 const router = t.router({
   echo: t.procedure.input(z.string()).mutation(({ input }) => input),
+  double: t.procedure.input(z.object({ value: z.number() })).query(({ input }) => input.value * 2),
+  nothing: t.procedure.query(() => undefined),
+  fails: t.procedure.mutation(() => { throw new Error('deliberate') }),
   never: t.procedure.mutation(() => new Promise<string>(() => {}))
 })
 
@@ -34,6 +37,22 @@
     expect(server.dump()).to.include({ connections: 1 })
   })
 
+  it('serves queries with and without input in the form that the client expects', async () => {
+    const client = links.client<typeof router>({ peerUrl }, 'test')
+    expect(await client.double.query({ value: 21 })).to.equal(42)
+    expect(await client.nothing.query()).to.equal(undefined)
+  })
+
+  it('reports errors of procedures, of input and of paths to the client, guarding against failures taken for answers', async () => {
+    const client = links.client<typeof router>({ peerUrl }, 'test')
+    expect(String(await rejectionOf(client.fails.mutate()))).to.contain('deliberate')
+    expect(await rejectionOf(client.echo.mutate(7 as never))).to.be.instanceOf(Error)
+    expect(await rejectionOf((client as never as { absent: { mutate(): Promise<unknown> } }).absent.mutate())).to.be.instanceOf(Error)
+    const headers = { authorization: `Bearer ${TOKEN}` }
+    expect((await fetch(`${peerUrl}/test/echo`, { method: 'POST', headers, body: '{not json' })).status).to.equal(400)
+    expect((await fetch(`${peerUrl}/test/echo`, { headers })).status).to.be.oneOf([404, 405])
+  })
+
   it('refuses an unknown credential, guarding against messages from outside the deployment', async () => {
     const stranger = new PeerLinks({ token: 'another-token-for-tests' })
     const outcome = await rejectionOf(stranger.client<typeof router>({ peerUrl }, 'test').echo.mutate('a'))
