Bound the majority contacts and prefer members that answer

In the measurement 100 and 150 instances did not settle while the machine was short of processor time: every instance contacted a majority from its start, pings timed out after 400 ms (5,184 to 8,923 time-outs per worker of ten instances) and were repeated at once, which kept the overload going. The file descriptor limit and slow loopback connections were ruled out by a look at the limit (20,000) and a run of 300 parallel connections (107 ms for the slowest).

ContactBudget allows a burst of one majority, then about one majority per 1.2 s, and halves the rate while pings fail. A member that has just started waits 3 s for a store reader's answer first.

A new test found that instances refused work when members crashed during a store outage, because members that no longer answered were chosen first. Members whose last ping failed now come last, and a contact that is open for 150 ms is replaced.

--- /dev/null
+++ b/packages/membership/src/detection/ContactBudget.test.ts
@@ -0,0 +1,43 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { ContactBudget } from './ContactBudget.js'
+
+describe('ContactBudget', () => {
+  let clock: Clock
+  let budget: ContactBudget
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ now: 1_000_000 })
+    budget = new ContactBudget()
+  })
+
+  afterEach(() => { clock.uninstall() })
+
+  function takenIn (durationMs: number, hasAnswered: boolean): number {
+    let taken = 0
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 200) {
+      const now = budget.take(1_000, 100)
+      for (let count = 0; count < now; count += 1) budget.note(hasAnswered)
+      taken += now
+      clock.tick(200)
+    }
+    return taken
+  }
+
+  it('allows a majority at once, guarding against an outage that is noticed too late', () => {
+    expect(budget.take(1_000, 100)).to.equal(51)
+    expect(budget.take(1_000, 100)).to.equal(0)
+  })
+
+  it('allows a majority in each period while pings are answered', () => {
+    takenIn(2_000, true)
+    expect(takenIn(12_000, true)).to.be.within(510, 640)
+  })
+
+  it('slows down while pings fail and recovers, guarding against an overload that keeps itself going', () => {
+    takenIn(2_000, false)
+    expect(takenIn(12_000, false)).to.be.at.most(330)
+    takenIn(12_000, true)
+    expect(takenIn(12_000, true)).to.be.at.least(510)
+  })
+})
--- a/packages/membership/src/detection/Membership.ts
+++ b/packages/membership/src/detection/Membership.ts
@@ -2,6 +2,7 @@
 import type { InstanceId, MemberRecord, MembershipSource } from '@carobpitch/schema'
 import type { Freshness } from '../freshness/Freshness.js'
 import { shuffle, type RandomSource } from '../random.js'
+import { ContactBudget } from './ContactBudget.js'
 import { MemberTable } from './MemberTable.js'
 import type { MemberUpdate } from './memberUpdate.js'
 import { UPDATES_PER_PING_MAX, type IndirectPing, type MembershipSnapshot, type PingMessage } from './messages.js'
@@ -22,6 +23,10 @@
 /** A store reader that answers with older knowledge than this is passed over for another one. */
 const READER_AGE_MAX_MS = 1_500
 const READER_TRIES = 3
+/** A contact without an answer for this long is replaced by another one, so that a dead member costs no majority. */
+const CONTACT_EXPECTED_MS = 150
+/** A member that has just started waits for the answer of a store reader before it contacts a majority. */
+const START_GRACE_MS = 3_000
 const PURGE_INTERVAL_MS = 60_000
 
 /**
@@ -59,11 +64,16 @@
   private readonly table: MemberTable
   private readonly listeners = new Set<() => void>()
   private readonly piggybacks = new Map<string, Piggyback>()
-  private readonly contactsInFlight = new Set<InstanceId>()
+  /** Members that are pinged for a majority, with the time of the ping. */
+  private readonly contactsInFlight = new Map<InstanceId, number>()
+  /** Members whose last ping failed. They come last when a majority is contacted. */
+  private readonly failing = new Set<InstanceId>()
+  private readonly contactBudget = new ContactBudget()
   private readonly counters = { pings: 0, failedPings: 0, indirectPings: 0, answeredPings: 0, majorityPings: 0 }
   private round: InstanceId[] = []
   private roundCount = 0
   private timer: NodeJS.Timeout | undefined
+  private startedAtMs = 0
   private lastTickMs = 0
   private nextPingMs = 0
   private nextReaderPingMs = 0
@@ -79,6 +89,7 @@
   /** Starts to ping. The first rounds are spread over one interval. */
   async start (): Promise<void> {
     const nowMs = performance.now()
+    this.startedAtMs = nowMs
     this.lastTickMs = nowMs
     this.nextPingMs = nowMs + this.options.random() * PING_INTERVAL_MS
     this.nextReaderPingMs = nowMs + this.options.random() * PING_INTERVAL_MS
@@ -324,15 +335,32 @@
   /** Keeps contact with a majority while knowledge from the store is old, or while a known member may have to be removed. */
   private pingMajority (): void {
     const { freshness } = this.options
-    if (!freshness.wantsMajority() && !this.hasRemovable()) return
-    const candidates = shuffle(this.others('alive', 'suspect'), this.options.random).map(({ instanceId }) => instanceId)
-    for (const id of freshness.chooseContacts(candidates, this.contactsInFlight)) {
-      const record = this.table.get(id)?.record
-      if (record === undefined) continue
-      this.counters.majorityPings += 1
-      this.contactsInFlight.add(id)
-      this.ping(record).finally(() => this.contactsInFlight.delete(id))
-    }
+    const isStarting = performance.now() - this.startedAtMs < START_GRACE_MS
+    if ((!freshness.wantsMajority() || isStarting) && !this.hasRemovable()) return
+    const candidates = this.contactCandidates()
+    const recentMs = performance.now() - CONTACT_EXPECTED_MS
+    const expected = [...this.contactsInFlight.values()].filter(atMs => atMs >= recentMs).length
+    const chosen = freshness.chooseContacts(candidates, expected)
+    const allowed = this.contactBudget.take(chosen.length, this.knownMembers().length)
+    for (const id of chosen.slice(0, allowed)) this.contact(id)
+  }
+
+  /** Members to contact for a majority in order of preference: those that answered last, then suspected or failing ones. */
+  private contactCandidates (): InstanceId[] {
+    const ids = (status: MemberUpdate['status']): InstanceId[] => shuffle(this.others(status), this.options.random).map(({ instanceId }) => instanceId)
+    const alive = ids('alive')
+    const ordered = [...alive.filter(id => !this.failing.has(id)), ...alive.filter(id => this.failing.has(id)), ...ids('suspect')]
+    return ordered.filter(id => !this.contactsInFlight.has(id))
+  }
+
+  private async contact (id: InstanceId): Promise<void> {
+    const record = this.table.get(id)?.record
+    if (record === undefined) return
+    this.counters.majorityPings += 1
+    this.contactsInFlight.set(id, performance.now())
+    const hasAnswered = await this.ping(record)
+    this.contactsInFlight.delete(id)
+    this.contactBudget.note(hasAnswered)
   }
 
   private async ping (member: MemberRecord): Promise<boolean> {
@@ -342,8 +370,10 @@
     const answer = await this.options.transport.ping(member.peerUrl, this.message(about))
     if (answer.isErr || answer.value.from.instanceId !== member.instanceId) {
       this.counters.failedPings += 1
+      this.failing.add(member.instanceId)
       return false
     }
+    this.failing.delete(member.instanceId)
     this.accept(answer.value, sentAtMs)
     return true
   }
@@ -395,7 +425,7 @@
       return true
     }
     if (before !== status) this.options.log.info(`member.${status === 'suspect' ? 'suspected' : status}`, { member: record.instanceId, incarnation: record.incarnation })
-    if (status === 'left') this.options.freshness.forget(record.instanceId)
+    if (status === 'left') this.forget(record.instanceId)
     return true
   }
 
@@ -419,9 +449,14 @@
     const entry = this.table.get(instanceId)
     if (entry === undefined) return
     this.table.apply({ record: entry.record, status: 'left' })
+    this.forget(instanceId)
+    this.options.log.info('member.left', { member: instanceId, reason })
+  }
+
+  private forget (instanceId: InstanceId): void {
     this.expiredLeases.delete(instanceId)
+    this.failing.delete(instanceId)
     this.options.freshness.forget(instanceId)
-    this.options.log.info('member.left', { member: instanceId, reason })
   }
 
   private others (...statuses: Array<MemberUpdate['status']>): MemberRecord[] {
--- a/packages/membership/src/freshness/Freshness.test.ts
+++ b/packages/membership/src/freshness/Freshness.test.ts
@@ -153,6 +153,17 @@
       expect(perMember).to.be.at.most(15 / 2 / 1.2 + 5)
     })
 
+    it('accepts work when members crash during a store outage, guarding against contacts wasted on members that are gone', async () => {
+      isStoreUp = () => false
+      await clock.tickAsync(5_000)
+      const [crashed, rest] = [members.slice(0, 5), members.slice(5)]
+      for (const member of crashed) {
+        await member.membership.stop()
+        network.detach(member.url)
+      }
+      expect([...await refusalsDuring(30_000, rest)]).to.deep.equal([])
+    })
+
     it('stops a side without store and majority within the limit and lets the other side serve, guarding against use of a withdrawn domain', async () => {
       const [cut, rest] = [members.slice(0, 6), members.slice(6)]
       isStoreUp = member => rest.includes(member)
--- a/packages/membership/src/freshness/Freshness.ts
+++ b/packages/membership/src/freshness/Freshness.ts
@@ -99,18 +99,16 @@
   }
 
   /**
-   * Chooses the members to ping so that a majority has been contacted within the contact interval:
-   * as few as are missing, those with the oldest contact first.
+   * Chooses the members to ping so that a majority has been contacted within the contact interval: as few as are missing.
+   * @param candidates - members that may be pinged, in order of preference
+   * @param expected - number of contacts under way that will probably succeed
    */
-  chooseContacts (candidates: readonly InstanceId[], inFlight: ReadonlySet<InstanceId>): InstanceId[] {
+  chooseContacts (candidates: readonly InstanceId[], expected: number): InstanceId[] {
     const knownCount = this.options.knownMembers().length
-    const missing = Math.floor(knownCount / 2) + 1 - this.contactsWithin(CONTACT_INTERVAL_MS) - inFlight.size
+    const missing = Math.floor(knownCount / 2) + 1 - this.contactsWithin(CONTACT_INTERVAL_MS) - expected
     if (missing <= 0) return []
     const oldestAllowedMs = performance.now() - CONTACT_INTERVAL_MS
-    return candidates
-      .filter(id => !inFlight.has(id) && this.lastContactMs(id) < oldestAllowedMs)
-      .sort((a, b) => this.lastContactMs(a) - this.lastContactMs(b))
-      .slice(0, missing)
+    return candidates.filter(id => this.lastContactMs(id) < oldestAllowedMs).slice(0, missing)
   }
 
   /** Forgets a member that is no longer known. */
