--- /dev/null
+++ b/packages/control/src/ConfigurationStore.ts
@@ -0,0 +1,82 @@
+import { Result } from 'true-myth'
+import { EMPTY_CONFIGURATION, type Configuration, type Violation } from '@carobpitch/schema'
+import type { KeyValueStore, RevisionReader, StoreFailure, StoredValue, SwapOutcome } from '@carobpitch/store'
+import { decodeConfiguration } from './configurationCodec.js'
+
+/** Why the stored configuration could not be read. @internal */
+export type StoredConfigurationProblem =
+  | { kind: 'store-unavailable', reason: string }
+  | { kind: 'invalid-document', violations: Violation[] }
+
+/** The configuration as stored. @internal */
+export interface StoredConfiguration {
+  configuration: Configuration
+  /** Encoded form; undefined when the key is absent. */
+  value: string | undefined
+  modRevision: number
+}
+
+/** A store that can perhaps tell a key's revision without its value. @public */
+export type ControlStore = KeyValueStore & Partial<RevisionReader>
+
+/** Options of `ConfigurationStore`. @internal */
+export interface ConfigurationStoreOptions {
+  store: ControlStore
+  key: string
+  /** Returns the configuration of an encoded value that is known to be valid already. */
+  known?: (value: string) => Configuration | undefined
+}
+
+/**
+ * Reads and writes the configuration key. An absent key stands for the empty configuration.
+ * @internal
+ */
+export class ConfigurationStore {
+  private readonly store: ControlStore
+  readonly key: string
+  private readonly known: (value: string) => Configuration | undefined
+  private lastDecoded: StoredConfiguration | undefined
+  private lastInvalid: { modRevision: number, violations: Violation[] } | undefined
+
+  constructor ({ store, key, known = () => undefined }: ConfigurationStoreOptions) {
+    this.store = store
+    this.key = key
+    this.known = known
+  }
+
+  /** Reads the key. A value whose store revision was seen before is not decoded again. */
+  async read (): Promise<Result<StoredConfiguration, StoredConfigurationProblem>> {
+    const stored = await this.store.get(this.key)
+    if (stored.isErr) return Result.err({ kind: 'store-unavailable', reason: stored.error.reason })
+    return this.decode(stored.value)
+  }
+
+  /** Reads the key for a periodic check. Where the store can tell, a value that was decoded last is not fetched again. */
+  async readAgain (): Promise<Result<StoredConfiguration, StoredConfigurationProblem>> {
+    const last = this.lastDecoded
+    if (last === undefined || this.store.getModRevision === undefined) return await this.read()
+    const modRevision = await this.store.getModRevision(this.key)
+    if (modRevision.isErr) return Result.err({ kind: 'store-unavailable', reason: modRevision.error.reason })
+    return modRevision.value === last.modRevision ? Result.ok(last) : await this.read()
+  }
+
+  /** Decodes a value as read, watched or returned by a conflicting write. */
+  decode (stored: StoredValue | undefined): Result<StoredConfiguration, StoredConfigurationProblem> {
+    if (stored === undefined) return Result.ok({ configuration: EMPTY_CONFIGURATION, value: undefined, modRevision: 0 })
+    if (this.lastDecoded?.modRevision === stored.modRevision) return Result.ok(this.lastDecoded)
+    if (this.lastInvalid?.modRevision === stored.modRevision) return Result.err({ kind: 'invalid-document', violations: this.lastInvalid.violations })
+    const known = this.known(stored.value)
+    const decoded: Result<Configuration, Violation[]> = known === undefined ? decodeConfiguration(stored.value) : Result.ok(known)
+    if (decoded.isErr) {
+      this.lastInvalid = { modRevision: stored.modRevision, violations: decoded.error }
+      return Result.err({ kind: 'invalid-document', violations: decoded.error })
+    }
+    this.lastDecoded = { configuration: decoded.value, value: stored.value, modRevision: stored.modRevision }
+    return Result.ok(this.lastDecoded)
+  }
+
+  /** Writes the key if its store revision is still the expected one. */
+  async swap (value: string, expectedModRevision: number): Promise<Result<SwapOutcome, StoreFailure>> {
+    return await this.store.compareAndSwap({ key: this.key, value, expectedModRevision })
+  }
+}
