Name the tests that prove cells of the fault matrix

Ruled out: naming tests for unplanned cold turns, because they prove detection within a few requests and not the invariant itself; claiming every step for a kill under load, because only the wait dominates.

--- a/packages/testbed/src/faults/instanceFaults.test.ts
+++ b/packages/testbed/src/faults/instanceFaults.test.ts
@@ -51,6 +51,14 @@
     await expectChecksToPass()
   })
 
+  it('keep every check at zero when a target is killed and comes back', async () => {
+    await fleet.targets[0]?.kill()
+    await load.untilSucceeded(SOME_CALLS)
+    await fleet.targets[0]?.revive()
+    await load.untilSucceeded(SOME_CALLS)
+    await expectChecksToPass()
+  })
+
   it('keep serving and every check at zero when the store goes down and comes back', async () => {
     fleet.store.faults.down = true
     fleet.store.cutConnections()
--- a/packages/testbed/src/matrix/pairRules.ts
+++ b/packages/testbed/src/matrix/pairRules.ts
@@ -1,7 +1,21 @@
 import type { PairRule } from './MatrixRule.js'
+import { COMMIT, REAL_CHANGE, REAL_COLD, REAL_INSTANCE, REAL_STOP } from './titles.js'
+
+const PER_REQUEST = ['whole-answer', 'true-refusal', 'at-most-once'] as const
+const CHANGE = ['domain-out', 'config-in-force'] as const
+const TWO_FAULTS = `${REAL_INSTANCE} with two faults at the same moment keep every check at zero when`
 
 /**
  * Pairs of faults at the same moment.
  * @internal
  */
-export const PAIR_RULES: readonly PairRule[] = []
+export const PAIR_RULES: readonly PairRule[] = [
+  { invariants: PER_REQUEST, first: ['instance-killed'], second: ['target-killed'], cell: { kind: 'test', titles: [`${TWO_FAULTS} an instance and a target are killed`] } },
+  { invariants: PER_REQUEST, first: ['store-down'], second: ['instance-killed'], cell: { kind: 'test', titles: [`${TWO_FAULTS} the store goes down and an instance is killed`] } },
+  { invariants: PER_REQUEST, first: ['store-down'], second: ['target-killed'], cell: { kind: 'test', titles: [`${TWO_FAULTS} the store goes down and a target is killed`] } },
+  { invariants: PER_REQUEST, first: ['instance-frozen'], second: ['target-answers-late'], cell: { kind: 'test', titles: [`${REAL_INSTANCE} keep every check at zero when one is frozen while targets answer late, and resumed`] } },
+  { invariants: CHANGE, first: ['store-down'], second: ['instance-restarted'], cell: { kind: 'test', titles: [`${REAL_STOP} keeps an accepted change when an instance restarts while the store is down`] } },
+  { invariants: CHANGE, first: ['store-slow'], second: ['instance-killed'], cell: { kind: 'test', titles: [`${REAL_CHANGE} stay in force when the committing instance is killed between the write and its answer`] } },
+  { invariants: ['domain-out'], first: ['store-down'], second: ['instance-killed'], cell: { kind: 'test', titles: [`${COMMIT} the committing instance is killed keeps what was announced out while the store is down, however long that lasts`] } },
+  { invariants: ['cold-allowance'], first: ['instance-frozen'], second: ['instance-killed', 'instance-restarted'], cell: { kind: 'test', titles: [`${REAL_COLD} when an instance is frozen and others killed while they warm up`] } }
+]
--- a/packages/testbed/src/matrix/testRules.ts
+++ b/packages/testbed/src/matrix/testRules.ts
@@ -1,7 +1,54 @@
 import type { MatrixRule } from './MatrixRule.js'
+import { REQUEST_RULES } from './requestRules.js'
+import { CLAIMS, COMMIT, REAL_CHANGE, REAL_COLD, REAL_STOP } from './titles.js'
+
+const KILLED_AFTER_WRITE = `${REAL_CHANGE} stay in force when the committing instance is killed between the write and its answer`
+const LOST_RESPONSE = `${REAL_CHANGE} are accepted once when the response to the write is lost`
+const RACE = `${REAL_CHANGE} are accepted one at a time when operators race, and the loser is told`
+const FROZEN = `${REAL_STOP} sends nothing to a domain that was taken out while an instance was frozen, guarding against use of old knowledge`
+const RESTARTED = `${REAL_STOP} keeps an accepted change when an instance restarts while the store is down`
+const STOP_WITHOUT_STORE = `${REAL_STOP} cuts off no booking by a planned stop while the store is down`
+const COLD_UNDER_FAULTS = `${REAL_COLD} when an instance is frozen and others killed while they warm up`
+const CHANGE = ['domain-out', 'config-in-force'] as const
+
+/** Cells of changes and of the life of instances. */
+const CHANGE_RULES: readonly MatrixRule[] = [
+  { invariants: ['config-in-force'], faults: ['operators-race'], steps: ['plan'], cell: { kind: 'test', titles: [`${COMMIT} operators who race refuses an outdated plan and shows the intervening change`] } },
+  { invariants: CHANGE, faults: ['operators-race'], steps: ['confirm'], cell: { kind: 'test', titles: [RACE, `${COMMIT} operators who race lets one of two simultaneous confirmations win and returns the loser's withdrawals`] } },
+  { invariants: ['config-in-force'], faults: ['operators-race'], steps: ['write'], cell: { kind: 'test', titles: [`${COMMIT} operators who race loses to a change that is written between the announcement and the write`] } },
+  { invariants: ['config-in-force'], faults: ['store-down', 'store-slow'], steps: ['plan', 'confirm'], cell: { kind: 'test', titles: [`${COMMIT} store faults refuses plans and confirmations without effect while the store is down or slow`] } },
+  { invariants: ['config-in-force'], faults: ['store-response-lost'], steps: ['plan'], cell: { kind: 'test', titles: [`${COMMIT} store faults recognises a plan whose stored answer was lost, and refuses one that was not stored`] } },
+  { invariants: CHANGE, faults: ['store-response-lost'], steps: ['answer'], cell: { kind: 'test', titles: [LOST_RESPONSE, `${COMMIT} store faults resolves a lost answer by the change id`] } },
+  { invariants: ['config-in-force'], faults: ['store-stale-read'], steps: ['confirm'], cell: { kind: 'test', titles: [`${COMMIT} store faults does not build on a stale read`] } },
+  { invariants: ['config-in-force'], faults: ['store-stale-read'], steps: ['adopt'], cell: { kind: 'test', titles: ['adopting a configuration from the store neither adopts nor counts a stale read, guarding against old knowledge that passes for fresh'] } },
+  { invariants: ['config-in-force'], faults: ['store-down'], steps: ['join'], cell: { kind: 'test', titles: ['adopting a configuration from peers starts from peers while the store is down, open announcements included'] } },
+  { invariants: CHANGE, faults: ['instance-killed'], steps: ['answer'], cell: { kind: 'test', titles: [KILLED_AFTER_WRITE] } },
+  { invariants: CHANGE, faults: ['instance-killed'], steps: ['write'], cell: { kind: 'test', titles: [`${COMMIT} the committing instance is killed between announcement and write: members return what was announced once a later read shows no change`] } },
+  { invariants: CHANGE, faults: ['instance-killed'], steps: ['notify'], cell: { kind: 'test', titles: [`${COMMIT} the committing instance is killed between write and push: members treat it as out and adopt it without the instance`] } },
+  { invariants: ['config-in-force'], faults: ['instance-frozen'], steps: ['write'], cell: { kind: 'test', titles: [`${COMMIT} store faults gives up when the instance was paused between announcement and write`] } },
+  { invariants: CHANGE, faults: ['instance-frozen'], steps: ['notify', 'adopt'], cell: { kind: 'test', titles: [FROZEN] } },
+  { invariants: ['config-in-force'], faults: ['instance-frozen', 'peers-cut-off'], steps: ['acknowledge'], cell: { kind: 'test', titles: [`${COMMIT} members that do not answer names a member that has not confirmed, and reports in force once it can no longer serve`] } },
+  { invariants: ['config-in-force'], faults: ['peers-cut-off'], steps: ['confirm'], cell: { kind: 'test', titles: [`${COMMIT} members that do not answer refuses without effect when no more than half of the members acknowledge, and names the others`, `${COMMIT} members that do not answer does not report in force from an instance that is cut off from the majority`] } },
+  { invariants: ['config-in-force'], faults: ['peers-cut-off'], steps: ['notify', 'relay', 'adopt'], cell: { kind: 'test', titles: [`${COMMIT} members that do not answer brings a member up to date that was partitioned, by ping and snapshot`] } },
+  { invariants: ['domain-out'], faults: ['peers-cut-off'], steps: ['notify'], cell: { kind: 'test', titles: ['adopting a configuration announcements travel on pings, and so do aborts, guarding against members that a message missed'] } },
+  { invariants: CHANGE, faults: ['instance-restarted'], steps: ['join', 'adopt'], cell: { kind: 'test', titles: [RESTARTED] } },
+  { invariants: ['cold-allowance'], faults: ['instance-killed'], steps: ['own'], cell: { kind: 'test', titles: [COLD_UNDER_FAULTS, `${CLAIMS} holder fails passes to a successor after a crash, after the lease and one request timeout`] } },
+  { invariants: ['cold-allowance'], faults: ['instance-frozen'], steps: ['own'], cell: { kind: 'test', titles: [COLD_UNDER_FAULTS, `${CLAIMS} holder fails is not used by a frozen holder that resumes, guarding against two holders`] } },
+  { invariants: ['cold-allowance'], faults: ['store-down'], steps: ['own', 'renew'], cell: { kind: 'test', titles: [`${CLAIMS} store fails keeps the claim until the lease deadline and then sends nothing, guarding against a claim without a lease`] } },
+  { invariants: ['cold-allowance'], faults: ['store-response-lost'], steps: ['own'], cell: { kind: 'test', titles: [`${CLAIMS} store fails resolves an acquire whose answer was lost by reading back`] } },
+  { invariants: ['cold-allowance'], faults: ['store-slow'], steps: ['own'], cell: { kind: 'test', titles: [`${CLAIMS} store fails resolves an acquire that takes effect after the time-out`] } },
+  { invariants: ['cold-allowance'], faults: ['store-slow'], steps: ['renew'], cell: { kind: 'test', titles: ['Registry when the store is slow or loses answers measures the lease from before the renewal was sent, guarding against a deadline beyond that of the store'] } },
+  { invariants: ['cold-allowance'], faults: ['lease-expired-while-paused'], steps: ['renew'], cell: { kind: 'test', titles: ['Registry when a lease lapses is not held after a freeze, from the first moment on'] } },
+  { invariants: ['cold-allowance'], faults: ['peers-cut-off'], steps: ['own'], cell: { kind: 'test', titles: ['ColdClaims when views differ has one holder although each instance believes to be the only one'] } },
+  { invariants: ['cold-allowance'], faults: ['store-down'], steps: ['join'], cell: { kind: 'test', titles: ['WarmthSync starts from a peer during a store outage'] } },
+  { invariants: ['planned-stop'], faults: ['store-down'], steps: ['hand-over', 'stop'], cell: { kind: 'test', titles: [STOP_WITHOUT_STORE, 'PlannedStop ends although the store is down, and reports what it could not hand over'] } },
+  { invariants: ['planned-stop'], faults: ['peers-cut-off'], steps: ['stop'], cell: { kind: 'test', titles: ['PlannedStop waits for a member that has not heard of it, guarding against lists given out behind its back'] } },
+  { invariants: ['measuring-budget'], faults: ['peers-cut-off'], steps: ['own'], cell: { kind: 'test', titles: ['budgets ProbeBudget stays within one percent of the slot time when every instance believes to be the measurer, guarding against differing views'] } },
+  { invariants: ['measuring-budget'], faults: ['target-turns-cold'], steps: ['own'], cell: { kind: 'test', titles: ['budgets ProbeBudget leaves a cold target to the holder of its claim, guarding against probes beyond its allowance'] } }
+]
 
 /**
  * Cells that are proved by a test.
  * @internal
  */
-export const TEST_RULES: readonly MatrixRule[] = []
+export const TEST_RULES: readonly MatrixRule[] = [...REQUEST_RULES, ...CHANGE_RULES]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,7 +79,7 @@
   start "$instance" node packages/daemon/dist/main.js --settings "$directory/$instance.json"
 done
 health_urls=()
-for url in $operator_urls; do health_urls+=("$url/healthz"); done
+for url in $operator_urls; do health_urls+=("$url/readyz"); done
 wait_for "${health_urls[@]}"
 
 CAROBPITCH_TOKEN=$(cat "$directory/operator-token")
