--- a/packages/testbed/src/bench/domainOut.ts
+++ b/packages/testbed/src/bench/domainOut.ts
@@ -9,6 +9,7 @@
 import { checkEvidence } from '../checks/checkEvidence.js'
 import type { Evidence } from '../checks/Evidence.js'
 import type { OperatorEvent } from '../deployment/OperatorEvent.js'
+import { countFailures } from './countFailures.js'
 import { formatSummary } from './formatSummary.js'
 import { phasesOf } from './phases.js'
 import { plotSvg } from './plotSvg.js'
@@ -31,12 +32,13 @@
 const timeline = timelineOf(evidence.calls, startEpochMs)
 const phases = phasesOf(evidence.calls, events, startEpochMs)
 const checks = checkEvidence(evidence)
-console.log(formatSummary({ timeline, phases, checks, events, startEpochMs, skippedCount }))
+const failures = countFailures(evidence.calls)
+console.log(formatSummary({ timeline, phases, checks, failures, events, startEpochMs, skippedCount }))
 if (options.reports !== undefined) {
   mkdirSync(options.reports, { recursive: true })
   const base = join(options.reports, `domain-out-${options.name}`)
   const marks = events.map(({ atEpochMs, kind, failureDomain }) => ({ atMs: atEpochMs - startEpochMs, label: `${kind} ${failureDomain}` }))
-  writeFileSync(`${base}.json`, `${JSON.stringify({ deployment: options.name, skippedCount, marks, phases, checks, timeline }, null, 1)}\n`)
+  writeFileSync(`${base}.json`, `${JSON.stringify({ deployment: options.name, skippedCount, marks, phases, failures, checks, timeline }, null, 1)}\n`)
   writeFileSync(`${base}.svg`, plotSvg(`${options.name}: service while a failure domain leaves and returns`, timeline, marks))
   console.log(`report: ${base}.json ${base}.svg`)
 }
--- a/packages/testbed/src/bench/formatSummary.ts
+++ b/packages/testbed/src/bench/formatSummary.ts
@@ -11,6 +11,8 @@
   timeline: readonly PeriodSummary[]
   phases: readonly Phase[]
   checks: readonly CheckResult[]
+  /** Failed calls by service and reason. */
+  failures: Readonly<Record<string, number>>
   events: readonly OperatorEvent[]
   startEpochMs: number
   skippedCount: number
@@ -21,7 +23,7 @@
 const SHOWN_AFTER_MS = 1_500
 
 /** Formats the phases, the buckets around each event and the checks as text. @internal */
-export function formatSummary ({ timeline, phases, checks, events, startEpochMs, skippedCount }: Summary): string {
+export function formatSummary ({ timeline, phases, checks, failures, events, startEpochMs, skippedCount }: Summary): string {
   const lines = [row(['phase', 'calls', 'ok', 'not-run', 'unclear', 'p50 ms', 'p99 ms'])]
   for (const phase of phases) lines.push(periodRow(phase.name, phase))
   for (const { atEpochMs, kind, failureDomain } of events) {
@@ -34,6 +36,7 @@
   }
   lines.push('')
   if (skippedCount > 0) lines.push(`calls not made because too many were open: ${skippedCount}`)
+  for (const [failure, count] of Object.entries(failures)) lines.push(`failed calls ${failure}: ${count}`)
   for (const { name, count, examples } of checks) lines.push(`check ${name}: ${count}${count > 0 ? ` (${examples.join('; ')})` : ''}`)
   return lines.join('\n')
 }
--- a/packages/testbed/src/faults/changeFaults.test.ts
+++ b/packages/testbed/src/faults/changeFaults.test.ts
@@ -89,4 +89,45 @@
     await recordOut('north')
     await expectChecksToPass()
   })
+
+  it('reach an instance that is cut off from the store', async () => {
+    fleet.storeLinks[2]?.set('cut')
+    const changeId = await fleet.plan(0, 'take-domain-out', 'north')
+    expect(await fleet.runTool(0, ['confirm', changeId, '--wait', '40'])).to.have.property('status', IN_FORCE)
+    await fleet.untilRevision(2)
+    await recordOut('north')
+    await expectChecksToPass()
+  })
+
+  describe('with two faults at the same moment', () => {
+    it('are accepted one at a time when operators race and a response of the store is lost', async () => {
+      const plans = [await fleet.plan(0, 'take-domain-out', 'north'), await fleet.plan(1, 'take-domain-out', 'east')]
+      Object.assign(fleet.store.faults, { loseAnswers: 1, loseAnswersTo: '/v3/kv/txn' })
+      const results = await Promise.all(plans.map((changeId, index) => fleet.runTool(index, ['confirm', changeId, '--wait', '40'])))
+      const accepted = results.filter(({ status }) => status !== OUTDATED)
+      expect(accepted.map(({ status }) => status)).to.have.length(1)
+      expect(accepted[0]?.status).to.be.oneOf([IN_FORCE, OUTCOME_UNKNOWN, NOT_YET_IN_FORCE])
+      await fleet.untilRevision(2)
+      await recordOut(results[0] === accepted[0] ? 'north' : 'east')
+      await expectChecksToPass()
+    })
+
+    it('stay in force when one instance is frozen and the committing one killed after the write', async () => {
+      const changeId = await fleet.plan(0, 'take-domain-out', 'north')
+      const untilWritten = await fleet.watchConfiguration()
+      fleet.store.faults.delayMs = 500
+      const confirmed = fleet.runTool(0, ['confirm', changeId, '--wait', '0'])
+      await untilWritten()
+      instanceAt(1).freeze()
+      await instanceAt(0).kill()
+      fleet.store.faults.delayMs = 0
+      await confirmed
+      await fleet.untilRevision(2, { except: [1] })
+      await load.untilCurrentCallsEnd()
+      instanceAt(1).resume()
+      await fleet.untilRevision(2)
+      await recordOut('north')
+      await expectChecksToPass()
+    })
+  })
 })
--- a/packages/testbed/src/matrix/pairRules.ts
+++ b/packages/testbed/src/matrix/pairRules.ts
@@ -16,6 +16,8 @@
   { invariants: PER_REQUEST, first: ['instance-frozen'], second: ['target-answers-late'], cell: { kind: 'test', titles: [`${REAL_INSTANCE} keep every check at zero when one is frozen while targets answer late, and resumed`] } },
   { invariants: CHANGE, first: ['store-down'], second: ['instance-restarted'], cell: { kind: 'test', titles: [`${REAL_STOP} keeps an accepted change when an instance restarts while the store is down`] } },
   { invariants: CHANGE, first: ['store-slow'], second: ['instance-killed'], cell: { kind: 'test', titles: [`${REAL_CHANGE} stay in force when the committing instance is killed between the write and its answer`] } },
+  { invariants: CHANGE, first: ['operators-race'], second: ['store-response-lost'], cell: { kind: 'test', titles: [`${REAL_CHANGE} with two faults at the same moment are accepted one at a time when operators race and a response of the store is lost`] } },
+  { invariants: CHANGE, first: ['instance-frozen'], second: ['instance-killed'], cell: { kind: 'test', titles: [`${REAL_CHANGE} with two faults at the same moment stay in force when one instance is frozen and the committing one killed after the write`] } },
   { invariants: ['domain-out'], first: ['store-down'], second: ['instance-killed'], cell: { kind: 'test', titles: [`${COMMIT} the committing instance is killed keeps what was announced out while the store is down, however long that lasts`] } },
   { invariants: ['cold-allowance'], first: ['instance-frozen'], second: ['instance-killed', 'instance-restarted'], cell: { kind: 'test', titles: [`${REAL_COLD} when an instance is frozen and others killed while they warm up`] } }
 ]
--- a/packages/testbed/src/matrix/testRules.ts
+++ b/packages/testbed/src/matrix/testRules.ts
@@ -4,6 +4,7 @@
 
 const KILLED_AFTER_WRITE = `${REAL_CHANGE} stay in force when the committing instance is killed between the write and its answer`
 const LOST_RESPONSE = `${REAL_CHANGE} are accepted once when the response to the write is lost`
+const CUT_FROM_STORE = `${REAL_CHANGE} reach an instance that is cut off from the store`
 const RACE = `${REAL_CHANGE} are accepted one at a time when operators race, and the loser is told`
 const FROZEN = `${REAL_STOP} sends nothing to a domain that was taken out while an instance was frozen, guarding against use of old knowledge`
 const RESTARTED = `${REAL_STOP} keeps an accepted change when an instance restarts while the store is down`
@@ -30,6 +31,7 @@
   { invariants: ['config-in-force'], faults: ['instance-frozen', 'peers-cut-off'], steps: ['acknowledge'], cell: { kind: 'test', titles: [`${COMMIT} members that do not answer names a member that has not confirmed, and reports in force once it can no longer serve`] } },
   { invariants: ['config-in-force'], faults: ['peers-cut-off'], steps: ['confirm'], cell: { kind: 'test', titles: [`${COMMIT} members that do not answer refuses without effect when no more than half of the members acknowledge, and names the others`, `${COMMIT} members that do not answer does not report in force from an instance that is cut off from the majority`] } },
   { invariants: ['config-in-force'], faults: ['peers-cut-off'], steps: ['notify', 'relay', 'adopt'], cell: { kind: 'test', titles: [`${COMMIT} members that do not answer brings a member up to date that was partitioned, by ping and snapshot`] } },
+  { invariants: CHANGE, faults: ['store-down'], steps: ['notify', 'adopt'], cell: { kind: 'test', titles: [CUT_FROM_STORE] } },
   { invariants: ['domain-out'], faults: ['peers-cut-off'], steps: ['notify'], cell: { kind: 'test', titles: ['adopting a configuration announcements travel on pings, and so do aborts, guarding against members that a message missed'] } },
   { invariants: CHANGE, faults: ['instance-restarted'], steps: ['join', 'adopt'], cell: { kind: 'test', titles: [RESTARTED] } },
   { invariants: ['cold-allowance'], faults: ['instance-killed'], steps: ['own'], cell: { kind: 'test', titles: [COLD_UNDER_FAULTS, `${CLAIMS} holder fails passes to a successor after a crash, after the lease and one request timeout`] } },
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,6 +31,7 @@
 events=$directory/events
 touch "$events"
 pids=()
+names=()
 
 # Stops everything that was started, by process id: first politely, then for certain.
 stop_all () {
@@ -54,6 +55,7 @@
   shift
   "$@" >"$directory/$name.log" 2>&1 &
   pids+=($!)
+  names+=("$name")
 }
 
 # wait_for <urls...>
@@ -63,8 +65,6 @@
   exit 1
 }
 
-now_ms () { date +%s%3N; }
-
 eval "$(node $programs/prepare.js --deployment "$file" --instances "$instance_count" --directory "$directory")"
 
 echo "== starting $deployment: store, instance list, targets in $failure_domains, $instance_count instances"
@@ -105,7 +105,6 @@
   echo "$output"
   plan=$(echo "$output" | grep -oE 'carobpitch confirm [A-Za-z0-9._-]+' | head -1 | cut -d' ' -f3)
   echo "== carobpitch confirm $plan"
-  at=$(now_ms)
   # Status 7: accepted, not yet in force everywhere.
   local confirm_status=0
   tool confirm "$plan" --wait 5 || confirm_status=$?
@@ -113,19 +112,32 @@
     echo "not accepted; the failure domain stays as it is"
     return 1
   fi
+  # The time of acceptance, because the start of the tool itself can take seconds on a busy machine.
+  at=$(tool --json history | grep -oE '"acceptedAtEpochMs": *[0-9]+' | head -n 1 | grep -oE '[0-9]+$')
   echo "$at $2 $demo_failure_domain" >>"$events"
 }
 
-change take-domain-out domain-out || true
-sleep 4
-echo "== targets in $demo_failure_domain restart and are cold"
-node $programs/controlTargets.js --deployment "$file" --failure-domain "$demo_failure_domain" --action cold
-sleep 3
-change return-domain domain-in || true
+status=0
+if change take-domain-out domain-out; then
+  sleep 4
+  echo "== targets in $demo_failure_domain restart and are cold"
+  node $programs/controlTargets.js --deployment "$file" --failure-domain "$demo_failure_domain" --action cold
+  sleep 3
+  change return-domain domain-in || status=1
+else
+  status=1
+fi
 
 wait "$load_pid"
+for index in "${!pids[@]}"; do
+  [ "${pids[$index]}" = "$load_pid" ] && continue
+  if ! kill -0 "${pids[$index]}" 2>/dev/null; then
+    echo "process ${names[$index]} has ended; its log:"
+    tail -n 20 "$directory/${names[$index]}.log"
+    status=1
+  fi
+done
 echo "== summary"
-status=0
 node packages/testbed/dist/bench/domainOut.js --evidence "$directory/evidence.json" --name "$deployment" ${CAROBPITCH_REPORTS:+--reports "$CAROBPITCH_REPORTS"} || status=$?
 echo "== stopping ${#pids[@]} processes by their ids"
 exit $status
