--- a/packages/routing/src/ProbeBudget.ts
+++ b/packages/routing/src/ProbeBudget.ts
@@ -54,8 +54,10 @@
  */
 export class ProbeBudget {
   private readonly options: ProbeBudgetOptions
-  /** Earliest time for the next look at a target. */
-  private readonly nextAtMs = new Map<TargetId, number>()
+  /** Earliest time for the next probe of a target, by the budget. */
+  private readonly nextProbeAtMs = new Map<TargetId, number>()
+  /** Earliest time to rank the members again for a target that another instance measures. */
+  private readonly nextRankAtMs = new Map<TargetId, number>()
   private probes = 0
 
   constructor (options: ProbeBudgetOptions) {
@@ -65,13 +67,9 @@
   /** Takes the right to probe a target now. */
   take (candidate: ProbeCandidate): boolean {
     const nowMs = performance.now()
-    const { targetId, isCold, slots } = candidate
-    if (nowMs < (this.nextAtMs.get(targetId) ?? 0)) return false
-    if (!this.isMeasurer(candidate)) {
-      if (!isCold) this.nextAtMs.set(targetId, nowMs + RANK_INTERVAL_MS)
-      return false
-    }
-    this.nextAtMs.set(targetId, nowMs + probeIntervalMinMs({ instancesMax: this.options.instancesMax, slots }))
+    const { targetId, slots } = candidate
+    if (nowMs < (this.nextProbeAtMs.get(targetId) ?? 0) || !this.isMeasurer(candidate, nowMs)) return false
+    this.nextProbeAtMs.set(targetId, nowMs + probeIntervalMinMs({ instancesMax: this.options.instancesMax, slots }))
     this.probes += 1
     return true
   }
@@ -83,8 +81,10 @@
 
   /** Forgets targets that were removed. */
   retain (targetIds: ReadonlySet<TargetId>): void {
-    for (const id of this.nextAtMs.keys()) {
-      if (!targetIds.has(id)) this.nextAtMs.delete(id)
+    for (const times of [this.nextProbeAtMs, this.nextRankAtMs]) {
+      for (const id of times.keys()) {
+        if (!targetIds.has(id)) times.delete(id)
+      }
     }
   }
 
@@ -94,10 +94,13 @@
   }
 
   /** A cold target is measured by the holder of its claim alone, because a probe uses its allowance. */
-  private isMeasurer ({ targetId, isCold, isSuspect, holdsClaim }: ProbeCandidate): boolean {
+  private isMeasurer ({ targetId, isCold, isSuspect, holdsClaim }: ProbeCandidate, nowMs: number): boolean {
     if (isCold) return holdsClaim
     // The interval keeps the budget even if every instance suspects the target.
     if (isSuspect) return true
-    return measurerOf(targetId, this.options.members()) === this.options.instanceId
+    if (nowMs < (this.nextRankAtMs.get(targetId) ?? 0)) return false
+    if (measurerOf(targetId, this.options.members()) === this.options.instanceId) return true
+    this.nextRankAtMs.set(targetId, nowMs + RANK_INTERVAL_MS)
+    return false
   }
 }
