--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -8,6 +8,8 @@
 import type { WarmthTable } from './WarmthTable.js'
 import { isInService, type AnnouncedWithdrawals } from './Withdrawals.js'
 
+/** Time after its deadline by which a target has dropped a request: network delay and the target's own timers. */
+const DROP_GRACE_MS = 100
 /** Limit of a target in trial after an ejection. */
 const TRIAL_LIMIT = 1
 
@@ -19,6 +21,7 @@
   readonly view: TargetView
   readonly epoch: string
   readonly sentAtMs: number
+  readonly deadlineAtMs: number
   readonly inFlightAtSend: number
 }
 
@@ -31,6 +34,8 @@
   absence: AbsenceTracker
   policy: RoutingPolicy
   random: () => number
+  /** Whether probes find absent targets; otherwise each instance has to try them with requests. */
+  isProbing: boolean
 }
 
 /** What one instance knows of one target beyond its view. */
@@ -40,7 +45,8 @@
   isInService: boolean
   /** Revision at which the target was last brought in when it was seen draining; undefined if it is not draining. */
   drainingSinceRevision: number | undefined
-  lastOutcomeAtMs: number
+  /** Time of the last outcome of a request or a probe. */
+  lastSignalAtMs: number
 }
 
 /**
@@ -131,7 +137,7 @@
   }
 
   /** Chooses a target with room and counts an attempt at it. */
-  begin (exclude: ReadonlySet<TargetId>): Attempt | undefined {
+  begin (exclude: ReadonlySet<TargetId>, deadlineAtMs: number): Attempt | undefined {
     const candidates: TargetView[] = []
     for (const { view } of this.states.values()) {
       if (hasRoom(view) && !exclude.has(view.targetId)) candidates.push(view)
@@ -139,13 +145,13 @@
     const view = this.options.policy(candidates, this.options.random)
     if (view === undefined) return undefined
     view.inFlight += 1
-    return { view, epoch: this.options.warmth.epochOf(view.targetId), sentAtMs: performance.now(), inFlightAtSend: view.inFlight }
+    return { view, epoch: this.options.warmth.epochOf(view.targetId), sentAtMs: performance.now(), deadlineAtMs, inFlightAtSend: view.inFlight }
   }
 
   /** Takes the outcome of an attempt. Returns for how long it occupied the target. */
   end (attempt: Attempt, outcome: AttemptOutcome): number {
     const { view } = attempt
-    view.inFlight -= 1
+    this.free(attempt, outcome)
     const nowMs = performance.now()
     const heldMs = nowMs - attempt.sentAtMs
     // A response that the caller reads slowly says nothing about the target, nor does time spent in the queue.
@@ -153,7 +159,7 @@
     if (outcome.reportedLoad !== undefined) view.reportedLoad = outcome.reportedLoad
     const state = this.states.get(view.targetId)
     if (state?.view !== view) return heldMs
-    state.lastOutcomeAtMs = nowMs
+    state.lastSignalAtMs = nowMs
     if (outcome.draining === true) this.noteDraining(view.targetId)
     this.learn(state, attempt, { ...outcome, elapsedMs })
     return heldMs
@@ -171,6 +177,7 @@
   noteProbe (targetId: TargetId, result: { kind: 'healthy' | 'draining' | 'failed', reportedLoad?: number }): void {
     const state = this.states.get(targetId)
     if (state === undefined) return
+    state.lastSignalAtMs = performance.now()
     if (result.reportedLoad !== undefined) state.view.reportedLoad = result.reportedLoad
     switch (result.kind) {
       case 'draining': this.noteDraining(targetId)
@@ -186,13 +193,19 @@
   needsProbe (targetId: TargetId, idleAfterMs: number): boolean {
     const state = this.states.get(targetId)
     if (state === undefined || !state.isInService) return false
-    if (state.drainingSinceRevision !== undefined || this.options.absence.isAbsent(targetId)) return true
-    return state.view.inFlight === 0 && performance.now() - state.lastOutcomeAtMs >= idleAfterMs
+    if (this.isSuspect(targetId)) return true
+    return state.view.inFlight === 0 && performance.now() - state.lastSignalAtMs >= idleAfterMs
+  }
+
+  /** Whether this instance itself saw the target draining or absent. */
+  isSuspect (targetId: TargetId): boolean {
+    return this.states.get(targetId)?.drainingSinceRevision !== undefined || this.options.absence.isAbsent(targetId)
   }
 
   /** Follows a change of a target's warmth. */
   noteWarmthChange (targetId: TargetId): void {
     this.states.get(targetId)?.detector.reset()
+    this.options.absence.forget(targetId)
     this.ejection.reset(targetId)
   }
 
@@ -215,8 +228,23 @@
     return { targets: Object.fromEntries(targets), ejection: this.ejection.dump() }
   }
 
+  /**
+   * Frees the place of an attempt. A request that ended without a response may still run at the target until its
+   * deadline; at a target that is not warm it keeps its place until then, because the next one would be one too many.
+   */
+  private free ({ view, deadlineAtMs }: Attempt, { kind }: AttemptOutcome): void {
+    const mayStillRun = kind === 'cancelled' || kind === 'timed-out' || kind === 'failed'
+    if (!mayStillRun || this.options.warmth.stateOf(view.targetId) === 'warm') {
+      view.inFlight -= 1
+      return
+    }
+    setTimeout(() => { view.inFlight -= 1 }, Math.max(0, deadlineAtMs - performance.now()) + DROP_GRACE_MS)
+  }
+
   private limitOf ({ view, isInService, drainingSinceRevision }: TargetState): number {
     if (!isInService || drainingSinceRevision !== undefined) return 0
+    // A target that was killed returns cold. If all instances tried it at once, it would get more than its allowance.
+    if (this.options.isProbing && this.options.absence.isAbsent(view.targetId)) return 0
     const warmLimit = this.options.warmth.limitOf(view.targetId)
     switch (this.ejection.stateOf(view.targetId)) {
       case 'in': return warmLimit
@@ -276,7 +304,7 @@
     const wasAbsent = this.options.absence.noteResponse(targetId)
     const wasDraining = state.drainingSinceRevision !== undefined
     state.drainingSinceRevision = undefined
-    state.lastOutcomeAtMs = performance.now()
+    state.lastSignalAtMs = performance.now()
     if (wasAbsent || wasDraining) this.options.warmth.noteColdTurn(targetId, this.options.warmth.epochOf(targetId))
   }
 }
@@ -287,6 +315,6 @@
     detector: new ColdTurnDetector(),
     isInService: false,
     drainingSinceRevision: undefined,
-    lastOutcomeAtMs: performance.now()
+    lastSignalAtMs: performance.now()
   }
 }
