--- a/packages/control/src/commit.test.ts
+++ b/packages/control/src/commit.test.ts
@@ -158,6 +158,19 @@
       expect(await confirm(second, changeId)).to.include({ kind: 'accepted' })
     })
 
+    it('does not call a write failed that takes effect after its answer was lost, and does not return what it withdrew meanwhile', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.faults.lateRequests = 1
+      expect(await confirm(first, changeId)).to.include({ kind: 'outcome-unknown', effect: 'unknown' })
+      for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += 100) {
+        await clock.tickAsync(100)
+        const uninformed = cluster.nodes.filter(node => node.revision < 4 && node.withdrawn.failureDomains.length === 0)
+        expect(uninformed.map(({ instanceId }) => instanceId)).to.deep.equal([])
+      }
+      expect(cluster.nodes.map(node => node.revision)).to.deep.equal([4, 4, 4, 4, 4])
+      expect((await settle(clock, second.control.actions.status(changeId))).kind).to.equal('accepted')
+    })
+
     it('refuses plans and confirmations without effect while the store is down or slow', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.store.setDown(true)
@@ -180,6 +193,30 @@
       expect(stored().revision).to.equal(4)
     })
 
+    it('gives up when the instance was paused between announcement and write', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.callDelayMs = 4_000
+      const outcome = first.control.actions.confirm(changeId, 'aya')
+      expect(await settle(clock, outcome)).to.include({ kind: 'store-unavailable', effect: 'none' })
+      expect(stored().revision).to.equal(3)
+      cluster.callDelayMs = 2
+    })
+
+    it('says that the key has vanished instead of naming a winner that does not exist', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.beforeSwap = () => {
+        cluster.store.beforeSwap = () => {}
+        cluster.store.remove(TEST_KEY)
+      }
+      expect(await confirm(first, changeId)).to.deep.include({ kind: 'store-unavailable', effect: 'none' })
+    })
+
+    it('recognises a plan whose stored answer was lost, and refuses one that was not stored', async () => {
+      cluster.store.faults.losePlanAnswers = 1
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      expect(await confirm(first, changeId)).to.include({ kind: 'accepted' })
+    })
+
     it('refuses to build on an invalid document or on a key that vanished', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.store.put(TEST_KEY, encodeConfiguration({ ...makeConfiguration({ revision: 9 }), services: {} }))
@@ -215,6 +252,25 @@
       expect(late.progress).to.deep.include({ inForce: true, cannotServe: ['entry-5'] })
     })
 
+    it('does not count the confirmation of a member that has restarted since', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      await confirm(first, changeId)
+      await clock.tickAsync(1_000)
+      cluster.node(5).incarnation += 1
+      const { progress } = await settle(clock, first.control.actions.status(changeId))
+      expect(progress?.waiting.map(({ instanceId }) => instanceId)).to.deep.equal(['entry-5'])
+    })
+
+    it('does not report in force from an instance that is cut off from the majority', async () => {
+      const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
+      cluster.store.afterSwap = () => cluster.isolate(first)
+      await confirm(first, changeId)
+      await clock.tickAsync(10_000)
+      const status = await settle(clock, first.control.actions.status(changeId))
+      expect(status.progress).to.deep.include({ inForce: false, confirmed: ['entry-1'] })
+      expect((await settle(clock, second.control.actions.status(changeId))).progress?.confirmed).to.include('entry-2')
+    })
+
     it('brings a member up to date that was partitioned, by ping and snapshot', async () => {
       const { changeId } = await plan(first, TAKE_FUKUOKA_OUT)
       cluster.node(5).isStoreReader = false
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -14,7 +14,6 @@
 import { FakeStore } from './FakeStore.js'
 
 const PING_INTERVAL_MS = 500
-const CALL_DELAY_MS = 2
 const CALL_TIMEOUT_MS = 1_000
 
 /** Key of the configuration in tests. @internal */
@@ -33,6 +32,7 @@
   readonly storeReadsAtMs: number[] = []
   isStoreReader = true
   isDead = false
+  incarnation = 0
   piggyback: ControlPiggyback | undefined
   private readonly cluster: FakeCluster
 
@@ -63,7 +63,7 @@
   record (): MemberRecord {
     return {
       instanceId: this.instanceId,
-      incarnation: 0,
+      incarnation: this.incarnation,
       failureDomain: failureDomainIdSchema.parse('fukuoka'),
       callerUrl: '',
       peerUrl: '',
@@ -100,6 +100,8 @@
 export class FakeCluster {
   readonly store = new FakeStore()
   readonly nodes: FakeNode[] = []
+  /** Delay of each call between instances. */
+  callDelayMs = 2
   /** Pairs of instances, as `a|b`, that cannot reach each other. */
   private readonly cuts = new Set<string>()
   private readonly timers: NodeJS.Timeout[] = []
@@ -156,7 +158,7 @@
   async callPeer<Value> (from: FakeNode, to: InstanceId, run: (control: ControlService) => Value): Promise<Result<Value, PeerFailure>> {
     const target = this.nodes.find(node => node.instanceId === to)
     if (target === undefined || !this.canReach(from, target)) return await fail()
-    await sleep(CALL_DELAY_MS)
+    await sleep(this.callDelayMs)
     if (!this.canReach(from, target)) return await fail()
     return Result.ok(run(target.control))
   }
--- a/packages/control/src/testing/FakeStore.ts
+++ b/packages/control/src/testing/FakeStore.ts
@@ -1,6 +1,6 @@
 /** A `KeyValueStore` in memory with faults, for tests on a paused clock. */
 import { Result } from 'true-myth'
-import type { KeyValueStore, Lease, StoredValue, StoreFailure, SwapOptions, SwapOutcome, Watch, WatchListener } from '@carobpitch/store'
+import type { KeyValueStore, Lease, RevisionReader, StoredValue, StoreFailure, SwapOptions, SwapOutcome, Watch, WatchListener } from '@carobpitch/store'
 
 /** Faults of the fake store. @internal */
 export interface FakeStoreFaults {
@@ -8,27 +8,35 @@
   down: boolean
   /** Delay before each answer; above `timeoutMs` the answer is lost. */
   delayMs: number
-  /** Coming writes that take effect and whose answer is lost. */
+  /** Coming writes of the configuration that take effect and whose answer is lost. */
   loseAnswers: number
-  /** Coming writes that are lost before they take effect, without the caller knowing. */
+  /** Coming writes of the configuration that are lost before they take effect, without the caller knowing. */
   loseRequests: number
+  /** Coming writes of the configuration that take effect `LATE_MS` after the caller saw a failure. */
+  lateRequests: number
+  /** Coming writes of other keys that take effect and whose answer is lost. */
+  losePlanAnswers: number
   /** Answers reads with the previous value of each key that has one. */
   stale: boolean
 }
 
+const LATE_MS = 3_000
+
 interface Watcher {
   prefix: string
   listener: WatchListener
 }
 
 /** A `KeyValueStore` in memory. @internal */
-export class FakeStore implements KeyValueStore {
-  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, stale: false }
+export class FakeStore implements KeyValueStore, RevisionReader {
+  readonly faults: FakeStoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseRequests: 0, lateRequests: 0, losePlanAnswers: 0, stale: false }
   /** Runs before each swap takes effect, so that a test can race or cut at this step. */
   beforeSwap: (options: SwapOptions) => void = () => {}
   /** Runs after each swap took effect and before it is answered. */
   afterSwap: (options: SwapOptions) => void = () => {}
   calls = 0
+  /** Reads that returned a value. */
+  valueReads = 0
   private readonly values = new Map<string, StoredValue>()
   private readonly previous = new Map<string, StoredValue>()
   private readonly leases = new Map<string, string[]>()
@@ -37,7 +45,14 @@
   private readonly timeoutMs = 1_000
 
   async get (key: string): Promise<Result<StoredValue | undefined, StoreFailure>> {
-    return await this.answer(() => (this.faults.stale ? this.previous.get(key) : undefined) ?? this.values.get(key))
+    return await this.answer(() => {
+      this.valueReads += 1
+      return this.visible(key)
+    })
+  }
+
+  async getModRevision (key: string): Promise<Result<number, StoreFailure>> {
+    return await this.answer(() => this.visible(key)?.modRevision ?? 0)
   }
 
   async list (prefix: string): Promise<Result<StoredValue[], StoreFailure>> {
@@ -45,7 +60,7 @@
   }
 
   async compareAndSwap (options: SwapOptions): Promise<Result<SwapOutcome, StoreFailure>> {
-    return await this.answer(() => this.swap(options), true)
+    return await this.answer(() => this.swap(options), options.key.endsWith('/configuration') ? 'configuration' : 'plan')
   }
 
   async grantLease (ttlMs: number): Promise<Result<Lease, StoreFailure>> {
@@ -88,26 +103,44 @@
     this.write({ key, value, expectedModRevision: this.values.get(key)?.modRevision ?? 0 })
   }
 
+  /** Deletes a key. */
+  remove (key: string): void {
+    this.values.delete(key)
+  }
+
   /** Value of a key, past all faults. */
   peek (key: string): string | undefined {
     return this.values.get(key)?.value
   }
 
-  private async answer<Value> (apply: () => Value, isWrite = false): Promise<Result<Value, StoreFailure>> {
+  private visible (key: string): StoredValue | undefined {
+    return (this.faults.stale ? this.previous.get(key) : undefined) ?? this.values.get(key)
+  }
+
+  private async answer<Value> (apply: () => Value, write?: 'configuration' | 'plan'): Promise<Result<Value, StoreFailure>> {
     this.calls += 1
     if (this.faults.down) return Result.err({ effect: 'none', reason: 'connection refused' })
-    if (isWrite && this.faults.loseRequests > 0) {
+    if (write === 'configuration' && this.faults.loseRequests > 0) {
       this.faults.loseRequests -= 1
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
     }
+    if (write === 'configuration' && this.faults.lateRequests > 0) {
+      this.faults.lateRequests -= 1
+      setTimeout(apply, LATE_MS)
+      return Result.err({ effect: 'unknown', reason: 'connection reset' })
+    }
     const value = apply()
     const { delayMs } = this.faults
     if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, Math.min(delayMs, this.timeoutMs)))
     if (delayMs > this.timeoutMs) return Result.err({ effect: 'unknown', reason: 'timeout' })
-    if (isWrite && this.faults.loseAnswers > 0) {
+    if (write === 'configuration' && this.faults.loseAnswers > 0) {
       this.faults.loseAnswers -= 1
       return Result.err({ effect: 'unknown', reason: 'connection reset' })
     }
+    if (write === 'plan' && this.faults.losePlanAnswers > 0) {
+      this.faults.losePlanAnswers -= 1
+      return Result.err({ effect: 'unknown', reason: 'connection reset' })
+    }
     return Result.ok(value)
   }
 
--- /dev/null
+++ b/packages/daemon/src/registerRequestPlane.ts
@@ -0,0 +1,66 @@
+import { readListedInstances } from '@carobpitch/membership'
+import { CallerListener } from '@carobpitch/proxy'
+import { routingPolicyOf, Scheduler, type ProbeResult, type TargetView } from '@carobpitch/routing'
+import type { DaemonContext } from './DaemonContext.js'
+import { LoadMeter } from './LoadMeter.js'
+import { probeTarget } from './probeTarget.js'
+import { TargetDepartures } from './TargetDepartures.js'
+
+declare module '@carobpitch/kernel' {
+  interface ServiceMap {
+    scheduler: Scheduler
+    load: LoadMeter
+    departures: TargetDepartures
+    'caller-listener': CallerListener
+  }
+}
+
+/** Registers the scheduler and what measures its targets. @internal */
+export function registerScheduler ({ settings, kernel, log, configuration }: DaemonContext): void {
+  const membership = kernel.get('membership')
+  const scheduler = new Scheduler({
+    configuration,
+    warmth: kernel.get('warmth'),
+    policy: routingPolicyOf(settings.routing.policy),
+    probing: {
+      instanceId: settings.instanceId,
+      instancesMax: settings.instancesMax,
+      members: () => membership.members().map(({ instanceId }) => instanceId),
+      send: async (target: TargetView): Promise<ProbeResult> => {
+        const service = configuration.current().services[target.configuration.service]
+        return service === undefined ? { kind: 'failed' } : await probeTarget(target, service.probePath)
+      }
+    }
+  })
+  kernel.register('scheduler', scheduler)
+  kernel.register('load', new LoadMeter(scheduler))
+  const { instanceListUrl } = settings
+  if (instanceListUrl === undefined) return
+  kernel.register('departures', new TargetDepartures({
+    configuration,
+    membership,
+    readList: () => readListedInstances(instanceListUrl),
+    noteDraining: targetId => scheduler.noteDraining(targetId),
+    log
+  }))
+}
+
+/** Registers the callers' listener. @internal */
+export function registerCallerListener ({ settings, kernel, configuration, metrics }: DaemonContext): void {
+  const steering = kernel.get('steering')
+  const scheduler = kernel.get('scheduler')
+  const freshness = kernel.get('freshness')
+  kernel.register('caller-listener', new CallerListener({
+    instanceId: settings.instanceId,
+    listen: settings.caller,
+    configuration,
+    scheduler,
+    instancesFor: service => steering.instancesFor(service),
+    mayAcceptNewWork: () => freshness.mayAcceptNewWork(),
+    maySend: target => scheduler.maySend(target.targetId),
+    takeRetryToken: service => scheduler.takeRetryToken(service),
+    limits: settings.limits,
+    answerTtlMs: settings.answerTtlMs,
+    registry: metrics
+  }))
+}
--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -10,8 +10,8 @@
 import { WarmthTable } from './WarmthTable.js'
 import { NO_WITHDRAWALS, type AnnouncedWithdrawals } from './Withdrawals.js'
 
-/** Time without any signal from traffic after which a target is probed. */
-const IDLE_BEFORE_PROBE_MS = 5_000
+/** Time without any signal, by traffic or probe, after which a target is probed. Probing idle targets faster serves nobody. */
+const IDLE_BEFORE_PROBE_MS = 15_000
 
 /**
  * How a scheduler measures targets that have no traffic.
@@ -108,6 +108,14 @@
     return this.services.get(service)?.retryBudget.take() ?? false
   }
 
+  /**
+   * Whether a granted request may still be sent. To be asked in the tick that writes the request: between the grant and
+   * the write the process may have been frozen and a claim or a lease may have passed to another instance.
+   */
+  maySend (targetId: TargetId): boolean {
+    return this.serviceOf(targetId)?.targets.isAdmissible(targetId) ?? false
+  }
+
   /** Sets the targets and domains that announced changes withdraw. They get no new work from this call on. */
   setAnnouncedWithdrawals (withdrawals: AnnouncedWithdrawals): void {
     this.withdrawals = withdrawals
@@ -126,6 +134,11 @@
     for (const service of this.services.values()) service.pump()
   }
 
+  /** Requests that ended and the time for which they occupied targets, by service, since the start. */
+  totals (): Map<ServiceName, { requests: number, busyMs: number }> {
+    return new Map([...this.services].map(([name, service]) => [name, service.totals()]))
+  }
+
   /** Complete state of all decisions. */
   dump (): unknown {
     return {
--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -42,7 +42,8 @@
   isInService: boolean
   /** Revision at which the target was last brought in when it was seen draining; undefined if it is not draining. */
   drainingSinceRevision: number | undefined
-  lastOutcomeAtMs: number
+  /** Time of the last outcome of a request or a probe. */
+  lastSignalAtMs: number
 }
 
 /**
@@ -124,6 +125,14 @@
     return false
   }
 
+  /** Whether a target may receive work at this moment; asks for its claim anew. */
+  isAdmissible (targetId: TargetId): boolean {
+    const state = this.states.get(targetId)
+    if (state === undefined) return false
+    state.view.limit = this.limitOf(state)
+    return state.view.limit > 0
+  }
+
   /** Chooses a target with room and counts an attempt at it. */
   begin (exclude: ReadonlySet<TargetId>): Attempt | undefined {
     const candidates: TargetView[] = []
@@ -147,7 +156,7 @@
     if (outcome.reportedLoad !== undefined) view.reportedLoad = outcome.reportedLoad
     const state = this.states.get(view.targetId)
     if (state?.view !== view) return heldMs
-    state.lastOutcomeAtMs = nowMs
+    state.lastSignalAtMs = nowMs
     if (outcome.draining === true) this.noteDraining(view.targetId)
     this.learn(state, attempt, { ...outcome, elapsedMs })
     return heldMs
@@ -165,6 +174,7 @@
   noteProbe (targetId: TargetId, result: { kind: 'healthy' | 'draining' | 'failed', reportedLoad?: number }): void {
     const state = this.states.get(targetId)
     if (state === undefined) return
+    state.lastSignalAtMs = performance.now()
     if (result.reportedLoad !== undefined) state.view.reportedLoad = result.reportedLoad
     switch (result.kind) {
       case 'draining': this.noteDraining(targetId)
@@ -181,7 +191,7 @@
     const state = this.states.get(targetId)
     if (state === undefined || !state.isInService) return false
     if (this.isSuspect(targetId)) return true
-    return state.view.inFlight === 0 && performance.now() - state.lastOutcomeAtMs >= idleAfterMs
+    return state.view.inFlight === 0 && performance.now() - state.lastSignalAtMs >= idleAfterMs
   }
 
   /** Whether this instance itself saw the target draining or absent. */
@@ -278,7 +288,7 @@
     const wasAbsent = this.options.absence.noteResponse(targetId)
     const wasDraining = state.drainingSinceRevision !== undefined
     state.drainingSinceRevision = undefined
-    state.lastOutcomeAtMs = performance.now()
+    state.lastSignalAtMs = performance.now()
     if (wasAbsent || wasDraining) this.options.warmth.noteColdTurn(targetId, this.options.warmth.epochOf(targetId))
   }
 }
@@ -289,6 +299,6 @@
     detector: new ColdTurnDetector(),
     isInService: false,
     drainingSinceRevision: undefined,
-    lastOutcomeAtMs: performance.now()
+    lastSignalAtMs: performance.now()
   }
 }
--- a/packages/routing/src/budgets.test.ts
+++ b/packages/routing/src/budgets.test.ts
@@ -69,6 +69,7 @@
     it('lets an instance look itself at a target that it suspects, guarding against a target that only it leaves unused', () => {
       const other = createBudget('i1', ['i2' as InstanceId])
       expect(other.take(warm)).to.equal(false)
+      clock.tick(2_000)
       expect(other.take({ ...warm, isSuspect: true })).to.equal(true)
       expect(other.take({ ...warm, isSuspect: true })).to.equal(false, 'the interval applies')
     })
