--- a/packages/testbed/src/replay/ReplayFleet.ts
+++ b/packages/testbed/src/replay/ReplayFleet.ts
@@ -1,4 +1,4 @@
-import { Scheduler, WarmthTable, type SendProbe } from '@carobpitch/routing'
+import { Scheduler, WarmthTable, type RoutingPolicy, type SendProbe } from '@carobpitch/routing'
 import { ConfigurationHolder, type InstanceId, type TargetId, type WarmthRecord } from '@carobpitch/schema'
 import type { TraceDomainEvent, TraceHead } from './Trace.js'
 
@@ -18,7 +18,7 @@
   private readonly claimTimer: NodeJS.Timeout
   private document: Record<string, unknown> & { revision: number, failureDomains: Record<string, { state: 'in' | 'out' }> }
 
-  constructor (head: TraceHead, random: () => number, send: SendProbe) {
+  constructor (head: TraceHead, random: () => number, send: SendProbe, policy?: RoutingPolicy) {
     const members = Array.from({ length: head.instances }, (_, index) => `entry-${index + 1}` as InstanceId)
     this.document = documentOf(head)
     this.configuration.adopt(this.document).unwrapOrElse(refusal => { throw new Error(JSON.stringify(refusal)) })
@@ -27,7 +27,7 @@
       for (const id of Object.keys(head.targets)) warmth.merge(warmRecord(id as TargetId))
       warmth.onChange((record, origin) => { if (origin === 'local') this.share(record, warmth) })
       const probing = { instanceId, instancesMax: head.instances, members: () => members, send }
-      const scheduler = new Scheduler({ configuration: this.configuration, warmth, random, probing })
+      const scheduler = new Scheduler({ configuration: this.configuration, warmth, random, probing, policy })
       scheduler.start()
       this.schedulers.push(scheduler)
     }
