--- a/packages/membership/src/detection/MemberTable.ts
+++ b/packages/membership/src/detection/MemberTable.ts
@@ -67,17 +67,16 @@
     return this.entries.get(instanceId)
   }
 
-  /** Applies an update by the rules of precedence. An update that doubts this instance is refuted by a higher incarnation. */
-  apply (update: MemberUpdate): ApplyOutcome {
+  /**
+   * Applies an update by the rules of precedence. An update that doubts this instance is refuted by a higher incarnation.
+   * @param isSpread - whether a change is passed on; updates from a list that others have as well need not be
+   */
+  apply (update: MemberUpdate, isSpread = true): ApplyOutcome {
     const { record, status } = update
     if (record.instanceId === this.ownRecord.instanceId) return this.applyToSelf(update)
     const known = this.entries.get(record.instanceId)
-    if (known === undefined) {
-      this.store(update)
-      return 'changed'
-    }
-    if (supersedes(update, known)) {
-      this.store(update)
+    if (known === undefined || supersedes(update, known)) {
+      this.store(update, isSpread)
       return 'changed'
     }
     const isSame = known.status === status && known.record.incarnation === record.incarnation
@@ -140,8 +139,8 @@
     return 'refuted'
   }
 
-  private store ({ record, status }: MemberUpdate): void {
-    const sendsLeft = Math.ceil(SENDS_PER_LOG2_MEMBER * Math.log2(this.entries.size + 2))
+  private store ({ record, status }: MemberUpdate, isSpread = true): void {
+    const sendsLeft = !isSpread ? 0 : Math.ceil(SENDS_PER_LOG2_MEMBER * Math.log2(this.entries.size + 2))
     this.entries.set(record.instanceId, { record, status, statusSinceMs: performance.now(), sendsLeft })
   }
 }
--- a/packages/membership/src/detection/Membership.ts
+++ b/packages/membership/src/detection/Membership.ts
@@ -153,10 +153,14 @@
     this.table.updateSelf({}, above + 1)
   }
 
-  /** Learns members from the registry, the platform's list or a snapshot. */
-  learn (updates: readonly MemberUpdate[]): void {
+  /**
+   * Learns members from messages, the registry or a snapshot.
+   * @param isSpread - whether changes are passed on; the others have a snapshot or a list themselves, and passing on
+   * each of its entries at every join would fill the pings for a minute
+   */
+  learn (updates: readonly MemberUpdate[], isSpread = true): void {
     let hasChanged = false
-    for (const update of updates) hasChanged = this.applyUpdate(update) || hasChanged
+    for (const update of updates) hasChanged = this.applyUpdate(update, isSpread) || hasChanged
     if (hasChanged) this.changed()
   }
 
@@ -218,7 +222,7 @@
   async joinThrough (peerUrl: string): Promise<boolean> {
     const snapshot = await this.options.transport.snapshot(peerUrl)
     if (snapshot.isErr) return false
-    this.learn(snapshot.value.members)
+    this.learn(snapshot.value.members, false)
     const sentAtMs = performance.now()
     const answer = await this.options.transport.ping(peerUrl, this.message())
     if (answer.isOk) this.accept(answer.value, sentAtMs)
@@ -415,10 +419,10 @@
     return [{ record, status }, ...others]
   }
 
-  private applyUpdate (update: MemberUpdate): boolean {
+  private applyUpdate (update: MemberUpdate, isSpread: boolean): boolean {
     const { record, status } = update
     const before = this.table.get(record.instanceId)?.status
-    const outcome = this.table.apply(update)
+    const outcome = this.table.apply(update, isSpread)
     if (outcome === 'ignored') return false
     if (outcome === 'refuted') {
       this.options.log.warn('membership.refuted', { status, incarnation: this.self().incarnation })
--- a/packages/membership/src/registry/Registry.ts
+++ b/packages/membership/src/registry/Registry.ts
@@ -101,13 +101,13 @@
     for (const { instanceId } of membership.knownMembers()) {
       if (!registered.has(instanceId)) this.noteGone(instanceId)
     }
-    this.learn(records)
+    this.learn(records, false)
   }
 
-  private learn (records: MemberRecord[]): void {
+  private learn (records: MemberRecord[], isSpread: boolean): void {
     const { membership } = this.options
     const others = records.filter(({ instanceId }) => instanceId !== membership.self().instanceId)
-    membership.learn(others.map(record => ({ record, status: 'alive' })))
+    membership.learn(others.map(record => ({ record, status: 'alive' })), isSpread)
     for (const { instanceId } of others) membership.noteLeaseHeld(instanceId)
   }
 
@@ -229,7 +229,7 @@
   private applyEvent (event: WatchEvent): void {
     if (event.kind === 'put') {
       const record = this.parse(event.value)
-      if (record !== undefined) this.learn([record])
+      if (record !== undefined) this.learn([record], true)
       return
     }
     const instanceId = event.key.slice(this.prefix().length) as InstanceId
