Refuse references to names that every object inherits

Cause: references were checked with the in operator, so that a target of the service 'constructor' passed as valid.

--- a/packages/schema/src/Configuration.ts
+++ b/packages/schema/src/Configuration.ts
@@ -85,10 +85,10 @@
 /** Validator of the configuration document. @public */
 export const configurationSchema = configurationShapeSchema.superRefine((document, context) => {
   for (const [id, target] of Object.entries(document.targets)) {
-    if (!(target.service in document.services)) {
+    if (!Object.hasOwn(document.services, target.service)) {
       context.addIssue({ code: 'custom', path: ['targets', id, 'service'], message: `unknown service ${target.service}` })
     }
-    if (!(target.failureDomain in document.failureDomains)) {
+    if (!Object.hasOwn(document.failureDomains, target.failureDomain)) {
       context.addIssue({ code: 'custom', path: ['targets', id, 'failureDomain'], message: `unknown failure domain ${target.failureDomain}` })
     }
   }
