Split the failure detector into one concept a file

The round of members to ping, the piggybacked values, the majority contacts and the options are files of their own; behaviour is unchanged. The measurement takes the time to settle as an option.

--- a/packages/membership/src/bench/controlCost.ts
+++ b/packages/membership/src/bench/controlCost.ts
@@ -14,8 +14,6 @@
 const INSTANCES_PER_WORKER = 10
 /** Beyond this size the majority contacts of all instances in a store outage need more cores than one machine offers. */
 const OUTAGE_INSTANCES_MAX = 50
-/** Joining, the spread of the last member updates and the first leases. */
-const SETTLE_MS = 25_000
 
 interface BenchStore {
   faults: { down: boolean }
@@ -31,7 +29,10 @@
   options: {
     sizes: { type: 'string', default: '15,50,150' },
     'duration-ms': { type: 'string', default: '20000' },
-    out: { type: 'string', default: 'reports' }
+    /** Time for joining and the first leases. The last member updates of 150 instances take longer to spread. */
+    'settle-ms': { type: 'string', default: '25000' },
+    out: { type: 'string', default: 'reports' },
+    name: { type: 'string', default: 'membership-control-cost' }
   }
 })
 
@@ -46,7 +47,7 @@
     storeBytes: store.transferredBytes(),
     openWatches: store.watchCount()
   })
-  await sleep(SETTLE_MS)
+  await sleep(Number(values['settle-ms']))
   const steadyBegin = await sample()
   await sleep(durationMs)
   const steadyEnd = await sample()
@@ -110,5 +111,5 @@
   console.log(toMarkdown(measured))
 }
 await mkdir(values.out, { recursive: true })
-await writeFile(`${values.out}/membership-control-cost.json`, `${JSON.stringify({ measuredAt: new Date().toISOString(), node: process.version, limits: LIMITS, rows }, undefined, 2)}\n`)
-await writeFile(`${values.out}/membership-control-cost.md`, toMarkdown(rows))
+await writeFile(`${values.out}/${values.name}.json`, `${JSON.stringify({ measuredAt: new Date().toISOString(), node: process.version, limits: LIMITS, rows }, undefined, 2)}\n`)
+await writeFile(`${values.out}/${values.name}.md`, toMarkdown(rows))
--- a/packages/membership/src/detection/MemberTable.ts
+++ b/packages/membership/src/detection/MemberTable.ts
@@ -102,12 +102,17 @@
     }
   }
 
-  /** Takes the updates to send with a message: those that have been passed on least. */
-  takeUpdates (limit: number): MemberUpdate[] {
-    const pending = [...this.entries.values()].filter(({ sendsLeft }) => sendsLeft > 0)
-    const chosen = pending.sort((a, b) => b.sendsLeft - a.sendsLeft).slice(0, limit)
+  /**
+   * Takes the updates to send with a message: those that have been passed on least.
+   * @param about - member that must learn how it is seen when it is doubted, so that it can refute
+   */
+  takeUpdates (limit: number, about?: InstanceId): MemberUpdate[] {
+    const doubted = about === undefined ? undefined : this.entries.get(about)
+    const first = doubted === undefined || doubted.status === 'alive' ? [] : [doubted]
+    const pending = [...this.entries.values()].filter(entry => entry.sendsLeft > 0 && !first.includes(entry))
+    const chosen = pending.sort((a, b) => b.sendsLeft - a.sendsLeft).slice(0, limit - first.length)
     for (const entry of chosen) entry.sendsLeft -= 1
-    return chosen.map(({ record, status }) => ({ record, status }))
+    return [...first, ...chosen].map(({ record, status }) => ({ record, status }))
   }
 
   /** Forgets members that left long ago. */
--- a/packages/membership/src/detection/Membership.ts
+++ b/packages/membership/src/detection/Membership.ts
@@ -1,12 +1,14 @@
-import type { EventLog, Service } from '@carobpitch/kernel'
+import type { Service } from '@carobpitch/kernel'
 import type { InstanceId, MemberRecord, MembershipSource } from '@carobpitch/schema'
-import type { Freshness } from '../freshness/Freshness.js'
-import { shuffle, type RandomSource } from '../random.js'
-import { ContactBudget } from './ContactBudget.js'
+import { shuffle } from '../random.js'
+import { MajorityContacts } from './MajorityContacts.js'
 import { MemberTable } from './MemberTable.js'
+import { PiggybackSet, type Piggyback } from './Piggyback.js'
+import { PingRound } from './PingRound.js'
 import type { MemberUpdate } from './memberUpdate.js'
 import { UPDATES_PER_PING_MAX, type IndirectPing, type MembershipSnapshot, type PingMessage } from './messages.js'
-import type { PingHandler, PingTransport } from './PingTransport.js'
+import type { MembershipOptions } from './MembershipOptions.js'
+import type { PingHandler } from './PingTransport.js'
 import { chooseStoreReaders } from './storeReaders.js'
 
 const TICK_MS = 200
@@ -18,42 +20,13 @@
 const PAUSE_MS = 1_000
 /** A failed check that took longer than its time-outs was delayed by this process and says nothing about the member. */
 const LATE_CHECK_MS = 2_000
-/** One round in this many goes to a dead member, so that a healed partition is noticed from both sides. */
-const DEAD_ROUND = 3
 /** A store reader that answers with older knowledge than this is passed over for another one. */
 const READER_AGE_MAX_MS = 1_500
 const READER_TRIES = 3
-/** A contact without an answer for this long is replaced by another one, so that a dead member costs no majority. */
-const CONTACT_EXPECTED_MS = 150
 /** A member that has just started waits for the answer of a store reader before it contacts a majority. */
 const START_GRACE_MS = 3_000
 const PURGE_INTERVAL_MS = 60_000
 
-/**
- * A small value carried on each ping in both directions.
- * @public
- */
-export interface Piggyback {
-  /** Value to send; `undefined` sends nothing. */
-  provide(): unknown
-  /** Takes the value of another member. Must check its form. */
-  receive(from: MemberRecord, value: unknown): void
-}
-
-/**
- * Options of `Membership`.
- * @public
- */
-export interface MembershipOptions {
-  self: MemberRecord
-  transport: PingTransport
-  freshness: Freshness
-  /** Revision of the adopted configuration. */
-  adoptedRevision: () => number
-  log: EventLog
-  random?: RandomSource
-}
-
 /**
  * The members as this instance sees them: a SWIM failure detector with constant load per member,
  * whose pings also carry the age of each member's knowledge and small values of other parts.
@@ -63,15 +36,10 @@
   private readonly options: Required<MembershipOptions>
   private readonly table: MemberTable
   private readonly listeners = new Set<() => void>()
-  private readonly piggybacks = new Map<string, Piggyback>()
-  /** Members that are pinged for a majority, with the time of the ping. */
-  private readonly contactsInFlight = new Map<InstanceId, number>()
-  /** Members whose last ping failed. They come last when a majority is contacted. */
-  private readonly failing = new Set<InstanceId>()
-  private readonly contactBudget = new ContactBudget()
-  private readonly counters = { pings: 0, failedPings: 0, indirectPings: 0, answeredPings: 0, majorityPings: 0 }
-  private round: InstanceId[] = []
-  private roundCount = 0
+  private readonly piggybacks = new PiggybackSet()
+  private readonly round: PingRound
+  private readonly contacts: MajorityContacts
+  private readonly counters = { pings: 0, failedPings: 0, indirectPings: 0, answeredPings: 0 }
   private timer: NodeJS.Timeout | undefined
   private startedAtMs = 0
   private lastTickMs = 0
@@ -84,6 +52,14 @@
   constructor (options: MembershipOptions) {
     this.options = { random: Math.random, ...options }
     this.table = new MemberTable(options.self)
+    this.round = new PingRound(this.table, this.options.random)
+    this.contacts = new MajorityContacts({
+      freshness: options.freshness,
+      others: status => this.others(status),
+      knownCount: () => this.knownMembers().length,
+      ping: member => this.ping(member),
+      random: this.options.random
+    })
   }
 
   /** Starts to ping. The first rounds are spread over one interval. */
@@ -138,7 +114,7 @@
 
   /** Carries a small value on each ping in both directions. */
   addPiggyback (name: string, piggyback: Piggyback): void {
-    this.piggybacks.set(name, piggyback)
+    this.piggybacks.add(name, piggyback)
   }
 
   /** Tells the others that this instance is leaving, or that it has left. */
@@ -235,8 +211,8 @@
       members: this.table.all().map(({ record, status, statusSinceMs }) => ({ ...record, status, statusAgeMs: performance.now() - statusSinceMs })),
       storeReaders: this.storeReaders(),
       expiredLeases: [...this.expiredLeases],
-      piggybacks: [...this.piggybacks.keys()],
-      counters: { ...this.counters }
+      piggybacks: this.piggybacks.names(),
+      counters: { ...this.counters, majorityPings: this.contacts.pings() }
     }
   }
 
@@ -284,27 +260,10 @@
   }
 
   private pingNext (): void {
-    const next = this.nextInRound()
+    const next = this.round.next()
     if (next !== undefined) this.probe(next)
   }
 
-  /** Visits every member once per round in random order, which bounds the time until a failure is noticed. */
-  private nextInRound (): MemberRecord | undefined {
-    this.roundCount += 1
-    const dead = this.others('dead')
-    if (dead.length > 0 && (this.roundCount % DEAD_ROUND === 0 || this.others('alive', 'suspect').length === 0)) {
-      return dead[Math.floor(this.options.random() * dead.length)]
-    }
-    for (let tries = 0; tries < 2; tries += 1) {
-      for (let id = this.round.pop(); id !== undefined; id = this.round.pop()) {
-        const entry = this.table.get(id)
-        if (entry?.status === 'alive' || entry?.status === 'suspect') return entry.record
-      }
-      this.round = shuffle(this.others('alive', 'suspect').map(({ instanceId }) => instanceId), this.options.random)
-    }
-    return undefined
-  }
-
   private async probe (member: MemberRecord): Promise<void> {
     const startedAtMs = performance.now()
     const isDead = this.table.get(member.instanceId)?.status === 'dead'
@@ -341,30 +300,7 @@
     const { freshness } = this.options
     const isStarting = performance.now() - this.startedAtMs < START_GRACE_MS
     if ((!freshness.wantsMajority() || isStarting) && !this.hasRemovable()) return
-    const candidates = this.contactCandidates()
-    const recentMs = performance.now() - CONTACT_EXPECTED_MS
-    const expected = [...this.contactsInFlight.values()].filter(atMs => atMs >= recentMs).length
-    const chosen = freshness.chooseContacts(candidates, expected)
-    const allowed = this.contactBudget.take(chosen.length, this.knownMembers().length)
-    for (const id of chosen.slice(0, allowed)) this.contact(id)
-  }
-
-  /** Members to contact for a majority in order of preference: those that answered last, then suspected or failing ones. */
-  private contactCandidates (): InstanceId[] {
-    const ids = (status: MemberUpdate['status']): InstanceId[] => shuffle(this.others(status), this.options.random).map(({ instanceId }) => instanceId)
-    const alive = ids('alive')
-    const ordered = [...alive.filter(id => !this.failing.has(id)), ...alive.filter(id => this.failing.has(id)), ...ids('suspect')]
-    return ordered.filter(id => !this.contactsInFlight.has(id))
-  }
-
-  private async contact (id: InstanceId): Promise<void> {
-    const record = this.table.get(id)?.record
-    if (record === undefined) return
-    this.counters.majorityPings += 1
-    this.contactsInFlight.set(id, performance.now())
-    const hasAnswered = await this.ping(record)
-    this.contactsInFlight.delete(id)
-    this.contactBudget.note(hasAnswered)
+    this.contacts.refresh()
   }
 
   private async ping (member: MemberRecord): Promise<boolean> {
@@ -374,10 +310,10 @@
     const answer = await this.options.transport.ping(member.peerUrl, this.message(about))
     if (answer.isErr || answer.value.from.instanceId !== member.instanceId) {
       this.counters.failedPings += 1
-      this.failing.add(member.instanceId)
+      this.contacts.notePing(member.instanceId, false)
       return false
     }
-    this.failing.delete(member.instanceId)
+    this.contacts.notePing(member.instanceId, true)
     this.accept(answer.value, sentAtMs)
     return true
   }
@@ -391,34 +327,21 @@
   private absorb ({ from, updates, piggyback }: PingMessage): void {
     // The updates come last, because the sender may report that it has left.
     this.learn([{ record: from, status: 'alive' }, ...updates])
-    for (const [name, value] of Object.entries(piggyback)) this.piggybacks.get(name)?.receive(from, value)
+    this.piggybacks.receive(from, piggyback)
   }
 
   /** Builds a message; `about` names a member that must learn how it is seen, so that it can refute. */
   private message (about?: InstanceId): PingMessage {
     this.table.noteAdoptedRevision(this.options.adoptedRevision())
-    const piggyback: Record<string, unknown> = {}
-    for (const [name, { provide }] of this.piggybacks) {
-      const value = provide()
-      if (value !== undefined) piggyback[name] = value
-    }
     const ageMs = this.options.freshness.ageMs()
     return {
       from: this.self(),
-      updates: this.updatesFor(about),
+      updates: this.table.takeUpdates(UPDATES_PER_PING_MAX, about),
       ...(Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {}),
-      piggyback
+      piggyback: this.piggybacks.collect()
     }
   }
 
-  private updatesFor (about: InstanceId | undefined): MemberUpdate[] {
-    const doubted = about === undefined ? undefined : this.table.get(about)
-    if (doubted === undefined || doubted.status === 'alive') return this.table.takeUpdates(UPDATES_PER_PING_MAX)
-    const { record, status } = doubted
-    const others = this.table.takeUpdates(UPDATES_PER_PING_MAX - 1).filter(update => update.record.instanceId !== about)
-    return [{ record, status }, ...others]
-  }
-
   private applyUpdate (update: MemberUpdate, isSpread: boolean): boolean {
     const { record, status } = update
     const before = this.table.get(record.instanceId)?.status
@@ -459,7 +382,7 @@
 
   private forget (instanceId: InstanceId): void {
     this.expiredLeases.delete(instanceId)
-    this.failing.delete(instanceId)
+    this.contacts.forget(instanceId)
     this.options.freshness.forget(instanceId)
   }
 
