Make the tests of a real fleet fail on broken daemons

One address list sent all workers to one instance at a time; the frozen instance had no request that survived the freeze; sightings of several callers were compared out of order. Ruled out: requests on idle kept connections, because their idle time-out closes them on resumption; a short request time-out, because its overdue timer refuses them before the freshness rule does. Change: one caller per worker; bookings whose head was read before the freeze (shown by the interim response 100) and whose body follows; sightings by caller. The limit on warming up is 100 s instead of 50 s: it only ends a hang, and taking over the claims of a killed and a frozen holder took about 30 s.

--- a/packages/testbed/src/caller/AddressBook.ts
+++ b/packages/testbed/src/caller/AddressBook.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import type { Dispatcher } from 'undici'
 import { z } from 'zod'
 import type { RevisionSighting } from './CallRecord.js'
@@ -31,6 +32,7 @@
  */
 export class AddressBook {
   readonly sightings: RevisionSighting[] = []
+  private readonly callerId = randomUUID()
   private readonly options: Required<AddressBookOptions>
   private readonly known: Set<string>
   private readonly lists = new Map<string, AddressList>()
@@ -88,7 +90,7 @@
       const text = await body.text()
       if (statusCode !== 200) return undefined
       const { revision, ttlMs, instances } = addressListSchema.parse(JSON.parse(text))
-      this.sightings.push({ instanceUrl, atEpochMs: Date.now(), revision })
+      this.sightings.push({ callerId: this.callerId, instanceUrl, atEpochMs: Date.now(), revision })
       // Measured from the request, so that the list is never kept longer than the instance allows.
       return instances.length > 0 ? { urls: instances.map(({ url }) => url), expiresAtMs: askedAtMs + ttlMs } : undefined
     } catch {
--- a/packages/testbed/src/caller/CallRecord.ts
+++ b/packages/testbed/src/caller/CallRecord.ts
@@ -56,6 +56,8 @@
  * @public
  */
 export interface RevisionSighting {
+  /** The caller that saw it. Sightings of one caller are in order; those of several are not. */
+  callerId: string
   instanceUrl: string
   atEpochMs: number
   revision: number
--- a/packages/testbed/src/checks/callChecks.ts
+++ b/packages/testbed/src/checks/callChecks.ts
@@ -55,14 +55,15 @@
     .map(attempt => `${call.requestId} broke at ${attempt.instanceUrl}: ${attempt.reason}`))
 }
 
-/** Address lists with a revision below one that the same instance named before. @internal */
+/** Address lists with a revision below one that the same instance named to the same caller before. @internal */
 export function findRevisionsThatWentBack ({ sightings }: Evidence): string[] {
   const highest = new Map<string, number>()
   const found: string[] = []
-  for (const { instanceUrl, revision } of sightings) {
-    const known = highest.get(instanceUrl) ?? 0
+  for (const { callerId, instanceUrl, revision } of sightings) {
+    const key = `${callerId} ${instanceUrl}`
+    const known = highest.get(key) ?? 0
     if (revision < known) found.push(`${instanceUrl} went from revision ${known} back to ${revision}`)
-    highest.set(instanceUrl, Math.max(known, revision))
+    highest.set(key, Math.max(known, revision))
   }
   return found
 }
--- a/packages/testbed/src/faults/changeFaults.test.ts
+++ b/packages/testbed/src/faults/changeFaults.test.ts
@@ -23,7 +23,7 @@
   beforeEach(async () => {
     fleet = new Fleet()
     await fleet.start()
-    load = new WorkerLoad({ client: fleet.createClient(), call: BOOKING })
+    load = new WorkerLoad({ clients: fleet.createClients(8), call: BOOKING })
     await load.untilSucceeded(SOME_CALLS)
   })
   afterEach(async () => {
--- a/packages/testbed/src/faults/coldTargets.test.ts
+++ b/packages/testbed/src/faults/coldTargets.test.ts
@@ -7,17 +7,17 @@
 const BOOKING = { service: 'orders', method: 'POST', body: '{}', deadlineMs: 1_000 } as const
 const SOME_CALLS = 30
 const IN_FORCE = 0
-const WARM_LIMIT_MS = 50_000
+const WARM_LIMIT_MS = 100_000
 
 describe('a real fleet under bookings with cold targets', function () {
-  this.timeout(120_000)
+  this.timeout(200_000)
   let fleet: Fleet
   let load: WorkerLoad
 
   beforeEach(async () => {
     fleet = new Fleet()
-    await fleet.start({ service: { requestTimeoutMs: 1_000 } })
-    load = new WorkerLoad({ client: fleet.createClient(), call: BOOKING, workers: 8 })
+    await fleet.start({ service: { requestTimeoutMs: 1_000 }, behaviour: { serviceTimeMs: 20 } })
+    load = new WorkerLoad({ clients: fleet.createClients(12), call: BOOKING })
     await load.untilSucceeded(SOME_CALLS)
   })
   afterEach(async () => {
--- a/packages/testbed/src/faults/instanceFaults.test.ts
+++ b/packages/testbed/src/faults/instanceFaults.test.ts
@@ -15,7 +15,7 @@
   beforeEach(async () => {
     fleet = new Fleet()
     await fleet.start()
-    load = new WorkerLoad({ client: fleet.createClient(), call: BOOKING })
+    load = new WorkerLoad({ clients: fleet.createClients(8), call: BOOKING })
     await load.untilSucceeded(SOME_CALLS)
   })
   afterEach(async () => {
--- a/packages/testbed/src/faults/stopAndFreeze.test.ts
+++ b/packages/testbed/src/faults/stopAndFreeze.test.ts
@@ -2,11 +2,14 @@
 import { failedChecks } from '../checks/checkEvidence.js'
 import { Fleet } from '../fleet/Fleet.js'
 import type { InstanceProcess } from '../fleet/InstanceProcess.js'
+import { openBookings } from '../fleet/openBookings.js'
 import { WorkerLoad } from '../fleet/WorkerLoad.js'
 
 const BOOKING = { service: 'orders', method: 'POST', body: '{}', deadlineMs: 1_000 } as const
 const SOME_CALLS = 30
 const IN_FORCE = 0
+/** Enough to reach every target at once. */
+const OPEN_BOOKINGS = 15
 
 /** Withdrawals are recorded once they are in force and all earlier calls have ended, so that no later work is allowed. */
 const BOUNDS = { withdrawalMs: 0 }
@@ -18,8 +21,9 @@
 
   beforeEach(async () => {
     fleet = new Fleet()
-    await fleet.start()
-    load = new WorkerLoad({ client: fleet.createClient(), call: BOOKING })
+    // Open bookings outlive the freeze, so that their deadline cannot refuse them in place of the freshness rule.
+    await fleet.start({ service: { requestTimeoutMs: 60_000 } })
+    load = new WorkerLoad({ clients: fleet.createClients(8), call: BOOKING })
     await load.untilSucceeded(SOME_CALLS)
   })
   afterEach(async () => {
@@ -59,9 +63,14 @@
   })
 
   it('sends nothing to a domain that was taken out while an instance was frozen, guarding against use of old knowledge', async () => {
+    for (const target of fleet.targets) target.change({ serviceTimeMs: 50 })
+    const bookings = await openBookings(instanceAt(0).callerUrl(), OPEN_BOOKINGS)
     instanceAt(0).freeze()
+    // The frozen instance finds the bodies on resumption before it finds the news of the change.
+    bookings.sendBodies()
     await takeOut('north', 1)
     instanceAt(0).resume()
+    await bookings.ended
     await load.untilSucceeded(SOME_CALLS)
     await fleet.untilRevision(2)
     await expectChecksToPass()
--- a/packages/testbed/src/fleet/Fleet.ts
+++ b/packages/testbed/src/fleet/Fleet.ts
@@ -87,6 +87,11 @@
     return client
   }
 
+  /** Creates several callers with an address list each. */
+  createClients (count: number): CallerClient[] {
+    return Array.from({ length: count }, () => this.createClient())
+  }
+
   /** Targets in a failure domain. */
   targetsIn (failureDomain: string): StandInTarget[] {
     return this.targets.filter((_, index) => domainAt(index) === failureDomain)
--- a/packages/testbed/src/fleet/WorkerLoad.ts
+++ b/packages/testbed/src/fleet/WorkerLoad.ts
@@ -13,7 +13,6 @@
  * @internal
  */
 export class WorkerLoad {
-  private readonly client: CallerClient
   private readonly call: Omit<Call, 'requestId'>
   private readonly workers: Array<Promise<void>>
   private readonly inProgress = new Set<Promise<unknown>>()
@@ -21,10 +20,10 @@
   private callCount = 0
   private succeededCount = 0
 
-  constructor ({ client, call, workers = 4 }: { client: CallerClient, call: Omit<Call, 'requestId'>, workers?: number }) {
-    this.client = client
+  /** One worker for each client, so that the address lists of the clients spread the load over the instances. */
+  constructor ({ clients, call }: { clients: readonly CallerClient[], call: Omit<Call, 'requestId'> }) {
     this.call = call
-    this.workers = Array.from({ length: workers }, () => this.work())
+    this.workers = clients.map(client => this.work(client))
   }
 
   /**
@@ -51,10 +50,10 @@
     await Promise.all(this.workers)
   }
 
-  private async work (): Promise<void> {
+  private async work (client: CallerClient): Promise<void> {
     while (!this.stopped && this.callCount < CALLS_MAX) {
       this.callCount += 1
-      const pending = this.client.call(this.call)
+      const pending = client.call(this.call)
       this.inProgress.add(pending)
       const { succeeded } = await pending.finally(() => this.inProgress.delete(pending))
       if (succeeded) this.succeededCount += 1
