Build the daemon's membership from createMembershipStack

Cause: the daemon and the membership package each composed the same parts; the copies could drift apart. Change: the stack takes the preferred holders of a target and the daemon registers its parts.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -7,7 +7,6 @@
 import { registerControl, registerOperatorListener } from './registerControl.js'
 import { registerMembership } from './registerMembership.js'
 import { registerCallerListener, registerScheduler } from './registerRequestPlane.js'
-import { registerWarmth } from './registerWarmth.js'
 import { StartGate } from './StartGate.js'
 
 declare module '@carobpitch/kernel' {
@@ -28,7 +27,6 @@
     this.context = createContext(settings, credentials)
     registerMembership(this.context)
     registerControl(this.context)
-    registerWarmth(this.context)
     registerScheduler(this.context)
     registerOperatorListener(this.context)
     registerStartGate(this.context)
--- a/packages/daemon/src/registerMembership.ts
+++ b/packages/daemon/src/registerMembership.ts
@@ -1,5 +1,6 @@
-import { MEMBERSHIP_ROUTER, Freshness, JoinProcess, LeaseKeeper, Membership, PeerLinks, PeerServer, Registry, createMembershipRouter, createTrpcPingTransport, readInstanceList } from '@carobpitch/membership'
-import type { MemberRecord, Settings } from '@carobpitch/schema'
+import { createMembershipStack, PeerLinks, PeerServer, type ColdClaims, type Freshness, type JoinProcess, type LeaseKeeper, type Membership, type Registry, type WarmthSync } from '@carobpitch/membership'
+import { SteeringTable, WarmthTable } from '@carobpitch/routing'
+import type { InstanceId, MemberRecord, Settings, TargetId } from '@carobpitch/schema'
 import type { DaemonContext } from './DaemonContext.js'
 
 declare module '@carobpitch/kernel' {
@@ -11,44 +12,49 @@
     lease: LeaseKeeper
     registry: Registry
     join: JoinProcess
+    steering: SteeringTable
+    warmth: WarmthTable
+    'warmth-sync': WarmthSync
+    claims: ColdClaims
   }
 }
 
-/** Registers the services that find other instances and watch over their state. @internal */
-export function registerMembership ({ settings, credentials, kernel, log, configuration, store }: DaemonContext): void {
+/** Registers the services that find other instances, watch over their state and share the claims on cold targets. @internal */
+export function registerMembership (context: DaemonContext): void {
+  const { settings, credentials, kernel, log, configuration, store } = context
   const peerServer = new PeerServer({ listen: settings.peer, token: credentials.peerToken, log })
-  const links = new PeerLinks({ token: credentials.peerToken })
-  const knownMembers = (): readonly MemberRecord[] => kernel.get('membership').knownMembers()
-  const freshness = new Freshness({
-    instanceId: settings.instanceId,
-    configuration,
-    knownMembers: () => knownMembers().map(({ instanceId }) => instanceId)
-  })
-  const membership = new Membership({
-    self: ownRecord(settings),
-    transport: createTrpcPingTransport(links),
-    freshness,
-    adoptedRevision: () => configuration.current().revision,
-    log
-  })
-  peerServer.mount(MEMBERSHIP_ROUTER, createMembershipRouter(membership))
-  const lease = new LeaseKeeper({ store, memberCount: () => knownMembers().length, log })
-  const registry = new Registry({ store, keyPrefix: `carobpitch/${settings.deployment}/`, membership, lease, log })
+  const peerLinks = new PeerLinks({ token: credentials.peerToken })
+  const warmth = new WarmthTable({ configuration, holdsClaim: targetId => kernel.get('claims').holds(targetId) })
   const { instanceListUrl } = settings
-  const join = new JoinProcess({
-    membership,
-    registry,
+  const stack = createMembershipStack({
+    self: ownRecord(settings),
+    peerServer,
+    peerLinks,
+    store,
+    keyPrefix: `carobpitch/${settings.deployment}/`,
+    configuration,
+    warmth,
+    preferredHolders: targetId => preferredHolders(context, targetId),
     seedPeerUrls: settings.seedPeerUrls,
-    ...(instanceListUrl === undefined ? {} : { readInstanceList: () => readInstanceList(instanceListUrl) }),
+    ...(instanceListUrl === undefined ? {} : { instanceListUrl }),
     log
   })
-  kernel.register('peer-links', links)
-  kernel.register('freshness', freshness)
-  kernel.register('membership', membership)
+  kernel.register('peer-links', peerLinks)
   kernel.register('peer-server', peerServer)
-  kernel.register('lease', lease)
-  kernel.register('registry', registry)
-  kernel.register('join', join)
+  kernel.register('freshness', stack.freshness)
+  kernel.register('membership', stack.membership)
+  kernel.register('lease', stack.lease)
+  kernel.register('registry', stack.registry)
+  kernel.register('join', stack.join)
+  kernel.register('steering', new SteeringTable({ configuration, membership: stack.membership, steering: settings.routing.steering }))
+  kernel.register('warmth', warmth)
+  kernel.register('warmth-sync', stack.warmthSync)
+  kernel.register('claims', stack.claims)
+}
+
+function preferredHolders ({ kernel, configuration }: DaemonContext, targetId: TargetId): readonly InstanceId[] {
+  const target = configuration.current().targets[targetId]
+  return target === undefined ? [] : kernel.get('steering').steeredTo(target.service)
 }
 
 function ownRecord ({ instanceId, failureDomain, caller, peer }: Settings): MemberRecord {
--- a/packages/membership/src/MembershipStack.ts
+++ b/packages/membership/src/MembershipStack.ts
@@ -1,5 +1,5 @@
 import type { EventLog } from '@carobpitch/kernel'
-import type { ConfigurationSource, MemberRecord, TargetId } from '@carobpitch/schema'
+import type { ConfigurationSource, InstanceId, MemberRecord, TargetId } from '@carobpitch/schema'
 import type { KeyValueStore } from '@carobpitch/store'
 import { ColdClaims } from './claims/ColdClaims.js'
 import { Membership } from './detection/Membership.js'
@@ -34,6 +34,8 @@
   keyPrefix: string
   configuration: ConfigurationSource
   warmth: WarmthSource
+  /** Instances that callers of a target's service are steered to; they claim the target first. */
+  preferredHolders?: (targetId: TargetId) => readonly InstanceId[]
   seedPeerUrls?: readonly string[]
   /** URL of the platform's list of instances. */
   instanceListUrl?: string
@@ -98,6 +100,7 @@
     lease,
     membership,
     coldTargets: () => warmth.coldTargets(),
+    preferredHolders: options.preferredHolders ?? (() => []),
     isReady: () => warmthSync.isReady(),
     requestTimeoutMs: targetId => requestTimeoutMsOf(configuration, targetId),
     log,
