--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -6,6 +6,7 @@
 import { createContext, type DaemonContext } from './DaemonContext.js'
 import { registerControl, registerOperatorListener } from './registerControl.js'
 import { registerMembership } from './registerMembership.js'
+import { registerMetrics } from './registerMetrics.js'
 import { registerCallerListener, registerScheduler } from './registerRequestPlane.js'
 import { StartGate } from './StartGate.js'
 
@@ -32,6 +33,7 @@
     registerStartGate(this.context)
     registerCallerListener(this.context)
     registerPlannedStop(this.context)
+    registerMetrics(this.context)
   }
 
   /** Services of this process by name. */
@@ -55,6 +57,11 @@
     return report
   }
 
+  /** Logs the error that ends this process. */
+  logFailure (error: Error): void {
+    this.context.log.error('process.failed', { reason: error.message, stack: error.stack })
+  }
+
   /** Ends all services at once. */
   async stop (): Promise<void> {
     await this.kernel.stop()
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
-/** Program `carobpitchd`. Exit codes: 0 stopped, 1 failed to start, 2 invalid settings or credentials, 4 stopped early. */
+/** Program `carobpitchd`. Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings or credentials, 4 stopped early. */
 import { readFileSync } from 'node:fs'
 import { Command } from 'commander'
 import { parseJsonWith, settingsSchema, type Settings, type Violation } from '@carobpitch/schema'
 import { Daemon, readCredentials } from './Daemon.js'
 
-const EXIT_START_FAILED = 1
+const EXIT_FAILED = 1
 const EXIT_INVALID = 2
 const EXIT_CUT_OFF = 4
 
@@ -24,11 +24,16 @@
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
   process.on(signal, () => { stop() })
 }
+// Without a line of the log, a crash could not be told from a kill.
+process.on('uncaughtException', error => {
+  daemon.logFailure(error)
+  process.exit(EXIT_FAILED)
+})
 try {
   await daemon.start()
 } catch (error) {
   console.error(`cannot start: ${(error as Error).message}`)
-  process.exit(EXIT_START_FAILED)
+  process.exit(EXIT_FAILED)
 }
 
 /** Both the first and a second signal come here; the planned stop ends early on the second. */
--- a/packages/routing/src/Scheduler.ts
+++ b/packages/routing/src/Scheduler.ts
@@ -139,6 +139,11 @@
     return new Map([...this.services].map(([name, service]) => [name, service.totals()]))
   }
 
+  /** Slot time that the probes of this instance have cost since its start. */
+  probeCostMs (): number {
+    return this.probeBudget?.costMs() ?? 0
+  }
+
   /** Complete state of all decisions. */
   dump (): unknown {
     return {
