Take no slowness below 20 ms for a cold turn

Ruled out: a larger ratio, because a cold target of usual service times would then be noticed late. Change: a response faster than 20 ms is no evidence of a cold turn; failures count as before.

--- a/packages/routing/src/ColdTurnDetector.test.ts
+++ b/packages/routing/src/ColdTurnDetector.test.ts
@@ -50,6 +50,13 @@
     expect(observations).to.deep.equal([false, false, false, true])
   })
 
+  it('ignores stalls of milliseconds at a target of very short responses, guarding against cold starts on a busy machine', () => {
+    const quick = new ColdTurnDetector()
+    feed(quick, Array.from({ length: 30 }, () => 0.5))
+    expect(feed(quick, Array.from({ length: 20 }, () => 15))).to.equal(undefined)
+    expect(feed(quick, Array.from({ length: 20 }, () => 60))).to.be.at.most(5)
+  })
+
   it('ignores up to three slow responses in a row, guarding against a cold start after one hiccup', () => {
     for (const count of [1, 2, 3]) expect(feed(detector, [...Array.from({ length: count }, () => 500), 10])).to.equal(undefined)
   })
--- a/packages/routing/src/ColdTurnDetector.ts
+++ b/packages/routing/src/ColdTurnDetector.ts
@@ -1,5 +1,10 @@
 /** Response time, relative to the usual one, from which a response is evidence of a cold target. */
 const COLD_RATIO = 8
+/**
+ * Response time below which slowness is no evidence. Stalls of a busy machine make responses of less than a
+ * millisecond look many times slower than usual.
+ */
+const SLOW_RESPONSE_MIN_MS = 20
 /**
  * The ratio once the target has also refused or failed a request without overload. A straggler does neither,
  * so that slowness needs to prove less.
@@ -76,9 +81,10 @@
     return { baselineMs: this.baselineMs, evidence: this.evidence }
   }
 
-  private isEvidence ({ kind, load, slots }: AttemptObservation, ratio: number): boolean {
+  private isEvidence ({ kind, load, slots, sentAtMs, receivedAtMs }: AttemptObservation, ratio: number): boolean {
     // A failure at more load than the target has slots is ordinary load shedding.
     if (kind === 'failed') return load <= slots
+    if (receivedAtMs - sentAtMs < SLOW_RESPONSE_MIN_MS) return false
     return this.samples > BASELINE_SAMPLES_MIN && ratio >= (this.hasFailed ? COLD_RATIO_AFTER_FAILURE : COLD_RATIO)
   }
 
