Hand a cold claim over within seconds when steering changes

Cause: after a change of steering the claim passed in more than 30 s on a paused clock (8 s bound of the test now): other instances that are not preferred took it in between, and the preferred ones waited for retry times planned when they were not. Ruled out: shorter retries for all, because their rate grows with the fleet.

--- a/packages/membership/src/claims/ColdClaims.test.ts
+++ b/packages/membership/src/claims/ColdClaims.test.ts
@@ -196,7 +196,7 @@
       await timeUntil(() => holders().length === 1, 3_000)
       const next = claimants.find(claimant => claimant !== firstOf()) as Claimant
       for (const claimant of claimants) claimant.preferred = [next.id]
-      await timeUntil(() => holders()[0] === next, 30_000)
+      await timeUntil(() => holders()[0] === next, 8_000)
       expect(holders()).to.deep.equal([next])
     })
   })
--- a/packages/membership/src/claims/ColdClaims.ts
+++ b/packages/membership/src/claims/ColdClaims.ts
@@ -47,6 +47,8 @@
 }
 
 interface Attempt {
+  /** Place in the order of attempts when the next one was planned. */
+  rank: number
   nextTryAtMs: number
   timesTaken: number
   holder: InstanceId | undefined
@@ -215,7 +217,7 @@
     if (nowMs < this.nextAttemptAtMs) return undefined
     let next: { targetId: TargetId, atMs: number } | undefined
     for (const targetId of cold) {
-      if (this.held.has(targetId)) continue
+      if (this.held.has(targetId) || this.hasBetterHolder(targetId)) continue
       const { nextTryAtMs } = this.attemptOf(targetId)
       if (nextTryAtMs <= nowMs && (next === undefined || nextTryAtMs < next.atMs)) next = { targetId, atMs: nextTryAtMs }
     }
@@ -223,11 +225,18 @@
   }
 
   private attemptOf (targetId: TargetId): Attempt {
+    const rank = this.rankOf(targetId)
+    const firstTryAtMs = performance.now() + firstTryDelayMs(rank)
     const known = this.attempts.get(targetId)
-    if (known !== undefined) return known
-    const attempt = { nextTryAtMs: performance.now() + firstTryDelayMs(this.rankOf(targetId)), timesTaken: 0, holder: undefined }
-    this.attempts.set(targetId, attempt)
-    return attempt
+    if (known === undefined) {
+      const attempt = { rank, nextTryAtMs: firstTryAtMs, timesTaken: 0, holder: undefined }
+      this.attempts.set(targetId, attempt)
+      return attempt
+    }
+    // An instance to which callers are steered from now on does not wait for the retry of its earlier, lower rank.
+    if (rank < known.rank) known.nextTryAtMs = Math.min(known.nextTryAtMs, firstTryAtMs)
+    known.rank = rank
+    return known
   }
 
   private rankOf (targetId: TargetId): number {
@@ -287,7 +296,9 @@
   private waitForHolder (targetId: TargetId, holder: InstanceId | undefined): void {
     const attempt = this.attemptOf(targetId)
     const isHolderLive = holder !== undefined && holder !== this.options.instanceId && this.liveIds().includes(holder)
-    const delayMs = takenRetryDelayMs({ rank: this.rankOf(targetId), isHolderLive, timesTaken: attempt.timesTaken })
+    const preferred = this.livePreferred(targetId)
+    const givesUp = preferred.length > 0 && holder !== undefined && !preferred.includes(holder)
+    const delayMs = takenRetryDelayMs({ rank: this.rankOf(targetId), isHolderLive: isHolderLive && !givesUp, timesTaken: attempt.timesTaken })
     attempt.nextTryAtMs = performance.now() + delayMs * (0.75 + this.options.random() / 2)
     attempt.timesTaken += 1
     attempt.holder = holder
--- a/packages/membership/src/claims/claimTurn.ts
+++ b/packages/membership/src/claims/claimTurn.ts
@@ -1,5 +1,5 @@
+import { rankByRendezvous } from '@carobpitch/routing'
 import type { InstanceId, TargetId } from '@carobpitch/schema'
-import { rankByRendezvous } from '../rendezvous.js'
 
 /** Time for the instance ahead in the order to acquire the claim before the next one tries. */
 const RANK_DELAY_MS = 2_000
