Share server lifecycle, bearer check and rendezvous hashing between packages

Cause: three listeners opened and closed their servers in the same lines, two compared bearer credentials, two hashed by rendezvous. Change: openServer, closeServer and createBearerCheck in the kernel; membership uses the rendezvous hashing of routing.

--- a/packages/control/src/OperatorCredentials.ts
+++ b/packages/control/src/OperatorCredentials.ts
@@ -1,30 +1,24 @@
-import { createHash, timingSafeEqual } from 'node:crypto'
+import { createBearerCheck } from '@carobpitch/kernel'
 
 /**
- * Recognises operators by their bearer credential. Keeps digests only.
+ * Recognises operators by their bearer credential. Keeps no credential itself.
  * @internal
  */
 export class OperatorCredentials {
-  private readonly digests: ReadonlyArray<readonly [string, Buffer]>
+  private readonly checks: ReadonlyArray<readonly [string, (authorization: string | undefined) => boolean]>
 
   /** @param tokens - bearer credential by name of the operator */
   constructor (tokens: Readonly<Record<string, string>>) {
-    this.digests = Object.entries(tokens).map(([name, token]) => [name, digest(token)])
+    this.checks = Object.entries(tokens).map(([name, token]) => [name, createBearerCheck(token)])
   }
 
   /** Returns the operator's name for an `authorization` header, or undefined for an unknown credential. */
-  operatorOf (authorization = ''): string | undefined {
-    const [, token] = /^Bearer (.+)$/i.exec(authorization) ?? []
-    const offered = digest(token ?? '')
+  operatorOf (authorization: string | undefined): string | undefined {
     let operator: string | undefined
-    // Compares with every credential, so that the time taken does not tell which one matched.
-    for (const [name, known] of this.digests) {
-      if (timingSafeEqual(offered, known)) operator = name
+    // Checks every credential, so that the time taken does not tell which one matched.
+    for (const [name, isCredential] of this.checks) {
+      if (isCredential(authorization)) operator = name
     }
     return operator
   }
 }
-
-function digest (text: string): Buffer {
-  return createHash('sha256').update(text).digest()
-}
--- a/packages/control/src/OperatorListener.ts
+++ b/packages/control/src/OperatorListener.ts
@@ -3,7 +3,7 @@
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import polka from 'polka'
 import type { Registry } from 'prom-client'
-import type { EventLog, Service } from '@carobpitch/kernel'
+import { closeServer, openServer, type EventLog, type Service } from '@carobpitch/kernel'
 import type { ListenerSettings } from '@carobpitch/schema'
 import type { OperatorActions } from './OperatorActions.js'
 import { OperatorCredentials } from './OperatorCredentials.js'
@@ -60,18 +60,12 @@
   /** Starts to listen. */
   async start (): Promise<void> {
     this.server.on('request', this.application().handler as never)
-    const { host, port } = this.options.listen
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
-    })
+    await openServer(this.server, this.options.listen)
   }
 
   /** Closes the listener. */
   async stop (): Promise<void> {
-    const closed = new Promise(resolve => this.server.close(resolve))
-    this.server.closeAllConnections()
-    await closed
+    await closeServer(this.server)
   }
 
   /** Port that the listener is bound to. */
--- a/packages/membership/src/transport/bearer.ts
+++ b/packages/kernel/src/bearerCheck.ts
@@ -1,17 +1,17 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 
-const SCHEME = 'Bearer '
+const AUTHORIZATION = /^Bearer (.+)$/i
 
 /**
  * Returns a check of `Authorization` headers against one bearer credential. Digests of equal length are compared
  * in constant time, so that neither the length nor a shared prefix of a guess shows in the response time.
- * @internal
+ * @public
  */
 export function createBearerCheck (token: string): (authorization: string | undefined) => boolean {
   const expected = digest(token)
-  return authorization => {
-    if (authorization === undefined || !authorization.startsWith(SCHEME)) return false
-    return timingSafeEqual(digest(authorization.slice(SCHEME.length)), expected)
+  return (authorization = '') => {
+    const [, offered] = AUTHORIZATION.exec(authorization) ?? []
+    return offered !== undefined && timingSafeEqual(digest(offered), expected)
   }
 }
 
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,3 +1,5 @@
+export { createBearerCheck } from './bearerCheck.js'
+export { closeServer, openServer } from './serverLifecycle.js'
 export { EventLog, formatFields, type EventLogOptions, type LogFields } from './EventLog.js'
 export { Kernel, type ServiceMap } from './Kernel.js'
 export { type Service } from './Service.js'
--- a/packages/membership/src/detection/storeReaders.ts
+++ b/packages/membership/src/detection/storeReaders.ts
@@ -1,5 +1,5 @@
+import { rankByRendezvous } from '@carobpitch/routing'
 import type { InstanceId } from '@carobpitch/schema'
-import { rankByRendezvous } from '../rendezvous.js'
 
 const READERS_MIN = 3
 const READER_KEY = 'store-reader'
--- a/packages/membership/src/transport/PeerServer.ts
+++ b/packages/membership/src/transport/PeerServer.ts
@@ -1,9 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import type { AnyRouter } from '@trpc/server'
-import type { EventLog, Service } from '@carobpitch/kernel'
+import { closeServer, createBearerCheck, openServer, type EventLog, type Service } from '@carobpitch/kernel'
 import type { ListenerSettings } from '@carobpitch/schema'
-import { createBearerCheck } from './bearer.js'
 import { serveProcedure } from './trpcHandler.js'
 
 /** Larger than a compressed configuration of the target size and a full warmth snapshot. @internal */
@@ -63,19 +62,14 @@
 
   /** Starts to listen. Rejects when the address is in use. */
   async start (): Promise<void> {
-    const { host, port } = this.options.listen
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, resolve)
-    })
-    this.options.log.info('peer.listening', { host, port: this.port() })
+    const { listen, log } = this.options
+    await openServer(this.server, listen)
+    log.info('peer.listening', { host: listen.host, port: this.port() })
   }
 
   /** Closes the listener and its connections. */
   async stop (): Promise<void> {
-    const closed = new Promise(resolve => this.server.close(resolve))
-    this.server.closeAllConnections()
-    await closed
+    await closeServer(this.server)
   }
 
   /** Port that the listener is bound to. */
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream'
 import polka from 'polka'
 import { Registry } from 'prom-client'
+import { closeServer, openServer } from '@carobpitch/kernel'
 import type { Scheduler, TargetView } from '@carobpitch/routing'
 import { settingsSchema, type ConfigurationSource, type InstanceId, type ListenerSettings, type MemberRecord, type ServiceName, type Settings } from '@carobpitch/schema'
 import { AddressBook } from './AddressBook.js'
@@ -101,7 +102,6 @@
 
   /** Starts to listen. */
   async start (): Promise<void> {
-    const { host, port } = this.options.listen
     const own = this.ownPaths()
     this.server.on('request', (request: IncomingMessage, response: ServerResponse) => {
       // polka is left out of the path of forwarded requests, which need no routing by path.
@@ -112,13 +112,7 @@
     this.server.on('connect', (_request: IncomingMessage, socket: Duplex) => this.refuseOn(socket, 'method-not-forwarded'))
     this.server.on('clientError', (error: ParserError, socket: Duplex) => this.onClientError(error, socket))
     this.unsubscribe = this.options.configuration.onChange(configuration => this.pools.retain(configuration))
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject)
-        resolve()
-      })
-    })
+    await openServer(this.server, this.options.listen)
   }
 
   /** The port that is listened on. */
@@ -155,9 +149,7 @@
   /** Closes the listener and all connections. */
   async stop (): Promise<void> {
     this.unsubscribe?.()
-    const closed = new Promise(resolve => this.server.close(resolve))
-    this.server.closeAllConnections()
-    await closed
+    await closeServer(this.server)
     await this.pools.close()
     this.timer.stop()
   }
