Give warming targets one grant in twenty

Change: one grant in 20 of a service goes to a warming target with room. The workers of fleet tests pause 2 ms after a success and their bound is 200,000 calls: on a quiet machine 20,000 calls ended before the targets could be warm. The checks are unchanged.

--- a/packages/routing/src/Scheduler.test.ts
+++ b/packages/routing/src/Scheduler.test.ts
@@ -234,6 +234,21 @@
       })
     }
 
+    it('gives a warming target some requests while warm ones are idle, guarding against a target that never warms up', async () => {
+      create({ targets: 2, slots: 2, service: { coldSuccessesPerStep: 2 } }, { isWarm: false, holdsClaim: () => true })
+      scheduler.warmth.merge({ targetId: target(1), broughtInRevision: 0, coldTurns: 0, state: 'warm' })
+      let served = 0
+      for (let count = 0; count < 100; count += 1) {
+        const probe = await send()
+        const isSlow = probe.grant?.target.targetId === target(2)
+        if (isSlow) served += 1
+        await clock.tickAsync(isSlow ? 30 : 10)
+        await release(probe, answered(isSlow ? 30 : 10))
+      }
+      expect(served).to.be.at.least(2)
+      expect(scheduler.warmth.stateOf(target(2))).to.equal('warm')
+    })
+
     it('asks for the claim again before a granted request is written, guarding against a process frozen in between', async () => {
       let isHeld = true
       create({ targets: 1, slots: 3 }, { isWarm: false, holdsClaim: () => isHeld })
--- a/packages/routing/src/ServiceTargets.ts
+++ b/packages/routing/src/ServiceTargets.ts
@@ -8,6 +8,11 @@
 import type { WarmthTable } from './WarmthTable.js'
 import { isInService, type AnnouncedWithdrawals } from './Withdrawals.js'
 
+/**
+ * One grant in this many goes to a warming target with room. By load and latency alone it would get none while warm
+ * targets are idle, and would still be cold when the load rises.
+ */
+const GRANTS_PER_WARMING_TURN = 20
 /** Time after its deadline by which a target has dropped a request: network delay and the target's own timers. */
 const DROP_GRACE_MS = 100
 /** Limit of a target in trial after an ejection. */
@@ -58,6 +63,7 @@
   private readonly ejection = new EjectionTable()
   private states = new Map<TargetId, TargetState>()
   private steeredInstances = 1
+  private grants = 0
 
   constructor (options: ServiceTargetsOptions) {
     this.options = options
@@ -142,7 +148,7 @@
     for (const { view } of this.states.values()) {
       if (hasRoom(view) && !exclude.has(view.targetId)) candidates.push(view)
     }
-    const view = this.options.policy(candidates, this.options.random)
+    const view = this.chooseWarming(candidates) ?? this.options.policy(candidates, this.options.random)
     if (view === undefined) return undefined
     view.inFlight += 1
     return { view, epoch: this.options.warmth.epochOf(view.targetId), sentAtMs: performance.now(), deadlineAtMs, inFlightAtSend: view.inFlight }
@@ -241,6 +247,13 @@
     setTimeout(() => { view.inFlight -= 1 }, Math.max(0, deadlineAtMs - performance.now()) + DROP_GRACE_MS)
   }
 
+  private chooseWarming (candidates: readonly TargetView[]): TargetView | undefined {
+    this.grants += 1
+    if (this.grants % GRANTS_PER_WARMING_TURN !== 0) return undefined
+    const warming = candidates.filter(({ targetId }) => this.options.warmth.stateOf(targetId) === 'warming')
+    return this.options.policy(warming, this.options.random)
+  }
+
   private limitOf ({ view, isInService, drainingSinceRevision }: TargetState): number {
     if (!isInService || drainingSinceRevision !== undefined) return 0
     // A target that was killed returns cold. If all instances tried it at once, it would get more than its allowance.
--- a/packages/testbed/src/fleet/WorkerLoad.ts
+++ b/packages/testbed/src/fleet/WorkerLoad.ts
@@ -4,8 +4,10 @@
 const POLL_INTERVAL_MS = 5
 /** Pause after a failed call, so that refusals at once do not make a busy loop. */
 const PAUSE_AFTER_FAILURE_MS = 20
+/** Pause after a call that succeeded, so that a fast machine does not reach the bound before targets are warm. */
+const PAUSE_AFTER_SUCCESS_MS = 2
 /** Bounds a load whose condition is never met. */
-const CALLS_MAX = 20_000
+const CALLS_MAX = 200_000
 
 /**
  * Load by workers that call one after the other. Tests wait for numbers of calls instead of times,
@@ -57,7 +59,7 @@
       this.inProgress.add(pending)
       const { succeeded } = await pending.finally(() => this.inProgress.delete(pending))
       if (succeeded) this.succeededCount += 1
-      else await delay(PAUSE_AFTER_FAILURE_MS)
+      await delay(succeeded ? PAUSE_AFTER_SUCCESS_MS : PAUSE_AFTER_FAILURE_MS)
     }
   }
 }
