--- a/packages/control/src/InForceTracker.ts
+++ b/packages/control/src/InForceTracker.ts
@@ -1,12 +1,10 @@
 import type { EventLog } from '@carobpitch/kernel'
+import { FRESHNESS_LIMIT_MS } from '@carobpitch/membership'
 import type { InstanceId, MemberRecord } from '@carobpitch/schema'
 import type { ConfigurationAdopter } from './ConfigurationAdopter.js'
 import type { ControlMembership } from './ControlMembership.js'
 import type { ControlPeers } from './ControlPeers.js'
 
-/** Age of knowledge beyond which a member without contact to the majority accepts no new work. @public */
-export const FRESHNESS_LIMIT_MS = 2_500
-
 /** Interval between attempts to reach members that have not confirmed. */
 const PUSH_INTERVAL_MS = 250
 /** Time after which pushing ends; a status request starts it again. */
--- a/packages/testbed/src/bench/addedLatency.ts
+++ b/packages/testbed/src/bench/addedLatency.ts
@@ -7,7 +7,6 @@
 import { once } from 'node:events'
 import { readFileSync } from 'node:fs'
 import { mkdir, mkdtemp, writeFile } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
 import { cpus, tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
@@ -15,6 +14,7 @@
 import { Command } from 'commander'
 import { nameOfLoad, offerLoad, WARM_UP_REQUESTS, type Load } from './addedLatencyLoad.js'
 import { formatMarkdown, PATHS, reportRows, type Measurement, type PathName } from './addedLatencyReport.js'
+import { findPort } from '../fleet/findPort.js'
 
 const PROCESSES = fileURLToPath(new URL('./addedLatencyProcesses.js', import.meta.url))
 const DAEMON = fileURLToPath(new URL('../../../daemon/dist/main.js', import.meta.url))
@@ -99,15 +99,15 @@
 
 async function startDaemon (storeUrl: string): Promise<MeasuredProcess> {
   const directory = await mkdtemp(join(tmpdir(), 'carobpitch-bench-'))
-  const port = await freePort()
+  const port = await findPort()
   await writeFile(join(directory, 'credentials.json'), JSON.stringify({ peerToken: 'peer-token-for-benchmarks', operatorTokens: {} }))
   await writeFile(join(directory, 'settings.json'), JSON.stringify({
     deployment: 'bench',
     instanceId: 'entry-1',
     failureDomain: 'fukuoka',
     caller: { host: '127.0.0.1', port },
-    peer: { host: '127.0.0.1', port: await freePort() },
-    operator: { host: '127.0.0.1', port: await freePort() },
+    peer: { host: '127.0.0.1', port: await findPort() },
+    operator: { host: '127.0.0.1', port: await findPort() },
     credentialsFile: join(directory, 'credentials.json'),
     store: { urls: [storeUrl] }
   }))
@@ -121,11 +121,3 @@
   }
   throw new Error('the daemon does not serve the benchmark service')
 }
-
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
--- a/packages/testbed/src/control.test.ts
+++ b/packages/testbed/src/control.test.ts
@@ -1,11 +1,11 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdtemp, writeFile } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { expect } from 'chai'
 import { StandInStore } from './StandInStore.js'
+import { findPort } from './fleet/findPort.js'
 
 const DAEMON = fileURLToPath(new URL('../../daemon/dist/main.js', import.meta.url))
 const TOOL = fileURLToPath(new URL('../../cli/dist/main.js', import.meta.url))
@@ -28,7 +28,7 @@
   before(async () => {
     await store.start()
     directory = await mkdtemp(join(tmpdir(), 'carobpitch-control-'))
-    const operatorPort = await freePort()
+    const operatorPort = await findPort()
     operatorUrl = `http://127.0.0.1:${operatorPort}`
     await writeFile(join(directory, 'credentials.json'), JSON.stringify({ peerToken: 'peer-token-for-tests', operatorTokens: { aya: TOKEN } }))
     await writeFile(join(directory, 'token'), `${TOKEN}\n`)
@@ -36,8 +36,8 @@
       deployment: 'hakata',
       instanceId: 'entry-1',
       failureDomain: 'fukuoka',
-      caller: { host: '127.0.0.1', port: await freePort() },
-      peer: { host: '127.0.0.1', port: await freePort() },
+      caller: { host: '127.0.0.1', port: await findPort() },
+      peer: { host: '127.0.0.1', port: await findPort() },
       operator: { host: '127.0.0.1', port: operatorPort },
       credentialsFile: join(directory, 'credentials.json'),
       store: { urls: [store.url()], requestTimeoutMs: 500 },
@@ -133,14 +133,6 @@
   })
 })
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 async function waitFor (check: () => Promise<boolean>): Promise<void> {
   for (let attempt = 0; attempt < 300; attempt += 1) {
     if (await check().catch(() => false)) return
--- a/packages/testbed/src/path.test.ts
+++ b/packages/testbed/src/path.test.ts
@@ -1,6 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdtemp, writeFile } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -10,6 +9,7 @@
 import { seedStore } from './deployment/seedStore.js'
 import { StandInStore } from './StandInStore.js'
 import { StandInTarget } from './StandInTarget.js'
+import { findPort } from './fleet/findPort.js'
 
 const DAEMON = fileURLToPath(new URL('../../daemon/dist/main.js', import.meta.url))
 const TOOL = fileURLToPath(new URL('../../cli/dist/main.js', import.meta.url))
@@ -27,7 +27,7 @@
       await store.start()
       await target.start()
       await seedConfiguration(store.url(), target.url())
-      ;[callerPort, operatorPort] = [await freePort(), await freePort()]
+      ;[callerPort, operatorPort] = [await findPort(), await findPort()]
       const directory = await mkdtemp(join(tmpdir(), 'carobpitch-'))
       await writeFile(join(directory, 'credentials.json'), JSON.stringify({ peerToken: 'peer-token-for-tests', operatorTokens: { test: TOKEN } }))
       await writeFile(join(directory, 'settings.json'), JSON.stringify({
@@ -35,7 +35,7 @@
         instanceId: 'entry-1',
         failureDomain: 'fukuoka',
         caller: { host: '127.0.0.1', port: callerPort },
-        peer: { host: '127.0.0.1', port: await freePort() },
+        peer: { host: '127.0.0.1', port: await findPort() },
         operator: { host: '127.0.0.1', port: operatorPort },
         credentialsFile: join(directory, 'credentials.json'),
         store: { urls: [store.url()] }
@@ -85,14 +85,6 @@
   await store.close()
 }
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 async function waitUntilServing (url: string): Promise<void> {
   for (let attempt = 0; attempt < 200; attempt += 1) {
     const served = await fetch(url).then(response => response.ok, () => false)
