--- /dev/null
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -0,0 +1,234 @@
+import { collectDefaultMetrics, Registry } from 'prom-client'
+import {
+  ColdAllowance, createKnowledgeRouter, createPeerKnowledge, Directory, Dispatcher, FrontListener, FrontMetrics, FrontStop, Knowledge,
+  KnowledgeFollower, KNOWLEDGE_ROUTER, Measurer, Readiness, Registration, RouteIndex, ShareChooser, TargetRegistry,
+  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type TargetProtocol
+} from '@carobpitch/gateway'
+import { Kernel, type EventLog } from '@carobpitch/kernel'
+import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
+import { DeadlineTimer } from '@carobpitch/proxy'
+import type { MemberRecord } from '@carobpitch/schema'
+import type { Result } from 'true-myth'
+import { MetricsListener } from './MetricsListener.js'
+
+declare module '@carobpitch/kernel' {
+  interface ServiceMap {
+    knowledge: { dump(): unknown }
+    follower: KnowledgeFollower
+    'member-lease': LeaseKeeper
+    registration: Registration
+    'peer-feed': PeerServer
+    'feed-links': PeerLinks
+    targets: TargetRegistry
+    dispatcher: Dispatcher
+    front: FrontListener
+    directory: Directory
+    readiness: Readiness
+    'front-metrics': MetricsListener
+  }
+}
+
+/** Length of this instance's lease: a dead instance leaves the directory's answers within it. */
+const MEMBER_LEASE_MS = 4_000
+/** Renewals per lease; two may fail in a row. */
+const RENEWALS_PER_LEASE = 3
+/** Time for which callers use an answer of the directory. Some keep it three times as long, which still fits into a planned stop. */
+const DIRECTORY_TTL_MS = 1_500
+/** Multiple of the time to live for which some callers keep an answer. */
+const DIRECTORY_KEPT_FACTOR = 3
+
+/**
+ * What a front process is built from.
+ * @public
+ */
+export interface FrontDaemonOptions {
+  settings: FrontSettings
+  log: EventLog
+  store: ChangeStore
+  decodeRecord: (key: string, value: string) => Result<DeploymentRecord, string>
+  callerProtocol: CallerProtocol
+  targetProtocol: TargetProtocol
+  /** Key of this instance's entry in the store. */
+  memberKey: string
+  registry: Registry
+}
+
+/**
+ * One front process: the services of an instance that serves callers and the directory.
+ * @public
+ */
+export class FrontDaemon {
+  readonly kernel = new Kernel()
+  private readonly options: FrontDaemonOptions
+  private readonly knowledge: Knowledge
+  private readonly stopping: FrontStop
+  private readonly incarnation = Date.now()
+
+  constructor (options: FrontDaemonOptions) {
+    this.options = options
+    const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, memberKey, registry } = options
+    const { kernel } = this
+    const timer = new DeadlineTimer()
+    const knowledge = new Knowledge({ decode: decodeRecord, log })
+    this.knowledge = knowledge
+    kernel.register('knowledge', { dump: () => knowledge.dump() })
+
+    const peerServer = new PeerServer({ listen: settings.peerListen, log })
+    peerServer.mount(KNOWLEDGE_ROUTER, createKnowledgeRouter(knowledge))
+    const peerLinks = new PeerLinks({})
+    const lease = new LeaseKeeper({
+      store,
+      memberCount: () => this.instanceCount(),
+      log,
+      lengthMs: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS),
+      intervalMs: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS) / RENEWALS_PER_LEASE
+    })
+    const registration = new Registration({ store, lease, knowledge, key: memberKey, record: () => this.ownRecord(), log })
+    const targets = new TargetRegistry({ knowledge, timer, log })
+
+    const metrics = new FrontMetrics(registry, () => kernel.get('front').inFlightCount())
+    const measurer = new Measurer({
+      protocol: targetProtocol,
+      timer,
+      probesPerTargetAndS: settings.probesPerTargetAndS,
+      instanceCount: () => this.instanceCount(),
+      onProbe: (_target, outcome) => metrics.noteProbe(outcome),
+      onMisplaced: target => targets.noteMisplaced(target)
+    })
+    const cold = new ColdAllowance({
+      instanceId: settings.instanceId,
+      instanceIds: () => this.serving().map(({ instanceId }) => instanceId),
+      enteredForMs: () => registration.enteredForMs()
+    })
+    const dispatcher = new Dispatcher({
+      failureDomain: settings.failureDomain,
+      registry: targets,
+      measurer,
+      cold,
+      retryLimits: settings.retryLimits,
+      instanceCount: () => this.instanceCount()
+    })
+    this.stopping = new FrontStop({
+      lease,
+      inFlightCount: () => kernel.get('front').inFlightCount(),
+      graceMs: settings.stopGraceMs,
+      directoryAnswerLifeMs: DIRECTORY_KEPT_FACTOR * directoryTtlMs(settings),
+      log
+    })
+    const shares = new ShareChooser()
+    const routing = this.followRouting(shares)
+    const front = new FrontListener({
+      listen: settings.callerListen,
+      routing,
+      shares,
+      dispatcher,
+      isEligible: target => targets.isEligible(target),
+      onMisplaced: target => targets.noteMisplaced(target),
+      callerProtocol,
+      targetProtocol,
+      timer,
+      metrics,
+      log,
+      mustCloseConnections: () => this.stopping.hasBegun(),
+      endsInMs: () => this.stopping.endsInMs()
+    })
+    knowledge.onChange(() => front.followLimits())
+
+    kernel.register('front', front)
+    kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
+    kernel.register('directory', new Directory({
+      listen: settings.directoryListen,
+      protocol: callerProtocol,
+      serving: () => this.named(),
+      ttlMs: directoryTtlMs(settings)
+    }))
+    kernel.register('peer-feed', peerServer)
+    kernel.register('feed-links', peerLinks)
+    kernel.register('targets', targets)
+    kernel.register('dispatcher', dispatcher)
+    kernel.register('registration', registration)
+    kernel.register('member-lease', lease)
+    kernel.register('follower', new KnowledgeFollower({
+      store,
+      knowledge,
+      askPeer: createPeerKnowledge(peerLinks),
+      peerUrls: () => this.peerUrls(),
+      log
+    }))
+    collectDefaultMetrics({ register: registry })
+    kernel.register('front-metrics', new MetricsListener({ listen: settings.metricsListen, registry, dump: () => kernel.dump() }))
+  }
+
+  /** Starts all services. Rejects when a listener's address is in use. */
+  async start (): Promise<void> {
+    const { settings, log } = this.options
+    log.info('process.started', { failureDomain: settings.failureDomain, incarnation: this.incarnation })
+    await this.kernel.start()
+  }
+
+  /** Planned stop. Resolves when the process may end. */
+  async stopGracefully (): Promise<void> {
+    await this.stopping.run()
+  }
+
+  private isReady (): boolean {
+    return this.knowledge.routingTable() !== undefined && !this.stopping.hasBegun()
+  }
+
+  private ownRecord (): MemberRecord {
+    const { settings } = this.options
+    return {
+      instanceId: settings.instanceId,
+      incarnation: this.incarnation,
+      failureDomain: settings.failureDomain,
+      callerUrl: urlOf(settings.callerListen),
+      peerUrl: urlOf(settings.peerListen),
+      state: 'serving',
+      adoptedRevision: this.knowledge.revision()
+    }
+  }
+
+  /** Members that serve, this one included while it is not being stopped. */
+  private serving (): MemberRecord[] {
+    return this.knowledge.members().filter(({ state }) => state === 'serving')
+  }
+
+  /** Members that callers are told of. This one knows best whether it serves. */
+  private named (): MemberRecord[] {
+    const { instanceId } = this.options.settings
+    const others = this.serving().filter(member => member.instanceId !== instanceId)
+    return this.isReady() ? [this.ownRecord(), ...others] : others
+  }
+
+  private instanceCount (): number {
+    return Math.max(1, this.knowledge.members().length)
+  }
+
+  private peerUrls (): string[] {
+    const { settings } = this.options
+    const own = urlOf(settings.peerListen)
+    const known = this.knowledge.members().map(({ peerUrl }) => peerUrl)
+    return [...new Set([...known, ...settings.seedPeerUrls])].filter(url => url !== own)
+  }
+
+  /** Returns a function that gives the present routes, indexed once for each version. */
+  private followRouting (shares: ShareChooser): () => { table: NonNullable<ReturnType<Knowledge['routingTable']>>, index: RouteIndex } | undefined {
+    let state: { table: NonNullable<ReturnType<Knowledge['routingTable']>>, index: RouteIndex } | undefined
+    return () => {
+      const table = this.knowledge.routingTable()
+      if (table !== undefined && table !== state?.table) {
+        state = { table, index: new RouteIndex(table.routes) }
+        shares.retain(table.routes)
+      }
+      return state
+    }
+  }
+}
+
+function directoryTtlMs ({ directoryTtlMaxMs }: FrontSettings): number {
+  return Math.min(directoryTtlMaxMs, DIRECTORY_TTL_MS)
+}
+
+function urlOf ({ host, port }: { host: string, port: number }): string {
+  return `http://${host}:${port}`
+}
--- /dev/null
+++ b/packages/daemon/src/front/MetricsListener.ts
@@ -0,0 +1,48 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import polka from 'polka'
+import type { Registry } from 'prom-client'
+import { closeServer, openServer, type Service } from '@carobpitch/kernel'
+import type { ListenerSettings } from '@carobpitch/schema'
+
+/**
+ * Options of `MetricsListener`.
+ * @public
+ */
+export interface MetricsListenerOptions {
+  listen: ListenerSettings
+  registry: Registry
+  dump: () => unknown
+}
+
+/**
+ * Serves `/metrics` and the state dump `/dump` of a front process.
+ * @public
+ */
+export class MetricsListener implements Service {
+  private readonly options: MetricsListenerOptions
+  private readonly server: Server
+
+  constructor (options: MetricsListenerOptions) {
+    this.options = options
+    const app = polka({ onNoMatch: (_request, response) => { response.writeHead(404).end() } })
+    app.get('/metrics', (_request, response) => { this.writeMetrics(response as ServerResponse) })
+    app.get('/dump', (_request, response) => {
+      response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(options.dump()))
+    })
+    this.server = createServer(app.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void)
+  }
+
+  async start (): Promise<void> {
+    await openServer(this.server, this.options.listen)
+  }
+
+  async stop (): Promise<void> {
+    await closeServer(this.server)
+  }
+
+  private async writeMetrics (response: ServerResponse): Promise<void> {
+    const { registry } = this.options
+    const text = await registry.metrics()
+    response.writeHead(200, { 'content-type': registry.contentType }).end(text)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/front/main.ts
@@ -0,0 +1,77 @@
+#!/usr/bin/env node
+/** Program `carobpitch-front`. Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings. */
+import { readFileSync } from 'node:fs'
+import { Counter, Registry } from 'prom-client'
+import { Result } from 'true-myth'
+import type { FrontSettings } from '@carobpitch/gateway'
+import { BoundedOutput, EventLog } from '@carobpitch/kernel'
+import { callerProtocol, decodeRecord, KEYS, PlatformStore, readSettings, SETTINGS_VARIABLE, targetProtocol } from '@carobpitch/platform'
+import type { Violation } from '@carobpitch/schema'
+import { FrontDaemon } from './FrontDaemon.js'
+
+const EXIT_FAILED = 1
+const EXIT_INVALID = 2
+
+const output = new BoundedOutput(process.stdout)
+const settings = readSettingsFile().match({ Ok: value => value, Err: exitInvalid })
+const log = new EventLog({ fields: { instance: settings.instanceId }, output })
+const registry = new Registry()
+const storeCalls = new Counter({ name: 'carobpitch_store_calls_total', help: 'Calls to the store by kind and result.', labelNames: ['call', 'result'], registers: [registry] })
+const daemon = new FrontDaemon({
+  settings,
+  log,
+  store: new PlatformStore({ url: settings.storeUrl, countCall: (call, result) => storeCalls.inc({ call, result }) }),
+  decodeRecord,
+  callerProtocol,
+  targetProtocol,
+  memberKey: `${KEYS.memberPrefix}${settings.instanceId}`,
+  registry
+})
+
+for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => { stop(signal) })
+process.on('SIGHUP', () => reload())
+// Without a line of the log, a crash could not be told from a kill.
+process.on('uncaughtException', error => {
+  log.error('process.failed', { reason: error.message, stack: error.stack })
+  process.exit(EXIT_FAILED)
+})
+try {
+  await daemon.start()
+} catch (error) {
+  log.error('process.failed', { reason: `cannot start: ${(error as Error).message}` })
+  process.exit(EXIT_FAILED)
+}
+
+async function stop (signal: string): Promise<void> {
+  log.info('process.stopping', { signal })
+  await daemon.stopGracefully()
+  log.info('process.stopped', {})
+  process.exit(0)
+}
+
+/** Addresses and bounds hold for the life of a process, so that a changed file is only checked and reported. */
+function reload (): void {
+  readSettingsFile().match({
+    Ok: fresh => log.info('settings.reread', { isChanged: JSON.stringify(fresh) !== JSON.stringify(settings) }),
+    Err: violations => log.error('settings.invalid', { reason: describe(violations) })
+  })
+}
+
+function readSettingsFile (): Result<FrontSettings, Violation[]> {
+  const path = process.env[SETTINGS_VARIABLE]
+  if (path === undefined) return Result.err([{ path: SETTINGS_VARIABLE, message: 'is not set' }])
+  try {
+    return readSettings(readFileSync(path, 'utf8'))
+  } catch (error) {
+    return Result.err([{ path, message: (error as Error).message }])
+  }
+}
+
+function exitInvalid (violations: Violation[]): never {
+  console.error(describe(violations))
+  process.exit(EXIT_INVALID)
+}
+
+function describe (violations: Violation[]): string {
+  return violations.map(({ path, message }) => `${path}: ${message}`).join('; ')
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/DispatchRequest.ts
@@ -0,0 +1,36 @@
+import type { AttemptOutcome } from '@carobpitch/routing'
+import type { ServiceName, TargetId } from '@carobpitch/schema'
+import type { GatewayTarget } from '../targets/GatewayTarget.js'
+
+/**
+ * A request that needs a target.
+ * @public
+ */
+export interface DispatchRequest {
+  service: ServiceName
+  requestId: string
+  /** 0 is the most urgent. */
+  priority: number
+  arrivedAtMs: number
+  objectiveMs: number
+  /** When the request is given up, on the monotonic clock. */
+  giveUpAtMs: number
+  /** Targets that earlier attempts of this request used. */
+  exclude: ReadonlySet<TargetId>
+  /** Aborts when the caller goes away. */
+  signal: AbortSignal
+}
+
+/** Why a request got no target. It has not run. @public */
+export type DispatchRefusal = 'no-target' | 'no-room' | 'deadline-unreachable' | 'cancelled'
+
+/**
+ * The right to send one request to a target. Must be released exactly once.
+ * @public
+ */
+export interface DispatchGrant {
+  target: GatewayTarget
+  /** What the choice was based on, for the log. */
+  reason: { factor: number, reportAgeMs: number, freeSlots: number, candidates: number, waitedMs: number }
+  release(kind: AttemptOutcome['kind'], elapsedMs: number): void
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -0,0 +1,76 @@
+import type { Result } from 'true-myth'
+import type { Service } from '@carobpitch/kernel'
+import { RetryBudget } from '@carobpitch/routing'
+import type { ServiceName } from '@carobpitch/schema'
+import type { FrontSettings } from '../model/FrontSettings.js'
+import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
+import { ServiceDispatcher, type ServiceDispatcherOptions } from './ServiceDispatcher.js'
+
+/** Share of the fleet's slack for retries that is used; restarted instances have forgotten what they spent. */
+const USED_SLACK_SHARE = 0.7
+
+/**
+ * Options of `Dispatcher`.
+ * @public
+ */
+export interface DispatcherOptions extends Omit<ServiceDispatcherOptions, 'service'> {
+  retryLimits: FrontSettings['retryLimits']
+  instanceCount: () => number
+}
+
+/**
+ * Dispatchers and retry budgets by service.
+ * @public
+ */
+export class Dispatcher implements Service {
+  private readonly options: DispatcherOptions
+  private readonly services = new Map<ServiceName, ServiceDispatcher>()
+  private readonly budgets = new Map<ServiceName, RetryBudget>()
+
+  constructor (options: DispatcherOptions) {
+    this.options = options
+  }
+
+  /** Waits for a target. */
+  async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
+    return await this.dispatcherOf(request.service).acquire(request)
+  }
+
+  /** Counts a caller's request towards the retry budget of its service. */
+  noteRequest (service: ServiceName): void {
+    this.budgetOf(service).noteRequest()
+  }
+
+  /** Takes the right to send a request once more. */
+  takeRetry (service: ServiceName): boolean {
+    return this.budgetOf(service).take()
+  }
+
+  dump (): unknown {
+    return Object.fromEntries([...this.services].map(([service, dispatcher]) => [service, {
+      waiting: dispatcher.waitingCount(),
+      retryBudget: this.budgetOf(service).totals()
+    }]))
+  }
+
+  private dispatcherOf (service: ServiceName): ServiceDispatcher {
+    const known = this.services.get(service)
+    if (known !== undefined) return known
+    const dispatcher = new ServiceDispatcher({ ...this.options, service })
+    this.services.set(service, dispatcher)
+    return dispatcher
+  }
+
+  /** Each instance spends its share of the slack, so that the sum over all of them keeps the limit without a call. */
+  private budgetOf (service: ServiceName): RetryBudget {
+    const known = this.budgets.get(service)
+    if (known !== undefined) return known
+    const { retryLimits: { share, slack, windowMs }, instanceCount } = this.options
+    const budget = new RetryBudget({
+      windowMs: windowMs + 1_000,
+      allowance: requests => requests * share * windowMs / (windowMs + 1_000) + slack * USED_SLACK_SHARE / Math.max(1, instanceCount())
+    })
+    this.budgets.set(service, budget)
+    return budget
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -0,0 +1,243 @@
+import { Result } from 'true-myth'
+import type { FailureDomainId, ServiceName } from '@carobpitch/schema'
+import type { ColdAllowance } from '../targets/ColdAllowance.js'
+import type { GatewayTarget } from '../targets/GatewayTarget.js'
+import type { Measurer } from '../targets/Measurer.js'
+import type { TargetRegistry } from '../targets/TargetRegistry.js'
+import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
+import { expectedWorkFactor } from './expectedAnswer.js'
+import { WorkTime } from './WorkTime.js'
+
+/** Age up to which a report counts as present. The load of a target's machine changes within a few hundred milliseconds. */
+const REPORT_FRESH_MS = 60
+/** Longest wait for reports before a choice is made with those at hand. */
+const REPORT_WAIT_MS = 25
+/** Targets that are asked before a choice. */
+const CANDIDATES = 3
+/** Pause before a request that found no target looks again. */
+const RETRY_MS = 15
+/** Share of the latency objective after which a request that finds no free slot is refused, so that its caller can try again in time. */
+const WAIT_SHARE_OF_OBJECTIVE = 0.4
+/** Time after which a request goes to a target that answers no questions; its health path alone may be at fault. */
+const UNMEASURED_AFTER_MS = 100
+/** Age of reports that are used when no target answers a question. */
+const REPORT_OLD_MS = 2_000
+
+/**
+ * Options of `ServiceDispatcher`.
+ * @public
+ */
+export interface ServiceDispatcherOptions {
+  service: ServiceName
+  failureDomain: FailureDomainId
+  registry: TargetRegistry
+  measurer: Measurer
+  cold: ColdAllowance
+  random?: () => number
+}
+
+interface Waiter {
+  request: DispatchRequest
+  settle: (outcome: Result<DispatchGrant, DispatchRefusal>) => void
+}
+
+interface Candidate {
+  target: GatewayTarget
+  factor: number
+}
+
+/**
+ * Gives each request of a service a target that can answer it in time, by reports that are asked for right before the choice.
+ * @public
+ */
+export class ServiceDispatcher {
+  private readonly options: Required<ServiceDispatcherOptions>
+  private readonly workTime = new WorkTime()
+  private waiters: Waiter[] = []
+  private isRunning = false
+  private wake: (() => void) | undefined
+
+  constructor (options: ServiceDispatcherOptions) {
+    this.options = { random: Math.random, ...options }
+  }
+
+  /** Waits for a target. */
+  async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
+    return await new Promise(resolve => {
+      const onAbort = (): void => this.remove(waiter, 'cancelled')
+      const waiter: Waiter = {
+        request,
+        settle: outcome => {
+          request.signal.removeEventListener('abort', onAbort)
+          resolve(outcome)
+        }
+      }
+      request.signal.addEventListener('abort', onAbort, { once: true })
+      this.enqueue(waiter)
+    })
+  }
+
+  /** Requests that wait for a target. */
+  waitingCount (): number {
+    return this.waiters.length
+  }
+
+  private enqueue (waiter: Waiter): void {
+    const { priority, arrivedAtMs } = waiter.request
+    const index = this.waiters.findIndex(({ request }) => request.priority > priority || (request.priority === priority && request.arrivedAtMs > arrivedAtMs))
+    if (index < 0) this.waiters.push(waiter)
+    else this.waiters.splice(index, 0, waiter)
+    if (this.isRunning) this.wake?.()
+    else this.run()
+  }
+
+  private remove (waiter: Waiter, refusal: DispatchRefusal): void {
+    const index = this.waiters.indexOf(waiter)
+    if (index < 0) return
+    this.waiters.splice(index, 1)
+    waiter.settle(Result.err(refusal))
+  }
+
+  private async run (): Promise<void> {
+    this.isRunning = true
+    while (this.waiters.length > 0) {
+      await this.refreshReports()
+      this.serve()
+      if (this.waiters.length > 0) await this.pause()
+    }
+    this.isRunning = false
+  }
+
+  private async pause (): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, RETRY_MS)
+      this.wake = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+    this.wake = undefined
+  }
+
+  /** Asks the most promising targets, and further ones while none of them is free and fast. */
+  private async refreshReports (): Promise<void> {
+    const asked = new Set<GatewayTarget>()
+    const untilMs = performance.now() + REPORT_WAIT_MS
+    const wanted = Math.min(this.waiters.length, CANDIDATES) - 1 + CANDIDATES
+    for (let round = 0; round < 2; round += 1) {
+      const candidates = this.promising(asked).slice(0, wanted)
+      if (candidates.length === 0) return
+      for (const target of candidates) asked.add(target)
+      await this.ask(candidates, Math.max(1, untilMs - performance.now()))
+      if (candidates.some(target => this.isGood(target))) return
+    }
+  }
+
+  private async ask (targets: readonly GatewayTarget[], waitMs: number): Promise<void> {
+    let timer: NodeJS.Timeout | undefined
+    const timeout = new Promise<void>(resolve => { timer = setTimeout(resolve, waitMs) })
+    const answers = Promise.all(targets.map(async target => await this.options.measurer.measure(target, REPORT_FRESH_MS)))
+    await Promise.race([answers, timeout])
+    clearTimeout(timer)
+  }
+
+  private isGood (target: GatewayTarget): boolean {
+    const report = target.report()
+    return target.reportAgeMs() <= REPORT_FRESH_MS && target.freeSlots() > 0 && report !== undefined && report.slowdown < 2
+  }
+
+  private promising (asked: ReadonlySet<GatewayTarget>): GatewayTarget[] {
+    const { registry, service, random } = this.options
+    const ranked: Candidate[] = []
+    for (const target of registry.ofService(service)) {
+      if (asked.has(target) || target.failures.isResting()) continue
+      ranked.push({ target, factor: this.factorOf(target) * (1 + random()) })
+    }
+    ranked.sort((first, second) => first.factor - second.factor)
+    return ranked.map(({ target }) => target)
+  }
+
+  private factorOf (target: GatewayTarget): number {
+    return expectedWorkFactor(target, this.options.failureDomain)
+  }
+
+  private serve (): void {
+    for (const waiter of [...this.waiters]) {
+      const chosen = this.choose(waiter.request)
+      if (chosen.isOk) this.grant(waiter, chosen.value)
+      else if (chosen.error !== 'wait') this.remove(waiter, chosen.error)
+    }
+  }
+
+  private grant (waiter: Waiter, { target, factor }: Candidate): void {
+    const { request } = waiter
+    this.waiters.splice(this.waiters.indexOf(waiter), 1)
+    const slowdown = target.report()?.slowdown ?? 1
+    const reason = {
+      factor,
+      reportAgeMs: target.reportAgeMs(),
+      freeSlots: target.freeSlots(),
+      candidates: this.options.registry.ofService(this.options.service).length,
+      waitedMs: performance.now() - request.arrivedAtMs
+    }
+    if (target.isCold()) this.options.cold.take(target)
+    target.begin()
+    let isReleased = false
+    const release: DispatchGrant['release'] = (kind, elapsedMs) => {
+      if (isReleased) return
+      isReleased = true
+      target.end()
+      if (kind === 'answered') this.workTime.note(elapsedMs, slowdown)
+      this.wake?.()
+    }
+    waiter.settle(Result.ok({ target, reason, release }))
+  }
+
+  private choose (request: DispatchRequest): Result<Candidate, DispatchRefusal | 'wait'> {
+    const nowMs = performance.now()
+    if (nowMs >= request.giveUpAtMs) return Result.err('deadline-unreachable')
+    const waitedMs = nowMs - request.arrivedAtMs
+    const workMs = this.workTime.expectedMs(request.objectiveMs)
+    const best = this.best(request)
+    if (best !== undefined) {
+      const answerAtMs = nowMs + workMs * best.factor
+      const objectiveAtMs = request.arrivedAtMs + request.objectiveMs
+      if (answerAtMs <= objectiveAtMs) return Result.ok(best)
+      // Past this moment even a target at its usual speed would answer late.
+      if (nowMs + workMs >= objectiveAtMs) return Result.ok(best)
+      return Result.err('wait')
+    }
+    if (waitedMs < request.objectiveMs * WAIT_SHARE_OF_OBJECTIVE) return Result.err('wait')
+    return Result.err(this.options.registry.ofService(this.options.service).length === 0 ? 'no-target' : 'no-room')
+  }
+
+  /** Returns the target with a free slot that is expected to answer first: by present reports, else by old ones, else by the own count. */
+  private best (request: DispatchRequest): Candidate | undefined {
+    const usable = this.options.registry.ofService(this.options.service)
+      .filter(target => !request.exclude.has(target.record.targetId) && target.freeSlots() > 0 && this.mayBegin(target))
+    const rested = usable.filter(target => !target.failures.isResting())
+    const pool = rested.length > 0 ? rested : usable
+    const fresh = pool.filter(target => target.reportAgeMs() <= REPORT_FRESH_MS + REPORT_WAIT_MS)
+    const healthy = fresh.filter(target => target.report()?.isHealthy !== false)
+    for (const candidates of [healthy, fresh]) {
+      const best = this.fastest(candidates)
+      if (best !== undefined) return best
+    }
+    const old = this.fastest(pool.filter(target => target.reportAgeMs() <= REPORT_OLD_MS))
+    if (old !== undefined || performance.now() - request.arrivedAtMs < UNMEASURED_AFTER_MS) return old
+    return this.fastest(pool.filter(target => !target.isCold()))
+  }
+
+  private mayBegin (target: GatewayTarget): boolean {
+    return !target.isCold() || this.options.cold.hasRoom(target)
+  }
+
+  private fastest (candidates: readonly GatewayTarget[]): Candidate | undefined {
+    let best: Candidate | undefined
+    for (const target of candidates) {
+      const factor = this.factorOf(target)
+      if (best === undefined || factor < best.factor) best = { target, factor }
+    }
+    return best
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/edge/CollectedResponse.ts
@@ -0,0 +1,33 @@
+import type { ResponseHead } from '@carobpitch/proxy'
+
+/** Largest response that is held back until it is complete, so that a broken one can be replaced by another attempt. */
+const COLLECTED_MAX_BYTES = 262_144
+
+/**
+ * A target's response while it arrives.
+ * @internal
+ */
+export class CollectedResponse {
+  readonly head: ResponseHead
+  private chunks: Buffer[] = []
+  private sizeBytes = 0
+
+  constructor (head: ResponseHead) {
+    this.head = head
+  }
+
+  /** Takes a part of the body. Returns whether the response is still small enough to be held back. */
+  add (chunk: Buffer): boolean {
+    this.chunks.push(chunk)
+    this.sizeBytes += chunk.length
+    return this.sizeBytes <= COLLECTED_MAX_BYTES
+  }
+
+  /** Returns what has been collected, and forgets it. */
+  take (): Buffer {
+    const [only] = this.chunks
+    const body = this.chunks.length === 1 && only !== undefined ? only : Buffer.concat(this.chunks)
+    this.chunks = []
+    return body
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/edge/Directory.ts
@@ -0,0 +1,76 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import polka from 'polka'
+import { closeServer, openServer, type Service } from '@carobpitch/kernel'
+import type { FailureDomainId, ListenerSettings, MemberRecord } from '@carobpitch/schema'
+import type { CallerProtocol } from './CallerProtocol.js'
+
+/** Addresses in one answer; callers read no more. */
+const ADDRESSES_MAX = 64
+/** Below this number of instances in the caller's failure domain, instances of others are named as well. */
+const NEAR_MIN = 2
+
+/**
+ * Options of `Directory`.
+ * @public
+ */
+export interface DirectoryOptions {
+  listen: ListenerSettings
+  protocol: CallerProtocol
+  /** Instances that callers may use, this one included if it serves. */
+  serving: () => readonly MemberRecord[]
+  /** Time for which callers may use an answer. */
+  ttlMs: number
+  random?: () => number
+}
+
+/**
+ * Tells callers where to connect.
+ * @public
+ */
+export class Directory implements Service {
+  private readonly options: Required<DirectoryOptions>
+  private readonly server: Server
+
+  constructor (options: DirectoryOptions) {
+    this.options = { random: Math.random, ...options }
+    const { protocol } = options
+    const app = polka({ onNoMatch: (_request, response) => { response.writeHead(404).end() } })
+    app.get(protocol.directoryPath, (request, response) => this.answer(request.query as Record<string, unknown>, response))
+    this.server = createServer(app.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void)
+  }
+
+  async start (): Promise<void> {
+    await openServer(this.server, this.options.listen)
+  }
+
+  async stop (): Promise<void> {
+    await closeServer(this.server)
+  }
+
+  /** Returns the addresses for a caller: those of its failure domain, and others when there are few. */
+  addressesFor (failureDomain: FailureDomainId | undefined): string[] {
+    const serving = this.options.serving()
+    const near = serving.filter(member => member.failureDomain === failureDomain)
+    const named = near.length >= NEAR_MIN ? near : serving
+    return this.shuffled(named.map(({ callerUrl }) => new URL(callerUrl).host)).slice(0, ADDRESSES_MAX)
+  }
+
+  private answer (query: Record<string, unknown>, response: ServerResponse): void {
+    const { protocol, ttlMs } = this.options
+    const { failureDomain } = protocol.readQuestion(query)
+    const addresses = this.addressesFor(failureDomain)
+    if (addresses.length === 0) {
+      response.writeHead(503, { 'content-length': 0 }).end()
+      return
+    }
+    const body = protocol.formatAddresses(addresses, ttlMs)
+    response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
+  }
+
+  private shuffled (addresses: string[]): string[] {
+    return addresses
+      .map(address => ({ address, order: this.options.random() }))
+      .sort((first, second) => first.order - second.order)
+      .map(({ address }) => address)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -0,0 +1,393 @@
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Readable } from 'node:stream'
+import type { Client } from 'undici'
+import type { EventLog } from '@carobpitch/kernel'
+import { Attempt, breakOff, endToEndHeaders, readBody, readResponseHead, type AttemptResult, type DeadlineTimer, type Expiring, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
+import type { Dispatcher } from '../dispatch/Dispatcher.js'
+import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
+import type { Route, RoutingTable } from '../model/Route.js'
+import type { RouteIndex } from '../model/RouteIndex.js'
+import type { ShareChooser } from '../model/ShareChooser.js'
+import type { GatewayTarget } from '../targets/GatewayTarget.js'
+import type { TargetProtocol } from '../targets/TargetProtocol.js'
+import type { CallerProtocol } from './CallerProtocol.js'
+import { CollectedResponse } from './CollectedResponse.js'
+import type { FrontMetrics } from './FrontMetrics.js'
+import { frontStatusOf, type FrontReason } from './FrontReason.js'
+
+/** When a refused caller may come back: long enough for slots to become free, short enough for its objective. */
+const RETRY_AFTER_S = 0.25
+/** Time that a caller without a deadline is taken to wait. */
+const DEADLINE_DEFAULT_MS = 10_000
+/** A further attempt with less time than this left cannot get an answer. */
+const ATTEMPT_MIN_MS = 20
+/** Statuses with which a target reports its own failure. */
+const TARGET_FAILURE_STATUS_MIN = 500
+
+/**
+ * Present configuration with its routes indexed.
+ * @internal
+ */
+export interface RoutingState {
+  table: RoutingTable
+  index: RouteIndex
+}
+
+/**
+ * What all exchanges of an instance share.
+ * @internal
+ */
+export interface FrontExchangeContext {
+  routing: () => RoutingState | undefined
+  shares: ShareChooser
+  dispatcher: Dispatcher
+  isEligible: (target: GatewayTarget) => boolean
+  onMisplaced: (target: GatewayTarget) => void
+  callerProtocol: CallerProtocol
+  targetProtocol: TargetProtocol
+  timer: DeadlineTimer
+  metrics: FrontMetrics
+  log: EventLog
+  /** Whether callers must not send further requests over their connections. */
+  mustCloseConnections: () => boolean
+  /** Time until this process ends, while it is being stopped. */
+  endsInMs: () => number | undefined
+}
+
+interface RunningAttempt {
+  attempt: Attempt
+  grant: DispatchGrant
+  client: Client
+  startedAtMs: number
+  collected: CollectedResponse | undefined
+}
+
+/**
+ * One request of a caller and its response.
+ * @internal
+ */
+export class FrontExchange implements ResponseSink, Expiring {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  private readonly context: FrontExchangeContext
+  private readonly arrivedAtMs = performance.now()
+  private readonly abort = new AbortController()
+  private readonly tried = new Set<TargetId>()
+  private requestId = ''
+  private route: Route | undefined
+  private service: ServiceName | undefined
+  private configurationVersion = 0
+  private giveUpAtMs = 0
+  private timerKey: number | undefined
+  private headers: string[] = []
+  private body: Buffer | Readable | undefined
+  private running: RunningAttempt | undefined
+  private attempts = 0
+  private verdict: Verdict = 'not-run'
+  private isStreaming = false
+  private hasEnded = false
+
+  constructor (context: FrontExchangeContext, request: IncomingMessage, response: ServerResponse) {
+    this.context = context
+    this.request = request
+    this.response = response
+  }
+
+  /** Finds the request's route and starts to serve it. */
+  start (): void {
+    const { routing, callerProtocol, targetProtocol, shares, dispatcher, timer } = this.context
+    const { requestId, deadlineMs } = callerProtocol.readFacts(this.request.headers)
+    this.requestId = requestId ?? randomUUID()
+    const state = routing()
+    if (state === undefined) {
+      this.finish('no-configuration')
+      return
+    }
+    this.configurationVersion = state.table.version
+    this.route = state.index.find(this.request.headers.host ?? '', this.request.url ?? '')
+    if (this.route === undefined) {
+      this.finish('unknown-route')
+      return
+    }
+    this.service = shares.choose(this.route)
+    dispatcher.noteRequest(this.service)
+    this.giveUpAtMs = this.arrivedAtMs + Math.min(deadlineMs ?? DEADLINE_DEFAULT_MS, this.route.timeoutMs ?? Infinity)
+    this.timerKey = timer.add(this, this.giveUpAtMs)
+    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, targetProtocol.headersSetPerAttempt)
+    this.receive(state.table.callerLimits.bodySizeMaxBytes)
+  }
+
+  /** Answers a request that is not served. */
+  refuse (reason: FrontReason): void {
+    this.finish(reason)
+  }
+
+  /** The caller has closed its connection. */
+  callerLeft (): void {
+    if (this.hasEnded) return
+    this.conclude('cancelled', undefined)
+    this.running?.attempt.cancel('cancelled', 'cancelled')
+  }
+
+  /** @internal The time for the request has passed. */
+  expire (): void {
+    this.timerKey = undefined
+    if (this.hasEnded) return
+    const { running } = this
+    // The verdict of the attempt in progress counts before the caller is told.
+    if (running !== undefined) this.noteVerdict(running.attempt.handedOverAtMs === undefined ? 'not-run' : 'may-have-run')
+    this.finish('deadline-exceeded')
+    running?.attempt.cancel('deadline-exceeded', 'timed-out')
+  }
+
+  /** @internal */
+  takeHead (head: ResponseHead, verdict: Verdict): boolean {
+    const { running } = this
+    if (running === undefined || this.hasEnded || verdict === 'not-run') return false
+    running.collected = new CollectedResponse(head)
+    return true
+  }
+
+  /** @internal */
+  takeData (chunk: Buffer): boolean {
+    const { collected } = this.running ?? {}
+    if (collected === undefined || this.hasEnded) return true
+    if (this.isStreaming) return this.response.write(chunk) || this.pauseUntilDrained()
+    if (collected.add(chunk)) return true
+    this.beginStreaming(collected)
+    return true
+  }
+
+  /** @internal */
+  attemptEnded (_attempt: Attempt, result: AttemptResult): void {
+    const { running } = this
+    if (running === undefined) return
+    this.running = undefined
+    const { target } = running.grant
+    const elapsedMs = performance.now() - running.startedAtMs
+    target.connections.give(running.client, result.isReusable)
+    const kind = this.judge(running, result)
+    running.grant.release(kind, elapsedMs)
+    this.noteVerdict(result.verdict)
+    this.context.metrics.noteAttempt(target.record.service, result.reason ?? 'answered', elapsedMs)
+    this.logAttempt(running, result, elapsedMs)
+    if (this.hasEnded) return
+    const { collected } = running
+    if (result.verdict === 'answered' && collected !== undefined) this.answer(running, collected)
+    else if (this.isStreaming) this.breakOff(result.reason ?? 'target-failed')
+    else this.tryAgain(result.reason ?? 'target-failed')
+  }
+
+  private receive (bodySizeMaxBytes: number): void {
+    const { request } = this
+    const length = request.headers['content-length']
+    const hasBody = request.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0')
+    if (!hasBody) {
+      this.dispatch()
+      return
+    }
+    readBody({
+      request,
+      lengthBytes: length === undefined ? undefined : Number(length),
+      sizeMaxBytes: bodySizeMaxBytes,
+      onReady: body => {
+        this.body = body
+        this.dispatch()
+      },
+      onTooLarge: () => this.finish('body-too-large')
+    })
+  }
+
+  private async dispatch (): Promise<void> {
+    const { route, service } = this
+    if (this.hasEnded || route === undefined || service === undefined) return
+    const endsInMs = this.context.endsInMs()
+    if (endsInMs !== undefined && endsInMs < route.objectiveMs) {
+      this.finish('stopping')
+      return
+    }
+    const granted = await this.context.dispatcher.acquire({
+      service,
+      requestId: this.requestId,
+      priority: route.priority,
+      arrivedAtMs: this.arrivedAtMs,
+      objectiveMs: route.objectiveMs,
+      giveUpAtMs: this.giveUpAtMs,
+      exclude: this.tried,
+      signal: this.abort.signal
+    })
+    if (granted.isErr) this.finish(granted.error)
+    else if (this.hasEnded) granted.value.release('cancelled', 0)
+    else this.send(granted.value)
+  }
+
+  private send (grant: DispatchGrant): void {
+    const { targetProtocol, isEligible } = this.context
+    const { target } = grant
+    const { targetId } = target.record
+    const client = target.connections.take()
+    this.attempts += 1
+    this.tried.add(targetId)
+    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.giveUpAtMs - performance.now(), targetId }))
+    const attempt = new Attempt({
+      method: this.request.method ?? 'GET',
+      path: this.request.url ?? '/',
+      headers,
+      body: this.body,
+      requestId: this.requestId,
+      notRunStatuses: [],
+      sink: this,
+      objection: () => isEligible(target) ? undefined : 'target-withdrawn',
+      readHead: (method, status, rawHeaders) => readResponseHead(method, status, rawHeaders, targetProtocol.readOwnHeader),
+      connectionState: () => target.connections.stateOf(client)
+    })
+    this.running = { attempt, grant, client, startedAtMs: performance.now(), collected: undefined }
+    this.logSend(grant)
+    attempt.start(client)
+  }
+
+  /** Tells the target's records how the attempt went. */
+  private judge ({ grant: { target }, collected, attempt }: RunningAttempt, result: AttemptResult): AttemptResult['kind'] {
+    const head = attempt.head
+    if (head?.occupancy !== undefined) target.noteReport(head.occupancy)
+    if (head?.targetId !== undefined && head.targetId !== target.record.targetId) this.context.onMisplaced(target)
+    if (result.kind === 'cancelled') return 'cancelled'
+    const hasFailed = result.verdict !== 'answered' || (collected !== undefined && collected.head.status >= TARGET_FAILURE_STATUS_MIN)
+    if (hasFailed) target.failures.noteFailure()
+    else target.failures.noteSuccess()
+    // A connection that breaks may mean a restart, after which the target is cold.
+    if (!result.isComplete && result.kind !== 'timed-out') target.forgetReport()
+    return hasFailed && result.kind === 'answered' ? 'failed' : result.kind
+  }
+
+  private answer (running: RunningAttempt, collected: CollectedResponse): void {
+    const isFailure = collected.head.status >= TARGET_FAILURE_STATUS_MIN
+    if (isFailure && this.mayTryAgain()) {
+      this.dispatch()
+      return
+    }
+    if (this.isStreaming) this.response.end()
+    else this.writeWhole(collected)
+    this.conclude('answered', collected.head.status, running.grant.target.record.targetId)
+  }
+
+  private writeWhole (collected: CollectedResponse): void {
+    const { head } = collected
+    const body = collected.take()
+    const headers = head.forwarded
+    if (head.framing.kind !== 'length' && head.framing.kind !== 'no-body') headers.push('content-length', String(body.length))
+    this.pushConnection(headers)
+    this.response.writeHead(head.status, headers)
+    this.response.end(body)
+  }
+
+  private beginStreaming (collected: CollectedResponse): void {
+    this.isStreaming = true
+    const headers = collected.head.forwarded
+    this.pushConnection(headers)
+    this.response.writeHead(collected.head.status, headers)
+    this.response.write(collected.take())
+  }
+
+  private pauseUntilDrained (): false {
+    this.response.once('drain', () => this.running?.attempt.resume())
+    return false
+  }
+
+  private tryAgain (reason: FrontReason): void {
+    if (this.mayTryAgain()) this.dispatch()
+    else this.finish(reason)
+  }
+
+  private mayTryAgain (): boolean {
+    const { route, service, giveUpAtMs, body, verdict } = this
+    if (route === undefined || service === undefined) return false
+    const mayRunAgain = route.isIdempotent || verdict === 'not-run'
+    const isBodyWhole = body === undefined || Buffer.isBuffer(body)
+    const hasTime = giveUpAtMs - performance.now() > ATTEMPT_MIN_MS
+    return mayRunAgain && isBodyWhole && hasTime && this.attempts < route.attemptsMax && this.context.dispatcher.takeRetry(service)
+  }
+
+  private noteVerdict (verdict: Verdict): void {
+    this.verdict = combineVerdicts(this.verdict, verdict)
+  }
+
+  private finish (reason: FrontReason): void {
+    if (this.hasEnded) return
+    if (this.isStreaming) {
+      this.breakOff(reason)
+      return
+    }
+    const status = frontStatusOf(reason, this.verdict !== 'not-run')
+    this.conclude(reason, status)
+    if (this.response.destroyed) return
+    const body = `${JSON.stringify({ reason })}\n`
+    const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
+    if (status === 503 || status === 429) headers.push(this.context.callerProtocol.retryAfterHeader, String(RETRY_AFTER_S))
+    this.pushConnection(headers, !this.request.complete)
+    this.response.writeHead(status, headers)
+    this.response.end(body)
+    if (!this.request.complete) this.request.resume()
+  }
+
+  private breakOff (reason: FrontReason): void {
+    this.conclude(reason, undefined)
+    breakOff(this.response)
+  }
+
+  private pushConnection (headers: string[], mustClose = false): void {
+    if (mustClose || this.context.mustCloseConnections()) headers.push('connection', 'close')
+  }
+
+  private conclude (outcome: FrontReason | 'answered', status: number | undefined, targetId?: TargetId): void {
+    const { timer, metrics, log } = this.context
+    this.hasEnded = true
+    this.abort.abort()
+    if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
+    const elapsedMs = performance.now() - this.arrivedAtMs
+    metrics.noteRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
+    log.info('request.ended', {
+      requestId: this.requestId,
+      route: this.route?.name,
+      service: this.service,
+      outcome,
+      status,
+      verdict: this.verdict,
+      targetId,
+      attempts: this.attempts,
+      elapsedMs: Math.round(elapsedMs),
+      objectiveMs: this.route?.objectiveMs,
+      configurationVersion: this.configurationVersion
+    })
+  }
+
+  private logSend ({ target, reason }: DispatchGrant): void {
+    this.context.log.info('request.sent', {
+      requestId: this.requestId,
+      service: this.service,
+      targetId: target.record.targetId,
+      attempt: this.attempts,
+      factor: Number(reason.factor.toFixed(2)),
+      reportAgeMs: Math.round(Math.min(reason.reportAgeMs, 99_999)),
+      freeSlots: reason.freeSlots,
+      candidates: reason.candidates,
+      waitedMs: Math.round(reason.waitedMs),
+      isCold: target.isCold()
+    })
+  }
+
+  private logAttempt ({ grant, attempt }: RunningAttempt, result: AttemptResult, elapsedMs: number): void {
+    if (result.verdict === 'answered' && (attempt.head?.status ?? 0) < TARGET_FAILURE_STATUS_MIN) return
+    this.context.log.info('attempt.failed', {
+      requestId: this.requestId,
+      targetId: grant.target.record.targetId,
+      attempt: this.attempts,
+      status: attempt.head?.status,
+      reason: result.reason ?? 'target-failed',
+      verdict: result.verdict,
+      elapsedMs: Math.round(elapsedMs)
+    })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/edge/FrontListener.ts
@@ -0,0 +1,114 @@
+import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { closeServer, openServer, type Service } from '@carobpitch/kernel'
+import { parserFaultOf, type ParserError } from '@carobpitch/proxy'
+import type { ListenerSettings } from '@carobpitch/schema'
+import { FrontExchange, type FrontExchangeContext } from './FrontExchange.js'
+import { frontStatusOf, type FrontReason } from './FrontReason.js'
+
+/** Largest head before the configuration is known. */
+const HEAD_SIZE_MAX_BYTES = 65_536
+/** Time for the head of a request before the configuration is known. */
+const HEAD_TIMEOUT_MS = 10_000
+/** Idle time of callers' connections before the configuration is known. */
+const IDLE_TIMEOUT_MS = 60_000
+/** Largest interval between checks for slow senders. */
+const SLOW_SENDER_CHECK_MS = 500
+/** Connections that may wait to be accepted; callers reconnect all at once after a mass restart. */
+const BACKLOG = 1_024
+
+/**
+ * Options of `FrontListener`.
+ * @public
+ */
+export interface FrontListenerOptions extends FrontExchangeContext {
+  listen: ListenerSettings
+}
+
+/**
+ * HTTP listener for the requests of callers.
+ * @public
+ */
+export class FrontListener implements Service {
+  private readonly options: FrontListenerOptions
+  private readonly server: Server
+  private readonly exchanges = new Set<FrontExchange>()
+
+  constructor (options: FrontListenerOptions) {
+    this.options = options
+    this.server = createServer({
+      maxHeaderSize: HEAD_SIZE_MAX_BYTES,
+      headersTimeout: HEAD_TIMEOUT_MS,
+      requestTimeout: 0,
+      connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      requireHostHeader: false,
+      noDelay: true
+    })
+  }
+
+  /** Starts to listen. Rejects when the address is in use. */
+  async start (): Promise<void> {
+    const { server } = this
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => this.open(request, response).start())
+    server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.open(request, response).refuse('unsupported-expectation'))
+    server.on('connect', (_request: IncomingMessage, socket: Duplex) => refuseOn(socket, 'method-not-forwarded'))
+    server.on('clientError', (error: ParserError, socket: Duplex) => this.onClientError(error, socket))
+    const { host, port } = this.options.listen
+    await openServer(server, { host, port, backlog: BACKLOG })
+  }
+
+  /** Follows the limits of a newer configuration. */
+  followLimits (): void {
+    const limits = this.options.routing()?.table.callerLimits
+    if (limits === undefined) return
+    this.server.keepAliveTimeout = limits.idleTimeoutMs
+    this.server.headersTimeout = limits.headTimeoutMs
+  }
+
+  /** The port that is listened on. */
+  port (): number {
+    return (this.server.address() as AddressInfo).port
+  }
+
+  /** Requests whose responses are not yet sent. */
+  inFlightCount (): number {
+    return this.exchanges.size
+  }
+
+  /** Closes the listener and all connections. */
+  async stop (): Promise<void> {
+    await closeServer(this.server)
+  }
+
+  dump (): unknown {
+    return { inFlight: this.exchanges.size }
+  }
+
+  private open (request: IncomingMessage, response: ServerResponse): FrontExchange {
+    const exchange = new FrontExchange(this.options, request, response)
+    this.exchanges.add(exchange)
+    response.once('close', () => {
+      this.exchanges.delete(exchange)
+      exchange.callerLeft()
+    })
+    return exchange
+  }
+
+  /** Answers a message that cannot be read, unless a response to an earlier request is on its way. */
+  private onClientError (error: ParserError, socket: Duplex): void {
+    const reason = parserFaultOf(error)
+    const isBusy = [...this.exchanges].some(({ request }) => request.socket === socket)
+    if (reason === undefined || isBusy || !socket.writable) socket.destroy()
+    else refuseOn(socket, reason)
+  }
+}
+
+/** Answers a message that never became a request, and closes its connection. */
+function refuseOn (socket: Duplex, reason: FrontReason): void {
+  const status = frontStatusOf(reason, false)
+  const body = `${JSON.stringify({ reason })}\n`
+  socket.on('error', () => {})
+  socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? 'Error'}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`, 'latin1')
+}
--- /dev/null
+++ b/packages/gateway/src/edge/FrontReason.ts
@@ -0,0 +1,28 @@
+import type { Reason } from '@carobpitch/proxy'
+import type { DispatchRefusal } from '../dispatch/DispatchRequest.js'
+
+/** Why a request did not get a target's response. @public */
+export type FrontReason = Reason | DispatchRefusal | 'no-configuration' | 'unknown-route' | 'stopping' | 'target-failed'
+
+/**
+ * Status of an answer of the gateway itself. 408, 429 and 503 promise that the request has not run and never will.
+ * @public
+ */
+export function frontStatusOf (reason: FrontReason, mayHaveRun: boolean): number {
+  switch (reason) {
+    case 'unknown-route':
+    case 'unknown-path': return 404
+    case 'malformed-request':
+    case 'invalid-request':
+    case 'invalid-request-target':
+    case 'invalid-host': return 400
+    case 'head-too-large': return 431
+    case 'body-too-large': return 413
+    case 'unknown-method': return 501
+    case 'method-not-forwarded': return 405
+    case 'unsupported-expectation': return 417
+    case 'slow-sender': return mayHaveRun ? 504 : 408
+    case 'deadline-exceeded': return mayHaveRun ? 504 : 503
+    default: return mayHaveRun ? 502 : 503
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/edge/FrontStop.ts
@@ -0,0 +1,62 @@
+import type { EventLog } from '@carobpitch/kernel'
+import type { LeaseKeeper } from '@carobpitch/membership'
+
+/** Part of the time until a process is killed that stays unused, for a machine that is slow. */
+const KILL_MARGIN_MS = 500
+/** Interval at which a stopping process looks whether it is idle. */
+const IDLE_CHECK_MS = 100
+
+/**
+ * Options of `FrontStop`.
+ * @public
+ */
+export interface FrontStopOptions {
+  lease: Pick<LeaseKeeper, 'revoke'>
+  inFlightCount: () => number
+  /** Time between the signal and the kill. */
+  graceMs: number
+  /** Time for which callers may go on using an answer of the directory. */
+  directoryAnswerLifeMs: number
+  log: EventLog
+}
+
+/**
+ * Planned stop: takes this instance off the directory, serves what still comes on open and new connections,
+ * and ends when callers no longer use it or right before the kill.
+ * @public
+ */
+export class FrontStop {
+  private readonly options: FrontStopOptions
+  private endsAtMs: number | undefined
+
+  constructor (options: FrontStopOptions) {
+    this.options = options
+  }
+
+  /** Whether the stop has begun. */
+  hasBegun (): boolean {
+    return this.endsAtMs !== undefined
+  }
+
+  /** Time until the process ends; `undefined` while it is not being stopped. */
+  endsInMs (): number | undefined {
+    return this.endsAtMs === undefined ? undefined : this.endsAtMs - performance.now()
+  }
+
+  /** Runs the stop; a second call changes nothing. Resolves when the process may end. */
+  async run (): Promise<void> {
+    const { lease, inFlightCount, graceMs, directoryAnswerLifeMs, log } = this.options
+    if (this.hasBegun()) return
+    const startedAtMs = performance.now()
+    this.endsAtMs = startedAtMs + graceMs - KILL_MARGIN_MS
+    log.info('stop.begun', { graceMs, inFlight: inFlightCount() })
+    lease.revoke().catch((error: Error) => log.warn('stop.lease-kept', { reason: error.message }))
+    for (;;) {
+      const elapsedMs = performance.now() - startedAtMs
+      const isUnused = elapsedMs > directoryAnswerLifeMs && inFlightCount() === 0
+      if (isUnused || performance.now() >= this.endsAtMs) break
+      await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS))
+    }
+    log.info('stop.ended', { elapsedMs: Math.round(performance.now() - startedAtMs), inFlight: inFlightCount() })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/knowledge/ChangeStore.ts
@@ -0,0 +1,47 @@
+import type { Result } from 'true-myth'
+import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
+
+/**
+ * One page of the records below a prefix. Pages are not a snapshot: changes after the revision of the first page must be read as well.
+ * @public
+ */
+export interface RecordPage {
+  records: StoredValue[]
+  /** Revision of the store when it answered. */
+  revision: number
+  hasMore: boolean
+}
+
+/**
+ * Changes after a revision, oldest first.
+ * @public
+ */
+export interface ChangeBatch {
+  events: WatchEvent[]
+  /** Revision up to which the changes are complete. */
+  revision: number
+}
+
+/**
+ * Why changes could not be read. `history-lost` asks for a complete read.
+ * @public
+ */
+export type ChangesFailure = { kind: 'history-lost' } | { kind: 'unavailable', reason: string }
+
+/**
+ * A key-value store whose changes are read by revision.
+ * @public
+ */
+export interface ChangeStore {
+  /** Reads the records whose keys begin with the prefix, from the one after the key `after`. */
+  listPage(prefix: string, after?: string): Promise<Result<RecordPage, StoreFailure>>
+  /** Waits up to `waitMs` for changes below the prefix. */
+  changesAfter(prefix: string, revision: number, waitMs: number): Promise<Result<ChangeBatch, ChangesFailure>>
+  /** Writes a key under a lease. The error `lease-ended` means that nothing was written. */
+  put(key: string, value: string, leaseId: string): Promise<Result<void, StoreFailure>>
+  grantLease(ttlMs: number): Promise<Result<Lease, StoreFailure>>
+  /** Extends a lease. A time to live of 0 means that it has ended. */
+  renewLease(leaseId: string): Promise<Result<Lease, StoreFailure>>
+  /** Ends a lease and deletes its keys. Succeeds when it has already ended. */
+  revokeLease(leaseId: string): Promise<Result<void, StoreFailure>>
+}
--- /dev/null
+++ b/packages/gateway/src/knowledge/Knowledge.ts
@@ -0,0 +1,234 @@
+import { Result } from 'true-myth'
+import type { EventLog } from '@carobpitch/kernel'
+import type { FailureDomainId, InstanceId, MemberRecord, TargetId } from '@carobpitch/schema'
+import type { StoredValue, WatchEvent } from '@carobpitch/store'
+import type { DeploymentRecord } from '../model/DeploymentRecord.js'
+import type { RoutingTable } from '../model/Route.js'
+import type { TargetRecord } from '../model/TargetRecord.js'
+import type { ChangeBatch } from './ChangeStore.js'
+
+/** Time within which targets whose entries lapsed during an outage of the store enter themselves again; the platform promises about 2 s. */
+const LAPSE_GRACE_MS = 2_000
+/** Changes kept for other instances; a few configuration storms long. */
+const HISTORY_MAX_EVENTS = 1_000
+
+/**
+ * Options of `Knowledge`.
+ * @public
+ */
+export interface KnowledgeOptions {
+  decode: (key: string, value: string) => Result<DeploymentRecord, string>
+  log: EventLog
+}
+
+/** Where a batch of changes came from, for the log. @public */
+export type KnowledgeSource = 'store' | 'peer'
+
+interface KnownRecord {
+  raw: StoredValue
+  decoded: DeploymentRecord
+}
+
+/** All records at a revision, for an instance that knows too little to follow single changes. @public */
+export interface KnowledgeSnapshot {
+  records: StoredValue[]
+  revision: number
+}
+
+/**
+ * What this instance knows of the deployment, by store revision. The revision never goes back, whichever source a change comes from.
+ * @public
+ */
+export class Knowledge {
+  private readonly options: KnowledgeOptions
+  private readonly records = new Map<string, KnownRecord>()
+  /** Targets whose entries vanished while the store was away, by key. */
+  private readonly lapsed = new Map<string, { target: TargetRecord, untilMs: number }>()
+  private readonly listeners = new Set<() => void>()
+  private history: WatchEvent[] = []
+  /** Revision before the oldest change in the history. */
+  private historyStart = 0
+  private currentRevision = 0
+  private table: RoutingTable | undefined
+  private lapseTimer: NodeJS.Timeout | undefined
+
+  constructor (options: KnowledgeOptions) {
+    this.options = options
+  }
+
+  /** Revision up to which all changes are known; 0 before the first complete read. */
+  revision (): number {
+    return this.currentRevision
+  }
+
+  /** Newest configuration, if any is known. */
+  routingTable (): RoutingTable | undefined {
+    return this.table
+  }
+
+  /** Targets that are entered, and those that may enter themselves again after an outage. */
+  targets (): TargetRecord[] {
+    const nowMs = performance.now()
+    const targets = new Map<TargetId, TargetRecord>()
+    for (const { target, untilMs } of this.lapsed.values()) {
+      if (untilMs > nowMs) targets.set(target.targetId, target)
+    }
+    for (const { decoded } of this.records.values()) {
+      if (decoded.kind === 'target') targets.set(decoded.target.targetId, decoded.target)
+    }
+    return [...targets.values()]
+  }
+
+  /** Failure domains whose targets get no requests. */
+  evacuatedDomains (): Set<FailureDomainId> {
+    const domains = new Set<FailureDomainId>()
+    for (const { decoded } of this.records.values()) {
+      if (decoded.kind === 'evacuation') domains.add(decoded.failureDomain)
+    }
+    return domains
+  }
+
+  /** Instances that are entered. */
+  members (): MemberRecord[] {
+    const members: MemberRecord[] = []
+    for (const { decoded } of this.records.values()) {
+      if (decoded.kind === 'member') members.push(decoded.member)
+    }
+    return members
+  }
+
+  /** Returns the entry of an instance. */
+  member (instanceId: InstanceId): MemberRecord | undefined {
+    return this.members().find(member => member.instanceId === instanceId)
+  }
+
+  /** Calls the listener after each change; returns a function that unsubscribes. */
+  onChange (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => this.listeners.delete(listener)
+  }
+
+  /**
+   * Replaces everything by a complete read.
+   * @param isAfterOutage whether entries may have lapsed only because the store was away
+   */
+  replace ({ records, revision }: KnowledgeSnapshot, source: KnowledgeSource, isAfterOutage: boolean): void {
+    if (revision < this.currentRevision) return
+    const kept = new Set(records.map(({ key }) => key))
+    for (const [key, known] of this.records) {
+      if (!kept.has(key) && known.raw.modRevision <= revision) this.remove(key, isAfterOutage)
+    }
+    for (const record of records) this.store(record)
+    this.history = []
+    this.historyStart = revision
+    this.advance(revision)
+    this.options.log.info('knowledge.read', { source, revision, records: records.length, targets: this.targets().length, members: this.members().length })
+    this.notify()
+  }
+
+  /** Applies changes that follow a revision. Returns whether they connect to what is known. */
+  apply (after: number, { events, revision }: ChangeBatch, source: KnowledgeSource, isAfterOutage = false): boolean {
+    if (after > this.currentRevision) return false
+    const fresh = events.filter(event => revisionOf(event) > this.currentRevision)
+    for (const event of fresh) {
+      if (event.kind === 'put') this.store(event.value)
+      else this.remove(event.key, isAfterOutage)
+      this.options.log.info('knowledge.changed', { source, key: keyOf(event), kind: event.kind, revision: revisionOf(event) })
+    }
+    this.remember(fresh)
+    this.advance(revision)
+    if (fresh.length > 0) this.notify()
+    return true
+  }
+
+  /** Returns the changes after a revision, or `undefined` when they are no longer known. */
+  changesAfter (revision: number): ChangeBatch | undefined {
+    if (revision < this.historyStart) return undefined
+    return { events: this.history.filter(event => revisionOf(event) > revision), revision: this.currentRevision }
+  }
+
+  /** Returns everything that is known. */
+  snapshot (): KnowledgeSnapshot {
+    return { records: [...this.records.values()].map(({ raw }) => raw), revision: this.currentRevision }
+  }
+
+  /** Stops the timer of lapsed entries. */
+  stop (): void {
+    clearTimeout(this.lapseTimer)
+  }
+
+  /** Revisions and records for the state dump. */
+  dump (): unknown {
+    return {
+      revision: this.currentRevision,
+      configurationVersion: this.table?.version,
+      targets: this.targets(),
+      lapsed: [...this.lapsed.keys()],
+      evacuatedDomains: [...this.evacuatedDomains()],
+      members: this.members()
+    }
+  }
+
+  private store (raw: StoredValue): void {
+    const known = this.records.get(raw.key)
+    if (known !== undefined && known.raw.modRevision >= raw.modRevision) return
+    const decoded = this.options.decode(raw.key, raw.value)
+    if (decoded.isErr) {
+      this.options.log.warn('knowledge.unreadable', { key: raw.key, revision: raw.modRevision, reason: decoded.error })
+      // An unreadable target names no target; an unreadable configuration leaves the last good one in force.
+      this.records.delete(raw.key)
+      return
+    }
+    if (decoded.value.kind === 'foreign') return
+    this.lapsed.delete(raw.key)
+    this.records.set(raw.key, { raw, decoded: decoded.value })
+    if (decoded.value.kind === 'configuration') this.adopt(decoded.value.table)
+  }
+
+  private adopt (table: RoutingTable): void {
+    if (this.table !== undefined && table.version <= this.table.version) return
+    this.options.log.info('configuration.adopted', { version: table.version, previous: this.table?.version, routes: table.routes.length, services: table.services.size })
+    this.table = table
+  }
+
+  private remove (key: string, isAfterOutage: boolean): void {
+    const known = this.records.get(key)
+    this.records.delete(key)
+    if (known?.decoded.kind !== 'target' || !isAfterOutage || known.decoded.target.isDraining) return
+    this.lapsed.set(key, { target: known.decoded.target, untilMs: performance.now() + LAPSE_GRACE_MS })
+    this.options.log.warn('target.lapsed', { targetId: known.decoded.target.targetId, graceMs: LAPSE_GRACE_MS })
+    clearTimeout(this.lapseTimer)
+    this.lapseTimer = setTimeout(() => this.endLapses(), LAPSE_GRACE_MS + 1)
+    this.lapseTimer.unref()
+  }
+
+  private endLapses (): void {
+    this.lapsed.clear()
+    this.notify()
+  }
+
+  private remember (events: readonly WatchEvent[]): void {
+    this.history.push(...events)
+    const excess = this.history.length - HISTORY_MAX_EVENTS
+    if (excess <= 0) return
+    const dropped = this.history.splice(0, excess).at(-1)
+    if (dropped !== undefined) this.historyStart = revisionOf(dropped)
+  }
+
+  private advance (revision: number): void {
+    this.currentRevision = Math.max(this.currentRevision, revision)
+  }
+
+  private notify (): void {
+    for (const listener of this.listeners) listener()
+  }
+}
+
+
+function revisionOf (event: WatchEvent): number {
+  return event.kind === 'put' ? event.value.modRevision : event.modRevision
+}
+
+function keyOf (event: WatchEvent): string {
+  return event.kind === 'put' ? event.value.key : event.key
+}
--- /dev/null
+++ b/packages/gateway/src/knowledge/Registration.ts
@@ -0,0 +1,106 @@
+import type { EventLog, Service } from '@carobpitch/kernel'
+import type { LeaseKeeper } from '@carobpitch/membership'
+import type { InstanceId, MemberRecord } from '@carobpitch/schema'
+import type { ChangeStore } from './ChangeStore.js'
+import type { Knowledge } from './Knowledge.js'
+
+/** Pause before an entry that could not be written is written again. */
+const RETRY_MS = 500
+/** Time after a write within which the entry must show up in what is known. */
+const VISIBLE_WITHIN_MS = 3_000
+
+/**
+ * Options of `Registration`.
+ * @public
+ */
+export interface RegistrationOptions {
+  store: Pick<ChangeStore, 'put'>
+  lease: LeaseKeeper
+  knowledge: Knowledge
+  /** Key of this instance's entry. */
+  key: string
+  /** Present entry of this instance. */
+  record: () => MemberRecord
+  log: EventLog
+}
+
+/**
+ * Keeps the entry of this instance in the store under its lease, and writes it again when the store has lost it.
+ * @public
+ */
+export class Registration implements Service {
+  private readonly options: RegistrationOptions
+  private readonly instanceId: InstanceId
+  private timer: NodeJS.Timeout | undefined
+  private writtenAtMs: number | undefined
+  private enteredAtMs: number | undefined
+  private isRunning = false
+  private isWriting = false
+  private unsubscribe: Array<() => void> = []
+
+  constructor (options: RegistrationOptions) {
+    this.options = options
+    this.instanceId = options.record().instanceId
+  }
+
+  /** Enters this instance as soon as there is a lease. */
+  async start (): Promise<void> {
+    this.isRunning = true
+    this.unsubscribe = [
+      this.options.lease.subscribe({
+        onGranted: () => { this.write() },
+        onRenewed: () => this.check(),
+        onLost: () => { this.enteredAtMs = undefined }
+      }),
+      this.options.knowledge.onChange(() => this.check())
+    ]
+  }
+
+  /** Stops writing the entry. */
+  async stop (): Promise<void> {
+    this.isRunning = false
+    clearTimeout(this.timer)
+    for (const unsubscribe of this.unsubscribe) unsubscribe()
+  }
+
+  /** Time since this instance has been seen in what is known of the deployment; 0 while it is not. */
+  enteredForMs (): number {
+    return this.enteredAtMs === undefined ? 0 : performance.now() - this.enteredAtMs
+  }
+
+  /** Writes the entry with its present content. */
+  async write (): Promise<void> {
+    const { store, lease, key, record, log } = this.options
+    const held = lease.current()
+    if (!this.isRunning || this.isWriting || held === undefined) return
+    this.isWriting = true
+    const { state } = record()
+    const written = await store.put(key, JSON.stringify(record()), held.leaseId)
+    this.isWriting = false
+    if (written.isOk) {
+      this.writtenAtMs = performance.now()
+      log.info('member.entered', { key, state, lease: held.leaseId })
+      return
+    }
+    log.warn('member.not-entered', { key, reason: written.error.reason, retryMs: RETRY_MS })
+    this.schedule()
+  }
+
+  private schedule (): void {
+    clearTimeout(this.timer)
+    this.timer = setTimeout(() => { this.write() }, RETRY_MS)
+    this.timer.unref()
+  }
+
+  /** Keys can vanish without their lease, so that the entry is looked up in what is known. */
+  private check (): void {
+    const isKnown = this.options.knowledge.member(this.instanceId) !== undefined
+    if (isKnown) {
+      this.enteredAtMs ??= performance.now()
+      return
+    }
+    this.enteredAtMs = undefined
+    const isOverdue = this.writtenAtMs !== undefined && performance.now() - this.writtenAtMs > VISIBLE_WITHIN_MS
+    if (isOverdue) this.write()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/model/Route.ts
@@ -0,0 +1,72 @@
+import type { ServiceName } from '@carobpitch/schema'
+
+/**
+ * Part of a route's requests that goes to one service.
+ * @public
+ */
+export interface RouteShare {
+  service: ServiceName
+  /** Relative to the other shares of the route. */
+  weight: number
+}
+
+/**
+ * Requests of one host and path prefix, and what they may be given.
+ * @public
+ */
+export interface Route {
+  name: string
+  host: string
+  /** Begins and ends with a slash. */
+  pathPrefix: string
+  /** Whether a request may run more than once. */
+  isIdempotent: boolean
+  shares: readonly RouteShare[]
+  /** Longest time until the caller gets its response; `undefined` sets no limit besides the caller's deadline. */
+  timeoutMs: number | undefined
+  /** Latency objective. */
+  objectiveMs: number
+  /** Largest number of targets to which one request may be sent. */
+  attemptsMax: number
+  /** 0 is the most urgent. */
+  priority: number
+}
+
+/**
+ * How the targets of a service are measured and warmed.
+ * @public
+ */
+export interface ServicePolicy {
+  name: ServiceName
+  probePath: string
+  /** Connections that one target accepts from all instances together. */
+  connectionsMax: number
+  /** Time for which a target is cold after its start. */
+  warmupMs: number
+  /** Requests per second that a cold target bears. */
+  coldRequestsPerS: number
+}
+
+/**
+ * Bounds on what a caller may send.
+ * @public
+ */
+export interface CallerLimits {
+  headSizeMaxBytes: number
+  bodySizeMaxBytes: number
+  /** Time for the head of a request. */
+  headTimeoutMs: number
+  /** Time for which a caller's connection may stay idle. */
+  idleTimeoutMs: number
+}
+
+/**
+ * One version of the operators' configuration.
+ * @public
+ */
+export interface RoutingTable {
+  version: number
+  routes: readonly Route[]
+  services: ReadonlyMap<ServiceName, ServicePolicy>
+  callerLimits: CallerLimits
+}
--- /dev/null
+++ b/packages/gateway/src/targets/ColdAllowance.ts
@@ -0,0 +1,67 @@
+import { rankByRendezvous } from '@carobpitch/routing'
+import type { InstanceId, TargetId } from '@carobpitch/schema'
+import type { GatewayTarget } from './GatewayTarget.js'
+
+/** Instances that may send to one cold target. While views of the members differ, up to twice as many do. */
+const SENDERS_PER_TARGET = 2
+/** Time since the own entry became visible after which the view of the members is believed complete. */
+const SETTLED_AFTER_MS = 1_500
+/** Requests that a sender may send at once. */
+const BURST = 1
+
+interface Bucket {
+  tokens: number
+  filledAtMs: number
+}
+
+/**
+ * Options of `ColdAllowance`.
+ * @public
+ */
+export interface ColdAllowanceOptions {
+  instanceId: InstanceId
+  /** Instances that are believed to serve, this one included. */
+  instanceIds: () => readonly InstanceId[]
+  /** Time since this instance has been entered among the members. */
+  enteredForMs: () => number
+}
+
+/**
+ * Keeps cold targets within the requests per second that they bear, over all instances: a few instances, the same
+ * in every view of the members, send to a cold target, each its share of the rate.
+ * @public
+ */
+export class ColdAllowance {
+  private readonly options: ColdAllowanceOptions
+  private readonly buckets = new WeakMap<GatewayTarget, Bucket>()
+
+  constructor (options: ColdAllowanceOptions) {
+    this.options = options
+  }
+
+  /** Whether this instance may send one request to a cold target now. */
+  hasRoom (target: GatewayTarget): boolean {
+    return this.isSender(target.record.targetId) && this.bucketOf(target).tokens >= 1
+  }
+
+  /** Counts a request that is being sent to a cold target. */
+  take (target: GatewayTarget): void {
+    this.bucketOf(target).tokens -= 1
+  }
+
+  private isSender (targetId: TargetId): boolean {
+    const { instanceId, instanceIds, enteredForMs } = this.options
+    if (enteredForMs() < SETTLED_AFTER_MS) return false
+    return rankByRendezvous(targetId, instanceIds()).slice(0, SENDERS_PER_TARGET).includes(instanceId)
+  }
+
+  private bucketOf (target: GatewayTarget): Bucket {
+    const nowMs = performance.now()
+    const bucket = this.buckets.get(target) ?? { tokens: BURST, filledAtMs: nowMs }
+    const perSecond = target.policy.coldRequestsPerS / SENDERS_PER_TARGET
+    bucket.tokens = Math.min(BURST, bucket.tokens + (nowMs - bucket.filledAtMs) / 1_000 * perSecond)
+    bucket.filledAtMs = nowMs
+    this.buckets.set(target, bucket)
+    return bucket
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/targets/GatewayTarget.ts
@@ -0,0 +1,129 @@
+import { DeadlineTimer, TargetConnections, type TargetOccupancy } from '@carobpitch/proxy'
+import type { ServicePolicy } from '../model/Route.js'
+import type { TargetRecord } from '../model/TargetRecord.js'
+import { FailureRecord } from './FailureRecord.js'
+import type { TargetReport } from './TargetReport.js'
+
+/** Time for a connection to open. Targets are at most a few milliseconds away; what takes longer is dark or turns connections away. */
+const CONNECT_TIMEOUT_MS = 250
+
+/** Age from which on a report of occupied slots says less than the requests of this instance. */
+const REPORT_COUNTS_MS = 1_000
+
+/**
+ * Options of `GatewayTarget`.
+ * @public
+ */
+export interface GatewayTargetOptions {
+  record: TargetRecord
+  policy: ServicePolicy
+  timer: DeadlineTimer
+}
+
+/**
+ * One incarnation of a target as this instance sees it.
+ * @public
+ */
+export class GatewayTarget {
+  record: TargetRecord
+  policy: ServicePolicy
+  /** Requests of this instance in progress at the target. */
+  inFlight = 0
+  /** Another target answers at the address. */
+  isMisplaced = false
+  readonly failures = new FailureRecord()
+  readonly connections: TargetConnections
+  /** When this instance first knew of the target, on the monotonic clock. */
+  readonly knownSinceMs = performance.now()
+  private lastReport: TargetReport | undefined
+  private sentSinceReport = 0
+  private coldUntilMs = 0
+
+  constructor ({ record, policy, timer }: GatewayTargetOptions) {
+    this.record = record
+    this.policy = policy
+    this.connections = new TargetConnections({
+      url: `http://${record.host}:${record.port}`,
+      connectionsMax: policy.connectionsMax,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      timer
+    })
+    this.noteCold(record.coldForMs)
+  }
+
+  /** Takes over a newer record of the same incarnation. */
+  update (record: TargetRecord, policy: ServicePolicy): void {
+    const hasTurnedCold = record.coldForMs > 0 && record.coldForMs !== this.record.coldForMs
+    this.record = record
+    this.policy = policy
+    if (hasTurnedCold) this.noteCold(record.coldForMs)
+  }
+
+  /** Last report of the target, however old. */
+  report (): TargetReport | undefined {
+    return this.lastReport
+  }
+
+  /** Age of the last report; infinite without one. */
+  reportAgeMs (): number {
+    return this.lastReport === undefined ? Infinity : performance.now() - this.lastReport.atMs
+  }
+
+  /** Takes a report of the target. */
+  noteReport (occupancy: TargetOccupancy, isHealthy?: boolean): void {
+    this.lastReport = { ...occupancy, atMs: performance.now(), isHealthy: isHealthy ?? this.lastReport?.isHealthy }
+    this.sentSinceReport = 0
+  }
+
+  /** Takes the target's word on how much longer it is cold. */
+  noteCold (coldForMs: number): void {
+    this.coldUntilMs = coldForMs <= 0 ? 0 : performance.now() + coldForMs
+  }
+
+  /** Whether the target bears only its cold allowance. */
+  isCold (): boolean {
+    return performance.now() < this.coldUntilMs
+  }
+
+  /** Forgets the last report, for a target that may have restarted or turned cold unseen. */
+  forgetReport (): void {
+    this.lastReport = undefined
+  }
+
+  /** Slots that are believed free: those of the last report without what this instance has sent since. */
+  freeSlots (): number {
+    const { lastReport, sentSinceReport, inFlight, record } = this
+    if (lastReport === undefined || this.reportAgeMs() > REPORT_COUNTS_MS) return record.slots - inFlight
+    return lastReport.slots - lastReport.running - lastReport.waiting - sentSinceReport
+  }
+
+  /** Counts a request that is being sent. */
+  begin (): void {
+    this.inFlight += 1
+    this.sentSinceReport += 1
+  }
+
+  /** Counts a request that has ended. */
+  end (): void {
+    this.inFlight -= 1
+  }
+
+  /** Closes the connections as soon as their requests have ended. */
+  retire (): void {
+    this.connections.retire()
+  }
+
+  dump (): unknown {
+    const { record, inFlight, isMisplaced, lastReport } = this
+    return {
+      ...record,
+      inFlight,
+      isMisplaced,
+      coldForMs: Math.max(0, this.coldUntilMs - performance.now()),
+      report: lastReport,
+      reportAgeMs: lastReport === undefined ? undefined : this.reportAgeMs(),
+      failures: this.failures.dump(),
+      connections: this.connections.dump()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/targets/Measurer.ts
@@ -0,0 +1,117 @@
+import { Attempt, readResponseHead, type AttemptResult, type DeadlineTimer, type Expiring, type ResponseHead } from '@carobpitch/proxy'
+import type { GatewayTarget } from './GatewayTarget.js'
+import { ProbeAllowance } from './ProbeAllowance.js'
+import type { TargetProtocol } from './TargetProtocol.js'
+
+/** Time after which a probe is given up and its connection closed. */
+const PROBE_TIMEOUT_MS = 500
+/** Request id of probes. A response with the id of a request is a late one and not the probe's. */
+const PROBE_REQUEST_ID = 'probe'
+
+/** How probes ended, for the metrics. @public */
+export type ProbeOutcome = 'answered' | 'refused' | 'failed' | 'over-budget'
+
+/**
+ * Options of `Measurer`.
+ * @public
+ */
+export interface MeasurerOptions {
+  protocol: TargetProtocol
+  timer: DeadlineTimer
+  probesPerTargetAndS: number
+  instanceCount: () => number
+  onProbe?: (target: GatewayTarget, outcome: ProbeOutcome) => void
+  /** Another target has answered at the target's address. */
+  onMisplaced: (target: GatewayTarget) => void
+}
+
+/**
+ * Asks targets how busy they are. Questions to the same target at the same time share one probe.
+ * @public
+ */
+export class Measurer {
+  private readonly options: MeasurerOptions
+  private readonly pending = new WeakMap<GatewayTarget, Promise<boolean>>()
+  private readonly allowances = new WeakMap<GatewayTarget, ProbeAllowance>()
+
+  constructor (options: MeasurerOptions) {
+    this.options = options
+  }
+
+  /** Refreshes a target's report unless it is young enough. Resolves to whether the report is now fresh. */
+  async measure (target: GatewayTarget, ageMaxMs: number): Promise<boolean> {
+    if (target.reportAgeMs() <= ageMaxMs) return true
+    const pending = this.pending.get(target)
+    if (pending !== undefined) return await pending
+    if (!this.allowanceOf(target).take()) {
+      this.options.onProbe?.(target, 'over-budget')
+      return false
+    }
+    const probe = this.probe(target)
+    this.pending.set(target, probe)
+    const isFresh = await probe
+    this.pending.delete(target)
+    return isFresh
+  }
+
+  private async probe (target: GatewayTarget): Promise<boolean> {
+    const { protocol, timer } = this.options
+    return await new Promise(resolve => {
+      const client = target.connections.take()
+      let head: ResponseHead | undefined
+      const expiring: Expiring = { expire: () => attempt.cancel('deadline-exceeded', 'timed-out') }
+      const attempt = new Attempt({
+        method: 'GET',
+        path: target.policy.probePath,
+        headers: [],
+        body: undefined,
+        requestId: PROBE_REQUEST_ID,
+        notRunStatuses: [],
+        objection: () => undefined,
+        readHead: (method, status, rawHeaders) => readResponseHead(method, status, rawHeaders, protocol.readOwnHeader),
+        connectionState: () => target.connections.stateOf(client),
+        sink: {
+          takeHead: taken => {
+            head = taken
+            return false
+          },
+          takeData: () => true,
+          attemptEnded: (_attempt: Attempt, result: AttemptResult) => {
+            timer.remove(expiring, timerKey)
+            target.connections.give(client, result.isReusable)
+            resolve(this.note(target, head, result))
+          }
+        }
+      })
+      const timerKey = timer.add(expiring, performance.now() + PROBE_TIMEOUT_MS)
+      attempt.start(client)
+    })
+  }
+
+  private note (target: GatewayTarget, head: ResponseHead | undefined, result: AttemptResult): boolean {
+    const { onProbe, onMisplaced } = this.options
+    if (head === undefined || !result.isComplete) {
+      target.forgetReport()
+      onProbe?.(target, 'failed')
+      return false
+    }
+    if (head.targetId !== undefined && head.targetId !== target.record.targetId) {
+      onMisplaced(target)
+      return false
+    }
+    if (head.coldForMs !== undefined) target.noteCold(head.coldForMs)
+    onProbe?.(target, head.status === 200 ? 'answered' : 'refused')
+    if (head.occupancy === undefined) return false
+    target.noteReport(head.occupancy, head.status === 200)
+    return true
+  }
+
+  private allowanceOf (target: GatewayTarget): ProbeAllowance {
+    const { probesPerTargetAndS, instanceCount } = this.options
+    const known = this.allowances.get(target)
+    if (known !== undefined) return known
+    const allowance = new ProbeAllowance({ probesPerTargetAndS, instanceCount })
+    this.allowances.set(target, allowance)
+    return allowance
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/targets/TargetRegistry.ts
@@ -0,0 +1,128 @@
+import type { EventLog, Service } from '@carobpitch/kernel'
+import { DeadlineTimer } from '@carobpitch/proxy'
+import type { FailureDomainId, ServiceName, TargetId } from '@carobpitch/schema'
+import type { Knowledge } from '../knowledge/Knowledge.js'
+import { isSameIncarnation, type TargetRecord } from '../model/TargetRecord.js'
+import { GatewayTarget } from './GatewayTarget.js'
+
+/**
+ * Options of `TargetRegistry`.
+ * @public
+ */
+export interface TargetRegistryOptions {
+  knowledge: Knowledge
+  timer: DeadlineTimer
+  log: EventLog
+}
+
+/**
+ * The targets that may get requests, by service. Follows what is known of the deployment.
+ * @public
+ */
+export class TargetRegistry implements Service {
+  private readonly options: TargetRegistryOptions
+  private readonly targets = new Map<TargetId, GatewayTarget>()
+  private byService = new Map<ServiceName, GatewayTarget[]>()
+  private evacuated: ReadonlySet<FailureDomainId> = new Set()
+
+  constructor (options: TargetRegistryOptions) {
+    this.options = options
+    options.knowledge.onChange(() => this.refresh())
+    this.refresh()
+  }
+
+  /** Targets of a service that may get requests. */
+  ofService (service: ServiceName): readonly GatewayTarget[] {
+    return this.byService.get(service) ?? []
+  }
+
+  /** All targets that may get requests. */
+  all (): GatewayTarget[] {
+    return [...this.byService.values()].flat()
+  }
+
+  /** Whether a target may still get requests, asked right before one is sent. */
+  isEligible (target: GatewayTarget): boolean {
+    const { targetId, failureDomain, isDraining } = target.record
+    return this.targets.get(targetId) === target && !isDraining && !target.isMisplaced && !this.evacuated.has(failureDomain)
+  }
+
+  /** Another target answers at the address of a target, which gets no requests until it enters itself anew. */
+  noteMisplaced (target: GatewayTarget): void {
+    if (target.isMisplaced) return
+    target.isMisplaced = true
+    this.group()
+    this.logTarget('target.misplaced', target.record)
+  }
+
+  async stop (): Promise<void> {
+    for (const target of this.targets.values()) target.retire()
+  }
+
+  dump (): unknown {
+    return Object.fromEntries([...this.targets].map(([targetId, target]) => [targetId, target.dump()]))
+  }
+
+  private refresh (): void {
+    const { knowledge } = this.options
+    const records = knowledge.targets()
+    const present = new Set(records.map(({ targetId }) => targetId))
+    for (const [targetId, target] of this.targets) {
+      if (!present.has(targetId)) this.drop(target, 'gone')
+    }
+    for (const record of records) this.enter(record)
+    this.followEvacuations(knowledge.evacuatedDomains())
+    this.group()
+  }
+
+  private enter (record: TargetRecord): void {
+    const policy = this.options.knowledge.routingTable()?.services.get(record.service)
+    const known = this.targets.get(record.targetId)
+    if (policy === undefined) return
+    if (known !== undefined && isSameIncarnation(known.record, record)) {
+      if (record.isDraining && !known.record.isDraining) this.logTarget('target.draining', record)
+      known.update(record, policy)
+      return
+    }
+    if (known !== undefined) this.drop(known, 'replaced')
+    this.targets.set(record.targetId, new GatewayTarget({ record, policy, timer: this.options.timer }))
+    this.logTarget('target.found', record)
+  }
+
+  private drop (target: GatewayTarget, reason: string): void {
+    this.targets.delete(target.record.targetId)
+    target.retire()
+    this.logTarget('target.left', target.record, reason)
+  }
+
+  /** Targets that return from an evacuation may be cold without having said so yet. */
+  private followEvacuations (evacuated: Set<FailureDomainId>): void {
+    for (const failureDomain of evacuated) {
+      if (!this.evacuated.has(failureDomain)) this.options.log.info('domain.evacuated', { failureDomain })
+    }
+    for (const failureDomain of this.evacuated) {
+      if (evacuated.has(failureDomain)) continue
+      this.options.log.info('domain.returned', { failureDomain })
+      for (const target of this.targets.values()) {
+        if (target.record.failureDomain === failureDomain) target.forgetReport()
+      }
+    }
+    this.evacuated = evacuated
+  }
+
+  private group (): void {
+    this.byService = new Map()
+    for (const target of this.targets.values()) {
+      if (!this.isEligible(target)) continue
+      const { service } = target.record
+      const group = this.byService.get(service)
+      if (group === undefined) this.byService.set(service, [target])
+      else group.push(target)
+    }
+  }
+
+  private logTarget (event: string, record: TargetRecord, reason?: string): void {
+    const { targetId, service, failureDomain, coldForMs, bornAtEpochMs, slots } = record
+    this.options.log.info(event, { targetId, service, failureDomain, coldForMs, bornAtEpochMs, slots, address: `${record.host}:${record.port}`, reason })
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/BoundedOutput.ts
@@ -0,0 +1,75 @@
+import { Writable } from 'node:stream'
+import { formatFields } from './formatFields.js'
+
+/** Lines per second on average; a busy instance serves a few hundred requests per second. */
+const LINES_PER_S = 500
+/** Lines that may be written at once, such as those of a large configuration. */
+const BURST_LINES = 4_000
+/** Bytes that may wait for a slow reader. */
+const WAITING_MAX_BYTES = 1_048_576
+
+/**
+ * Options of `BoundedOutput`.
+ * @public
+ */
+export interface BoundedOutputOptions {
+  linesPerS?: number
+  burstLines?: number
+  waitingMaxBytes?: number
+}
+
+/**
+ * Passes lines to a stream at a bounded rate and drops the rest, so that logging neither blocks nor grows without limit.
+ * A line tells how many were dropped before it.
+ * @public
+ */
+export class BoundedOutput extends Writable {
+  private readonly sink: Writable
+  private readonly bounds: Required<BoundedOutputOptions>
+  private tokens: number
+  private filledAtMs = performance.now()
+  private droppedLines = 0
+  private droppedTotal = 0
+
+  constructor (sink: Writable, { linesPerS = LINES_PER_S, burstLines = BURST_LINES, waitingMaxBytes = WAITING_MAX_BYTES }: BoundedOutputOptions = {}) {
+    super({ decodeStrings: false })
+    this.sink = sink
+    this.bounds = { linesPerS, burstLines, waitingMaxBytes }
+    this.tokens = burstLines
+    // A reader that goes away must not end the process.
+    sink.on('error', () => {})
+  }
+
+  /** Lines dropped since the start. */
+  droppedCount (): number {
+    return this.droppedTotal
+  }
+
+  override _write (line: Buffer | string, _encoding: BufferEncoding, callback: (error?: Error | null) => void): void {
+    if (this.hasRoom()) this.pass(line)
+    else this.drop()
+    callback()
+  }
+
+  private hasRoom (): boolean {
+    const { linesPerS, burstLines, waitingMaxBytes } = this.bounds
+    const nowMs = performance.now()
+    this.tokens = Math.min(burstLines, this.tokens + (nowMs - this.filledAtMs) / 1_000 * linesPerS)
+    this.filledAtMs = nowMs
+    return this.tokens >= 1 && this.sink.writableLength < waitingMaxBytes
+  }
+
+  private pass (line: Buffer | string): void {
+    this.tokens -= 1
+    if (this.droppedLines > 0) {
+      this.sink.write(`${formatFields({ time: new Date().toISOString(), level: 'warn', event: 'log.dropped', lines: this.droppedLines })}\n`)
+      this.droppedLines = 0
+    }
+    this.sink.write(line)
+  }
+
+  private drop (): void {
+    this.droppedLines += 1
+    this.droppedTotal += 1
+  }
+}
--- a/packages/kernel/src/EventLog.ts
+++ b/packages/kernel/src/EventLog.ts
@@ -1,10 +1,6 @@
+import type { Writable } from 'node:stream'
 import winston from 'winston'
-
-/**
- * Fields of one log event. Names carry their unit as a suffix.
- * @public
- */
-export type LogFields = Record<string, string | number | boolean | undefined>
+import { formatFields, type LogFields } from './formatFields.js'
 
 /**
  * Options of `EventLog`.
@@ -17,23 +13,25 @@
   fields?: LogFields
   /** Suppresses all output, for tests. */
   silent?: boolean
+  /** Where the lines go; standard error by default. */
+  output?: Writable
 }
 
 /**
- * Writes one line of key=value pairs for each event to standard error.
+ * Writes one line of key=value pairs for each event.
  * @public
  */
 export class EventLog {
   private readonly logger: winston.Logger
   private readonly fields: LogFields
 
-  constructor ({ level = 'info', fields = {}, silent = false }: EventLogOptions = {}) {
+  constructor ({ level = 'info', fields = {}, silent = false, output }: EventLogOptions = {}) {
     this.fields = fields
     this.logger = winston.createLogger({
       level,
       silent,
       format: winston.format.printf(info => String(info.message)),
-      transports: [new winston.transports.Console({ stderrLevels: ['debug', 'info', 'warn', 'error'] })]
+      transports: [output === undefined ? new winston.transports.Console({ stderrLevels: ['debug', 'info', 'warn', 'error'] }) : new winston.transports.Stream({ stream: output })]
     })
   }
 
@@ -62,17 +60,3 @@
     this.logger.log(level, formatFields({ ...head, ...this.fields, ...fields }))
   }
 }
-
-/**
- * Formats fields as space-separated key=value pairs; values with spaces, quotes or line breaks are JSON-quoted.
- * @public
- */
-export function formatFields (fields: LogFields): string {
-  const pairs: string[] = []
-  for (const [key, value] of Object.entries(fields)) {
-    if (value === undefined) continue
-    const text = String(value)
-    pairs.push(`${key}=${/^[^\s"=]+$/.test(text) ? text : JSON.stringify(text)}`)
-  }
-  return pairs.join(' ')
-}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,5 +1,7 @@
 export { createBearerCheck } from './bearerCheck.js'
 export { closeServer, openServer } from './serverLifecycle.js'
-export { EventLog, formatFields, type EventLogOptions, type LogFields } from './EventLog.js'
+export { BoundedOutput, type BoundedOutputOptions } from './BoundedOutput.js'
+export { EventLog, type EventLogOptions } from './EventLog.js'
+export { formatFields, type LogFields } from './formatFields.js'
 export { Kernel, type ServiceMap } from './Kernel.js'
 export { type Service } from './Service.js'
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -22,3 +22,4 @@
 } from './warmth/WarmthTransport.js'
 export { PlannedStop, type PlannedStopOptions, type StopEnd, type StopReport, type StoppableProxy } from './stop/PlannedStop.js'
 export { createMembershipStack, type MembershipStack, type MembershipStackOptions } from './MembershipStack.js'
+export { Backoff } from './backoff.js'
--- a/packages/membership/src/registry/LeaseKeeper.ts
+++ b/packages/membership/src/registry/LeaseKeeper.ts
@@ -41,10 +41,14 @@
  * @public
  */
 export interface LeaseKeeperOptions {
-  store: KeyValueStore
+  store: Pick<KeyValueStore, 'grantLease' | 'renewLease' | 'revokeLease'>
   memberCount: () => number
   log: EventLog
   random?: RandomSource
+  /** Length of the lease by number of members. */
+  lengthMs?: (memberCount: number) => number
+  /** Time between two renewals by number of members. */
+  intervalMs?: (memberCount: number) => number
 }
 
 /**
@@ -62,7 +66,7 @@
   private lastFailure: string | undefined
 
   constructor (options: LeaseKeeperOptions) {
-    this.options = { random: Math.random, ...options }
+    this.options = { random: Math.random, lengthMs: leaseLengthMs, intervalMs: renewalIntervalMs, ...options }
     this.backoff = new Backoff(this.options)
   }
 
@@ -125,7 +129,7 @@
 
   private async grant (): Promise<number> {
     const sentAtMs = performance.now()
-    const granted = await this.options.store.grantLease(leaseLengthMs(this.options.memberCount()))
+    const granted = await this.options.store.grantLease(this.options.lengthMs(this.options.memberCount()))
     if (granted.isErr) return this.failed(granted.error.reason)
     if (!this.isRunning) return 0
     const { leaseId, ttlMs } = granted.value
@@ -162,14 +166,14 @@
   }
 
   private mustReplace (lease: HeldLease): boolean {
-    const wantedMs = leaseLengthMs(this.options.memberCount())
+    const wantedMs = this.options.lengthMs(this.options.memberCount())
     const isUnfit = wantedMs > lease.ttlMs * REPLACE_WHEN_SHORTER_BY || wantedMs * REPLACE_WHEN_LONGER_BY < lease.ttlMs
     return isUnfit && ![...this.holds].some(isInUse => isInUse())
   }
 
   /** The jitter keeps instances that started together from renewing together. */
   private intervalMs (lease: HeldLease): number {
-    const intervalMs = Math.min(renewalIntervalMs(this.options.memberCount()), lease.ttlMs / INTERVALS_PER_LEASE_MIN)
+    const intervalMs = Math.min(this.options.intervalMs(this.options.memberCount()), lease.ttlMs / INTERVALS_PER_LEASE_MIN)
     return intervalMs * (1 + this.options.random() / 10)
   }
 }
--- a/packages/membership/src/transport/PeerLinks.ts
+++ b/packages/membership/src/transport/PeerLinks.ts
@@ -16,8 +16,8 @@
  * @public
  */
 export interface PeerLinksOptions {
-  /** Shared bearer credential of the instances. */
-  token: string
+  /** Shared bearer credential of the instances, if they use one. */
+  token?: string
   /** Time for a complete exchange unless the caller names another. */
   timeoutMs?: number
 }
@@ -35,7 +35,7 @@
  * @public
  */
 export class PeerLinks implements Service {
-  private readonly options: Required<PeerLinksOptions>
+  private readonly options: PeerLinksOptions & { timeoutMs: number }
   private readonly agent = new Agent({
     keepAlive: true,
     maxSockets: CONNECTIONS_PER_PEER_MAX,
@@ -61,7 +61,7 @@
     const client = createTRPCClient<Router>({
       links: [httpLink({
         url: `${member.peerUrl}/${name}`,
-        headers: { authorization: `Bearer ${this.options.token}` },
+        headers: this.options.token === undefined ? {} : { authorization: `Bearer ${this.options.token}` },
         fetch: ((url: unknown, init: never) => {
           this.callCount += 1
           return peerFetch(url, init)
--- a/packages/membership/src/transport/PeerServer.ts
+++ b/packages/membership/src/transport/PeerServer.ts
@@ -18,8 +18,8 @@
  */
 export interface PeerServerOptions {
   listen: ListenerSettings
-  /** Shared bearer credential of the instances. */
-  token: string
+  /** Shared bearer credential of the instances. Without it every peer is served, which is right only on a network of their own. */
+  token?: string
   log: EventLog
   requestSizeMaxBytes?: number
 }
@@ -32,7 +32,7 @@
 export class PeerServer implements Service {
   /** Requests by router name; `refused` counts those without the credential. */
   readonly requestCounts = new Map<string, number>()
-  private readonly options: Required<PeerServerOptions>
+  private readonly options: PeerServerOptions & { requestSizeMaxBytes: number }
   private readonly routers = new Map<string, AnyRouter>()
   private readonly isAuthorized: (authorization: string | undefined) => boolean
   private readonly server: Server
@@ -41,7 +41,7 @@
 
   constructor (options: PeerServerOptions) {
     this.options = { requestSizeMaxBytes: PEER_REQUEST_SIZE_MAX_BYTES, ...options }
-    this.isAuthorized = createBearerCheck(options.token)
+    this.isAuthorized = options.token === undefined ? () => true : createBearerCheck(options.token)
     this.server = createServer({
       maxHeaderSize: HEADER_SIZE_MAX_BYTES,
       keepAliveTimeout: KEEP_ALIVE_MS,
--- /dev/null
+++ b/packages/platform/src/PlatformStore.ts
@@ -0,0 +1,187 @@
+import { Result } from 'true-myth'
+import { Pool } from 'undici'
+import { z } from 'zod'
+import type { ChangeBatch, ChangesFailure, ChangeStore, RecordPage } from '@carobpitch/gateway'
+import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
+import { durationSchema, formatDuration } from './durations.js'
+import { STORE_PATHS } from './wire.js'
+
+/** Connections to the store: a waiting read of changes, a lease renewal, a write, and one to spare. */
+const CONNECTIONS = 4
+/** Time for an answer. The store answers in 4 ms and may be a hundred times slower. */
+const ANSWER_TIMEOUT_MS = 1_000
+
+const itemSchema = z.object({
+  key: z.string(),
+  /** Base64. */
+  value: z.string(),
+  /** Last change of the key. */
+  revision: z.int()
+})
+
+const pageSchema = z.object({
+  items: z.array(itemSchema),
+  'more-pages': z.boolean().default(false),
+  /** Revision of the whole store. */
+  'current-rev': z.int()
+})
+
+const batchSchema = z.object({
+  events: z.array(z.union([
+    z.object({ key: z.string(), revision: z.int(), deleted: z.literal(true) }),
+    itemSchema
+  ])),
+  'current-rev': z.int()
+})
+
+const leaseSchema = z.object({ lease: z.union([z.string(), z.int()]), ttl_time: durationSchema })
+const renewalSchema = z.object({ ttl_time: durationSchema.optional() })
+
+/** Counts calls by kind and result. */
+export type CountCall = (call: keyof typeof STORE_PATHS, result: string) => void
+
+/**
+ * Options of `PlatformStore`.
+ * @public
+ */
+export interface PlatformStoreOptions {
+  url: string
+  countCall?: CountCall
+}
+
+interface Answer {
+  status: number
+  body: unknown
+}
+
+interface Call {
+  name: keyof typeof STORE_PATHS
+  method: 'GET' | 'POST' | 'DELETE'
+  path: string
+  body?: unknown
+  timeoutMs?: number
+}
+
+/**
+ * Calls of the platform's key-value store.
+ * @public
+ */
+export class PlatformStore implements ChangeStore {
+  private readonly options: PlatformStoreOptions
+  private readonly pool: Pool
+
+  constructor (options: PlatformStoreOptions) {
+    this.options = options
+    this.pool = new Pool(options.url, { connections: CONNECTIONS, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  }
+
+  async listPage (prefix: string, after?: string): Promise<Result<RecordPage, StoreFailure>> {
+    const query = new URLSearchParams({ prefix, ...(after === undefined ? {} : { after }) })
+    const answer = await this.call({ name: 'list', method: 'GET', path: `${STORE_PATHS.list}?${query}` })
+    if (answer.isErr) return Result.err(answer.error)
+    const page = pageSchema.safeParse(answer.value.body)
+    if (answer.value.status !== 200 || !page.success) return Result.err(unexpected(answer.value))
+    return Result.ok({
+      records: page.data.items.map(toStoredValue),
+      revision: page.data['current-rev'],
+      hasMore: page.data['more-pages']
+    })
+  }
+
+  async changesAfter (prefix: string, revision: number, waitMs: number): Promise<Result<ChangeBatch, ChangesFailure>> {
+    const query = new URLSearchParams({ prefix, after: String(revision), 'wait-ms': String(waitMs) })
+    const answer = await this.call({ name: 'changes', method: 'GET', path: `${STORE_PATHS.changes}?${query}`, timeoutMs: waitMs + ANSWER_TIMEOUT_MS })
+    if (answer.isErr) return Result.err({ kind: 'unavailable', reason: answer.error.reason })
+    if (answer.value.status === 410) return Result.err({ kind: 'history-lost' })
+    const batch = batchSchema.safeParse(answer.value.body)
+    if (answer.value.status !== 200 || !batch.success) return Result.err({ kind: 'unavailable', reason: unexpected(answer.value).reason })
+    return Result.ok({ events: batch.data.events.map(toEvent), revision: batch.data['current-rev'] })
+  }
+
+  async put (key: string, value: string, leaseId: string): Promise<Result<void, StoreFailure>> {
+    const body = { puts: [{ key, value: Buffer.from(value).toString('base64'), lease: asLease(leaseId) }] }
+    const answer = await this.call({ name: 'write', method: 'POST', path: STORE_PATHS.write, body })
+    if (answer.isErr) return Result.err(answer.error)
+    return answer.value.status === 200 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpected(answer.value))
+  }
+
+  async grantLease (ttlMs: number): Promise<Result<Lease, StoreFailure>> {
+    const answer = await this.call({ name: 'grantLease', method: 'POST', path: STORE_PATHS.grantLease, body: { ttl_time: formatDuration(ttlMs) } })
+    if (answer.isErr) return Result.err(answer.error)
+    const lease = leaseSchema.safeParse(answer.value.body)
+    if (answer.value.status !== 200 || !lease.success) return Result.err(unexpected(answer.value))
+    return Result.ok({ leaseId: String(lease.data.lease), ttlMs: lease.data.ttl_time })
+  }
+
+  async renewLease (leaseId: string): Promise<Result<Lease, StoreFailure>> {
+    const answer = await this.call({ name: 'renewLease', method: 'POST', path: `${STORE_PATHS.renewLease}${leaseId}`, body: {} })
+    if (answer.isErr) return Result.err(answer.error)
+    if (answer.value.status === 404) return Result.ok({ leaseId, ttlMs: 0 })
+    const renewal = renewalSchema.safeParse(answer.value.body)
+    if (answer.value.status !== 200 || !renewal.success || renewal.data.ttl_time === undefined) return Result.err(unexpected(answer.value))
+    return Result.ok({ leaseId, ttlMs: renewal.data.ttl_time })
+  }
+
+  async revokeLease (leaseId: string): Promise<Result<void, StoreFailure>> {
+    const answer = await this.call({ name: 'endLease', method: 'DELETE', path: `${STORE_PATHS.endLease}${leaseId}` })
+    if (answer.isErr) return Result.err(answer.error)
+    return answer.value.status === 200 || answer.value.status === 204 || answer.value.status === 404 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpected(answer.value))
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await this.pool.destroy()
+  }
+
+  /** A call without an answer may have been executed, or may be executed later. */
+  private async call ({ name, method, path, body, timeoutMs = ANSWER_TIMEOUT_MS }: Call): Promise<Result<Answer, StoreFailure>> {
+    const abort = new AbortController()
+    // Ends the connection as well: one that has lost an answer returns nothing further.
+    const timer = setTimeout(() => abort.abort(new Error(`no answer after ${timeoutMs} ms`)), timeoutMs)
+    try {
+      const response = await this.pool.request({
+        method,
+        path,
+        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: abort.signal
+      })
+      const text = await response.body.text()
+      this.options.countCall?.(name, String(response.statusCode))
+      return Result.ok({ status: response.statusCode, body: parseBody(text) })
+    } catch (error) {
+      this.options.countCall?.(name, 'no-answer')
+      return Result.err({ effect: 'unknown', reason: (error as Error).message })
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+}
+
+/** A body that is not JSON leaves its status to say what happened. */
+function parseBody (text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    return text
+  }
+}
+
+function unexpected ({ status, body }: Answer): StoreFailure {
+  const isRefused = status >= 400
+  return { effect: isRefused ? 'none' : 'unknown', reason: isRefused ? `status ${status}` : `unreadable answer: ${JSON.stringify(body).slice(0, 200)}` }
+}
+
+function toStoredValue ({ key, value, revision }: z.infer<typeof itemSchema>): StoredValue {
+  return { key, value: Buffer.from(value, 'base64').toString('utf8'), modRevision: revision }
+}
+
+function toEvent (event: z.infer<typeof batchSchema>['events'][number]): WatchEvent {
+  if ('deleted' in event) return { kind: 'delete', key: event.key, modRevision: event.revision }
+  return { kind: 'put', value: toStoredValue(event) }
+}
+
+/** Lease ids are numbers on the wire if the store gave a number. */
+function asLease (leaseId: string): string | number {
+  return /^\d{1,15}$/.test(leaseId) ? Number(leaseId) : leaseId
+}
--- /dev/null
+++ b/packages/platform/src/callerProtocol.ts
@@ -0,0 +1,29 @@
+import type { CallerProtocol } from '@carobpitch/gateway'
+import { failureDomainIdSchema } from '@carobpitch/schema'
+import { formatDuration } from './durations.js'
+import { HEADERS, PATHS } from './wire.js'
+
+/** How the platform's clients speak to the gateway. */
+export const callerProtocol: CallerProtocol = {
+  readFacts: headers => ({
+    requestId: textOf(headers[HEADERS.requestId]),
+    deadlineMs: positiveNumberOf(headers[HEADERS.remainingMs])
+  }),
+  retryAfterHeader: HEADERS.retryAfterS,
+  readinessPath: PATHS.readiness,
+  directoryPath: PATHS.directory,
+  readQuestion: query => ({
+    host: textOf(query.name),
+    failureDomain: failureDomainIdSchema.safeParse(query.zone).data
+  }),
+  formatAddresses: (addresses, ttlMs) => JSON.stringify({ addresses, ttl: formatDuration(ttlMs) })
+}
+
+function textOf (value: unknown): string | undefined {
+  return typeof value === 'string' && value !== '' ? value : undefined
+}
+
+function positiveNumberOf (value: unknown): number | undefined {
+  const number = Number(textOf(value))
+  return Number.isFinite(number) && number > 0 ? number : undefined
+}
--- /dev/null
+++ b/packages/platform/src/decodeRecord.ts
@@ -0,0 +1,130 @@
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import type { DeploymentRecord, Route, RoutingTable, ServicePolicy, TargetRecord } from '@carobpitch/gateway'
+import { failureDomainIdSchema, memberRecordSchema, parseJsonWith, serviceNameSchema, targetIdSchema, type ServiceName, type Violation } from '@carobpitch/schema'
+import { durationSchema } from './durations.js'
+import { KEYS } from './wire.js'
+
+const routeSchema = z.object({
+  host: z.string(),
+  /** Begins and ends with a slash. */
+  prefix: z.string().startsWith('/').endsWith('/'),
+  /** Says what may be repeated. */
+  'route-type': z.enum(['safe', 'unsafe']),
+  timeout: durationSchema.optional(),
+  /** Time within which an answer is worth most. */
+  'target-latency': durationSchema,
+  /** Largest number of targets per request, not of tries. */
+  'max-attempts': z.int().min(1),
+  priority: z.number(),
+  service: serviceNameSchema.optional(),
+  'traffic-split': z.array(z.object({ service: serviceNameSchema, weight: z.number().min(0) })).optional()
+})
+
+const serviceSchema = z.object({
+  'health-path': z.string().startsWith('/'),
+  /** Of all callers together, to one target. */
+  'max-connections': z.number().positive(),
+  warmup: durationSchema,
+  'warmup-per-s': z.number().positive()
+})
+
+const configurationSchema = z.object({
+  version: z.int().min(0),
+  /** Tables by name. */
+  routes: z.record(z.string(), routeSchema),
+  services: z.record(serviceNameSchema, serviceSchema),
+  limits: z.object({
+    'max-header-bytes': z.int().positive(),
+    'max-body-bytes': z.int().positive(),
+    'header-timeout': durationSchema,
+    'idle-timeout': durationSchema
+  })
+})
+
+const targetSchema = z.object({
+  service: serviceNameSchema,
+  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be <IP number>:<port>'),
+  zone: failureDomainIdSchema,
+  slots: z.int().min(1),
+  state: z.enum(['ready', 'draining']),
+  /** How much longer the target is cold. */
+  'warmup-left': durationSchema,
+  /** Unix time of the start, in milliseconds. */
+  born: z.int().min(0).default(0)
+})
+
+/** Decodes a record of the store. The error says why it cannot be read. */
+export function decodeRecord (key: string, value: string): Result<DeploymentRecord, string> {
+  if (key === KEYS.configuration) return decodeConfiguration(value)
+  if (key.startsWith(KEYS.evacuationPrefix)) return decodeEvacuation(key)
+  if (key.startsWith(KEYS.targetPrefix)) return decodeTarget(key, value)
+  if (key.startsWith(KEYS.memberPrefix)) {
+    return parseJsonWith(memberRecordSchema, value).map((member): DeploymentRecord => ({ kind: 'member', member })).mapErr(describe)
+  }
+  return Result.ok({ kind: 'foreign' })
+}
+
+function decodeConfiguration (value: string): Result<DeploymentRecord, string> {
+  return parseJsonWith(configurationSchema, value).mapErr(describe).map(document => {
+    const routes = Object.entries(document.routes).map(([name, route]): Route => ({
+      name,
+      host: route.host,
+      pathPrefix: route.prefix,
+      isIdempotent: route['route-type'] === 'safe',
+      shares: route['traffic-split'] ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]),
+      timeoutMs: route.timeout,
+      objectiveMs: route['target-latency'],
+      attemptsMax: route['max-attempts'],
+      priority: route.priority
+    }))
+    const table: RoutingTable = {
+      version: document.version,
+      routes,
+      services: new Map(Object.entries(document.services).map(([name, service]): [ServiceName, ServicePolicy] => [name as ServiceName, {
+        name: name as ServiceName,
+        probePath: service['health-path'],
+        connectionsMax: service['max-connections'],
+        warmupMs: service.warmup,
+        coldRequestsPerS: service['warmup-per-s']
+      }])),
+      callerLimits: {
+        headSizeMaxBytes: document.limits['max-header-bytes'],
+        bodySizeMaxBytes: document.limits['max-body-bytes'],
+        headTimeoutMs: document.limits['header-timeout'],
+        idleTimeoutMs: document.limits['idle-timeout']
+      }
+    }
+    return { kind: 'configuration', table }
+  })
+}
+
+function decodeEvacuation (key: string): Result<DeploymentRecord, string> {
+  const failureDomain = failureDomainIdSchema.safeParse(key.slice(KEYS.evacuationPrefix.length))
+  if (!failureDomain.success) return Result.err('names no zone')
+  return Result.ok({ kind: 'evacuation', failureDomain: failureDomain.data })
+}
+
+function decodeTarget (key: string, value: string): Result<DeploymentRecord, string> {
+  const targetId = targetIdSchema.safeParse(key.slice(KEYS.targetPrefix.length))
+  if (!targetId.success) return Result.err('names no target')
+  return parseJsonWith(targetSchema, value).mapErr(describe).map(entry => {
+    const [host, port] = entry.address.split(':') as [string, string]
+    const target: TargetRecord = {
+      targetId: targetId.data,
+      service: entry.service,
+      host,
+      port: Number(port),
+      failureDomain: entry.zone,
+      slots: entry.slots,
+      isDraining: entry.state === 'draining',
+      coldForMs: entry['warmup-left'],
+      bornAtEpochMs: entry.born
+    }
+    return { kind: 'target', target }
+  })
+}
+
+function describe (violations: Violation[]): string {
+  return violations.map(({ path, message }) => path === '' ? message : `${path}: ${message}`).join('; ')
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,6 @@
+export { readSettings, SETTINGS_VARIABLE } from './readSettings.js'
+export { decodeRecord } from './decodeRecord.js'
+export { PlatformStore, type PlatformStoreOptions, type CountCall } from './PlatformStore.js'
+export { callerProtocol } from './callerProtocol.js'
+export { targetProtocol } from './targetProtocol.js'
+export { KEYS } from './wire.js'
--- /dev/null
+++ b/packages/platform/src/readSettings.ts
@@ -0,0 +1,74 @@
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import type { FrontSettings } from '@carobpitch/gateway'
+import { failureDomainIdSchema, instanceIdSchema, parseWith, type ListenerSettings, type Violation } from '@carobpitch/schema'
+import { durationSchema } from './durations.js'
+
+/** Environment variable that holds the path of the settings file. */
+export const SETTINGS_VARIABLE = 'CAROBPITCH_SETTINGS'
+/** Port of the metrics, which the deploy file names as well. */
+const METRICS_PORT = 9_464
+
+const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
+
+const addressSchema = z.string().regex(ADDRESS_PATTERN, 'must be <IP number>:<port>').transform((text): ListenerSettings => {
+  const [, host, port] = ADDRESS_PATTERN.exec(text) as RegExpExecArray
+  return { host: host as string, port: Number(port) }
+})
+
+const numberSchema = z.string().regex(/^\d+(\.\d+)?$/, 'must be a number').transform(Number)
+
+const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(','))
+  .pipe(z.array(z.string().regex(ADDRESS_PATTERN, 'must be <IP number>:<port>')))
+
+const settingsSchema = z.object({
+  'node-name': instanceIdSchema,
+  zone: failureDomainIdSchema,
+  ip: z.ipv4(),
+  'listen.front': addressSchema,
+  'listen.ready': addressSchema,
+  'listen.directory': addressSchema,
+  'listen.control': addressSchema,
+  seeds: addressListSchema,
+  'platform.address': z.string().regex(ADDRESS_PATTERN, 'must be <IP number>:<port>'),
+  'platform.ttl-min': durationSchema,
+  'bounds.grace-period': durationSchema,
+  'bounds.ttl_max': durationSchema,
+  'bounds.probes-per-s': numberSchema,
+  'bounds.retry-budget-ratio': numberSchema,
+  'bounds.retry-budget-slack': numberSchema,
+  'bounds.budget-window': durationSchema
+})
+
+/** Reads the settings file: lines of the form `name=value`. Unknown names are ignored. */
+export function readSettings (text: string): Result<FrontSettings, Violation[]> {
+  return parseWith(settingsSchema, linesOf(text)).map((fields): FrontSettings => ({
+    instanceId: fields['node-name'],
+    failureDomain: fields.zone,
+    callerListen: fields['listen.front'],
+    readinessListen: fields['listen.ready'],
+    directoryListen: fields['listen.directory'],
+    peerListen: fields['listen.control'],
+    metricsListen: { host: fields.ip, port: METRICS_PORT },
+    seedPeerUrls: fields.seeds.map(address => `http://${address}`),
+    storeUrl: `http://${fields['platform.address']}`,
+    leaseMinMs: fields['platform.ttl-min'],
+    stopGraceMs: fields['bounds.grace-period'],
+    directoryTtlMaxMs: fields['bounds.ttl_max'],
+    probesPerTargetAndS: fields['bounds.probes-per-s'],
+    retryLimits: {
+      share: fields['bounds.retry-budget-ratio'],
+      slack: fields['bounds.retry-budget-slack'],
+      windowMs: fields['bounds.budget-window']
+    }
+  }))
+}
+
+function linesOf (text: string): Record<string, string> {
+  const fields: Record<string, string> = {}
+  for (const line of text.split('\n')) {
+    const mark = line.indexOf('=')
+    if (mark > 0) fields[line.slice(0, mark).trim()] = line.slice(mark + 1).trim()
+  }
+  return fields
+}
--- /dev/null
+++ b/packages/platform/src/targetProtocol.ts
@@ -0,0 +1,56 @@
+import type { TargetProtocol } from '@carobpitch/gateway'
+import type { ResponseHead, TargetOccupancy } from '@carobpitch/proxy'
+import { targetIdSchema } from '@carobpitch/schema'
+import { HEADERS } from './wire.js'
+
+/** Status with which a target says that a request was meant for another one; it has not run. */
+const MISDIRECTED_STATUS = 421
+
+/** How the gateway speaks to the platform's servers. */
+export const targetProtocol: TargetProtocol = {
+  headersSetPerAttempt: new Set([HEADERS.remainingMs, HEADERS.expectedTarget]),
+  attemptHeaders: ({ remainingMs, targetId }) => [
+    HEADERS.remainingMs, String(Math.max(1, Math.floor(remainingMs))),
+    HEADERS.expectedTarget, targetId
+  ],
+  readOwnHeader: (head, key, value) => {
+    if (head.status === MISDIRECTED_STATUS) head.statesNotRun = true
+    switch (key) {
+      case HEADERS.requestId:
+        head.requestId = value
+        return true
+      case HEADERS.notRun:
+        head.statesNotRun = true
+        return true
+      case HEADERS.answeringTarget:
+        readTargetId(head, value)
+        return true
+      case HEADERS.load:
+        readOccupancy(head, value)
+        return true
+      case HEADERS.coldForMs:
+        readCold(head, value)
+        return true
+      default:
+        return true
+    }
+  }
+}
+
+function readTargetId (head: ResponseHead, value: string): void {
+  const targetId = targetIdSchema.safeParse(value)
+  if (targetId.success) head.targetId = targetId.data
+}
+
+function readOccupancy (head: ResponseHead, value: string): void {
+  const [running, waiting, slots, slowdownPercent = 100] = value.split(',').map(Number)
+  if (running === undefined || waiting === undefined || slots === undefined) return
+  const occupancy: TargetOccupancy = { running, waiting, slots, slowdown: slowdownPercent / 100 }
+  const isReadable = Object.values(occupancy).every(figure => Number.isFinite(figure) && figure >= 0) && slots > 0
+  if (isReadable) head.occupancy = occupancy
+}
+
+function readCold (head: ResponseHead, value: string): void {
+  const coldForMs = Number(value)
+  if (Number.isFinite(coldForMs) && coldForMs >= 0) head.coldForMs = coldForMs
+}
--- a/packages/proxy/src/CallerResponse.ts
+++ b/packages/proxy/src/CallerResponse.ts
@@ -36,7 +36,7 @@
   response.end(body)
 }
 
-/** Breaks off a response so that it cannot look complete. An HTTP/1.0 caller may read until the connection ends, so that its connection is reset. @internal */
+/** Breaks off a response so that it cannot look complete. An HTTP/1.0 caller may read until the connection ends, so that its connection is reset. @public */
 export function breakOff (response: ServerResponse): void {
   const { socket, req } = response
   if (socket !== null && req.httpVersionMinor === 0) socket.resetAndDestroy()
--- a/packages/proxy/src/DeadlineTimer.ts
+++ b/packages/proxy/src/DeadlineTimer.ts
@@ -3,7 +3,7 @@
 
 /**
  * Something that ends at a deadline.
- * @internal
+ * @public
  */
 export interface Expiring {
   /** Called once when the deadline has passed. */
@@ -13,7 +13,7 @@
 /**
  * Watches the deadlines of all requests with one timer, because a timer for each request costs more than the request's bookkeeping.
  * Never fires early. The timer runs only while deadlines are pending.
- * @internal
+ * @public
  */
 export class DeadlineTimer {
   private readonly steps = new Map<number, Set<Expiring>>()
--- a/packages/proxy/src/RequestBody.ts
+++ b/packages/proxy/src/RequestBody.ts
@@ -4,12 +4,12 @@
 /** Bodies up to this size are read whole before a target is asked for, so that a slow sender holds no slot and the body can be sent again. */
 const WHOLE_BODY_MAX_BYTES = 65_536
 
-/** Receives a body that is at hand. @internal */
+/** Receives a body that is at hand. @public */
 export type BodyCallback = (body: Buffer | Readable) => void
 
 /**
  * Options of `readBody`.
- * @internal
+ * @public
  */
 export interface ReadBodyOptions {
   request: IncomingMessage
@@ -21,7 +21,7 @@
   onTooLarge: () => void
 }
 
-/** Reads a small body whole; hands over a larger one as a stream. @internal */
+/** Reads a small body whole; hands over a larger one as a stream. @public */
 export function readBody ({ request, lengthBytes, sizeMaxBytes, onReady, onTooLarge }: ReadBodyOptions): void {
   const chunks: Buffer[] = []
   let sizeBytes = 0
--- a/packages/proxy/src/TargetConnections.ts
+++ b/packages/proxy/src/TargetConnections.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import { openConnection, type ConnectCallback, type TargetAddress } from './Connector.js'
+import type { ConnectionState } from './Attempt.js'
 import type { DeadlineTimer, Expiring } from './DeadlineTimer.js'
 
 /** Idle time after which a connection is closed; below the 5 s after which many servers close theirs. */
@@ -12,7 +13,7 @@
 
 /**
  * Options of `TargetConnections`.
- * @internal
+ * @public
  */
 export interface TargetConnectionsOptions {
   /** Base URL of the target. */
@@ -31,7 +32,7 @@
 /**
  * The connections of this instance to one target. Each carries one request at a time. While all of them are busy,
  * one more is opened ahead, so that the next request does not wait for it.
- * @internal
+ * @public
  */
 export class TargetConnections {
   private readonly options: TargetConnectionsOptions
@@ -40,6 +41,7 @@
   private readonly busy = new Set<Client>()
   private readonly spares: SpareConnection[] = []
   private readonly opening = new Set<Socket>()
+  private readonly sockets = new WeakMap<Client, Socket>()
   private isClosed = false
 
   constructor (options: TargetConnectionsOptions) {
@@ -62,6 +64,14 @@
     else client.destroy().catch(() => {})
   }
 
+  /** Returns what has become of the connection that a client uses. */
+  stateOf (client: Client): ConnectionState {
+    const socket = this.sockets.get(client)
+    if (socket === undefined || socket.errored !== null) return 'broken'
+    if (socket.readableEnded) return 'ended'
+    return socket.destroyed ? 'broken' : 'open'
+  }
+
   /** Opens a connection ahead when the next request would find none. */
   openAhead (): void {
     const spareCount = this.spares.length + this.opening.size
@@ -95,9 +105,12 @@
   }
 
   private createClient (): Client {
-    const client = new Client(this.options.url, {
+    const client: Client = new Client(this.options.url, {
       pipelining: 1,
-      connect: (_options: unknown, callback: ConnectCallback) => this.connect(callback),
+      connect: (_options: unknown, callback: ConnectCallback) => this.connect((error, socket) => {
+        if (socket !== null) this.sockets.set(client, socket)
+        callback(error, socket)
+      }),
       // The deadline timer bounds every request as a whole.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/proxy/src/parserFault.ts
+++ b/packages/proxy/src/parserFault.ts
@@ -2,7 +2,7 @@
 
 /**
  * An error that Node's HTTP server raises on a caller's connection.
- * @internal
+ * @public
  */
 export interface ParserError extends Error {
   code?: string
@@ -16,7 +16,7 @@
 /**
  * Returns the reason for a 4xx or 501 response to an error on a caller's connection, or `undefined`
  * when the connection itself has failed and nothing can be sent.
- * @internal
+ * @public
  */
 export function parserFaultOf ({ code, rawPacket }: ParserError): Reason | undefined {
   if (code === undefined) return undefined
--- a/packages/proxy/src/requestHeaders.ts
+++ b/packages/proxy/src/requestHeaders.ts
@@ -2,23 +2,24 @@
 import { isHopByHop } from './hopByHop.js'
 
 /** Headers that are set anew for each attempt. */
-const SET_PER_ATTEMPT = new Set([DEADLINE_HEADER, REQUEST_ID_HEADER])
+const SET_PER_ATTEMPT: ReadonlySet<string> = new Set([DEADLINE_HEADER, REQUEST_ID_HEADER])
 
 /**
  * Returns the headers of a caller's request that are passed on to targets, names and values alternating.
  *
  * Removed are hop-by-hop headers, those named by `connection`, `expect` (the listener has answered it),
  * and the framing headers, which follow from the body that is sent.
- * @internal
+ * @param setPerAttempt lower-case names of further headers that are left out
+ * @public
  */
-export function endToEndHeaders (rawHeaders: readonly string[], connection: string | undefined): string[] {
+export function endToEndHeaders (rawHeaders: readonly string[], connection: string | undefined, setPerAttempt = SET_PER_ATTEMPT): string[] {
   const nominated = connection === undefined ? undefined : nominatedBy(connection)
   const kept: string[] = []
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] as string
     const key = name.toLowerCase()
     if (isHopByHop(key) || key === 'content-length' || key === 'expect') continue
-    if (SET_PER_ATTEMPT.has(key) || nominated?.includes(key)) continue
+    if (setPerAttempt.has(key) || nominated?.includes(key)) continue
     kept.push(name, rawHeaders[index + 1] as string)
   }
   return kept
--- a/packages/proxy/src/responseHead.ts
+++ b/packages/proxy/src/responseHead.ts
@@ -1,4 +1,5 @@
 /** Reads the head of a target's response from undici's raw header pairs. */
+import type { TargetId } from '@carobpitch/schema'
 import { ATTEMPTS_HEADER, INSTANCE_HEADER, LOAD_HEADER, REASON_HEADER, REQUEST_ID_HEADER, TARGET_HEADER, VERDICT_HEADER } from './headers.js'
 import { isHopByHop } from './hopByHop.js'
 
@@ -15,7 +16,7 @@
 
 /**
  * The head of a target's response.
- * @internal
+ * @public
  */
 export interface ResponseHead {
   status: number
@@ -28,8 +29,34 @@
   reportedLoad: number | undefined
   /** Whether the target closes the connection after the response. */
   closesConnection: boolean
+  /** The target states that it did not run the request. */
+  statesNotRun?: boolean
+  /** Identity that the target gives itself, if it does. */
+  targetId?: TargetId
+  /** How busy the target is, if it tells more than one figure. */
+  occupancy?: TargetOccupancy
+  /** How much longer the target is cold, if it says so. */
+  coldForMs?: number
+}
+
+/**
+ * How busy a target says it is.
+ * @public
+ */
+export interface TargetOccupancy {
+  running: number
+  waiting: number
+  slots: number
+  /** How long work takes on the target's machine at this moment; 1 is usual. */
+  slowdown: number
 }
 
+/**
+ * Takes a header that concerns carobpitch from a response. Returns whether the header is passed on to the caller.
+ * @public
+ */
+export type ReadOwnHeader = (head: ResponseHead, key: string, value: string) => boolean
+
 const NO_BODY: ResponseFraming = { kind: 'no-body' }
 const CHUNKED: ResponseFraming = { kind: 'chunked' }
 const ENDLESS: ResponseFraming = { kind: 'endless' }
@@ -40,8 +67,16 @@
  */
 const OWN_HEADERS = new Set([VERDICT_HEADER, REASON_HEADER, INSTANCE_HEADER, TARGET_HEADER, ATTEMPTS_HEADER, LOAD_HEADER])
 
-/** Reads a response head. Values are decoded as latin1, as HTTP/1.1 allows any such octet. @internal */
-export function readResponseHead (method: string, status: number, rawHeaders: readonly Buffer[]): ResponseHead {
+/** Reads the headers of carobpitch's own protocol. */
+const readCarobpitchHeader: ReadOwnHeader = (head, key, value) => {
+  if (!key.startsWith('carobpitch-')) return true
+  if (key === REQUEST_ID_HEADER) head.requestId = value
+  else if (key === LOAD_HEADER) head.reportedLoad = loadOf(value)
+  return !OWN_HEADERS.has(key)
+}
+
+/** Reads a response head. Values are decoded as latin1, as HTTP/1.1 allows any such octet. @public */
+export function readResponseHead (method: string, status: number, rawHeaders: readonly Buffer[], readOwnHeader = readCarobpitchHeader): ResponseHead {
   const head: ResponseHead = { status, framing: ENDLESS, forwarded: [], requestId: undefined, reportedLoad: undefined, closesConnection: false }
   let contentLength: string | undefined
   let transferEncoding: string | undefined
@@ -56,11 +91,7 @@
     }
     if (key === 'transfer-encoding') transferEncoding = value.toLowerCase()
     if (isHopByHop(key)) continue
-    if (key.startsWith('carobpitch-')) {
-      if (key === REQUEST_ID_HEADER) head.requestId = value
-      else if (key === LOAD_HEADER) head.reportedLoad = loadOf(value)
-      if (OWN_HEADERS.has(key)) continue
-    }
+    if (!readOwnHeader(head, key, value)) continue
     if (key === 'content-length') contentLength = value
     head.forwarded.push(name, value)
   }
--- a/packages/routing/src/RetryBudget.ts
+++ b/packages/routing/src/RetryBudget.ts
@@ -12,13 +12,29 @@
   retries: number
 }
 
+/**
+ * Options of `RetryBudget`.
+ * @public
+ */
+export interface RetryBudgetOptions {
+  /** Length of the window that counts as recent. */
+  windowMs?: number
+  /** Retries allowed within the window for a number of requests in it. */
+  allowance?: (requests: number) => number
+}
+
 /**
  * Limits retries to a share of recent traffic, so that retries cannot multiply an overload.
  * @public
  */
 export class RetryBudget {
+  private readonly options: Required<RetryBudgetOptions>
   private buckets: Bucket[] = []
 
+  constructor ({ windowMs = WINDOW_MS, allowance = defaultAllowance }: RetryBudgetOptions = {}) {
+    this.options = { windowMs, allowance }
+  }
+
   /** Counts a request that is not a retry. */
   noteRequest (): void {
     this.bucketNow().requests += 1
@@ -28,7 +44,7 @@
   take (): boolean {
     const bucket = this.bucketNow()
     const { requests, retries } = this.totals()
-    if (retries >= Math.max(RETRY_FLOOR, Math.floor(requests * RETRY_SHARE))) return false
+    if (retries >= Math.floor(this.options.allowance(requests))) return false
     bucket.retries += 1
     return true
   }
@@ -49,9 +65,13 @@
     const startedAtMs = Math.floor(performance.now() / BUCKET_MS) * BUCKET_MS
     const last = this.buckets.at(-1)
     if (last?.startedAtMs === startedAtMs) return last
-    this.buckets = this.buckets.filter(bucket => bucket.startedAtMs > startedAtMs - WINDOW_MS)
+    this.buckets = this.buckets.filter(bucket => bucket.startedAtMs > startedAtMs - this.options.windowMs)
     const bucket = { startedAtMs, requests: 0, retries: 0 }
     this.buckets.push(bucket)
     return bucket
   }
 }
+
+function defaultAllowance (requests: number): number {
+  return Math.max(RETRY_FLOOR, requests * RETRY_SHARE)
+}
