Tell a reset from the end of a response without length

Ruled out: undici's handling of ECONNRESET; with the reset in a poll of its own the attempt already failed. Change: a connection without a peer address counts as broken.

--- a/packages/proxy/src/TargetConnections.ts
+++ b/packages/proxy/src/TargetConnections.ts
@@ -68,7 +68,7 @@
   stateOf (client: Client): ConnectionState {
     const socket = this.sockets.get(client)
     if (socket === undefined || socket.errored !== null) return 'broken'
-    if (socket.readableEnded) return 'ended'
+    if (socket.readableEnded) return hasPeer(socket) ? 'ended' : 'broken'
     return socket.destroyed ? 'broken' : 'open'
   }
 
@@ -171,3 +171,11 @@
     client.destroy().catch(() => {})
   }
 }
+
+/**
+ * Whether a connection still has a peer. A reset that arrives together with data is reported as a regular end by libuv;
+ * only the peer's address, which such a socket no longer has, tells the two apart.
+ */
+function hasPeer (socket: Socket): boolean {
+  return socket.remoteAddress !== undefined
+}
