Start the front program with V8's code cache

Change: the bundle is minified and loaded with a code cache taken at the end of a start during the build.

--- /dev/null
+++ b/packages/daemon/src/front/load.ts
@@ -0,0 +1,23 @@
+/**
+ * Starts `front-program.cjs` with V8's code cache beside it. `--write-code-cache <file>` writes the cache instead.
+ * A missing or outdated cache only makes the start slower.
+ */
+import { existsSync, readFileSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import { join } from 'node:path'
+import { Script } from 'node:vm'
+
+const directory = __dirname
+const programFile = join(directory, 'front-program.cjs')
+const cacheFile = join(directory, 'front-program.cache')
+const writesCache = process.argv[2] === '--write-code-cache'
+
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(programFile, 'utf8')}\n})`
+const cachedData = !writesCache && existsSync(cacheFile) ? readFileSync(cacheFile) : undefined
+const script = new Script(source, { filename: programFile, ...(cachedData === undefined ? {} : { cachedData }) })
+const programModule = { exports: {} }
+
+// Functions that the start compiles go into the cache as well, so that it is taken at the end of a start.
+if (writesCache) process.on('exit', () => writeFileSync(cacheFile, script.createCachedData()))
+const run = script.runInThisContext() as (...values: unknown[]) => void
+run(programModule.exports, createRequire(programFile), programModule, programFile, directory)
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** Program `carobpitch-front`. Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings. */
 import { readFileSync } from 'node:fs'
 import { Counter, Registry } from 'prom-client'
@@ -35,12 +34,10 @@
   log.error('process.failed', { reason: error.message, stack: error.stack })
   process.exit(EXIT_FAILED)
 })
-try {
-  await daemon.start()
-} catch (error) {
-  log.error('process.failed', { reason: `cannot start: ${(error as Error).message}` })
+daemon.start().catch((error: Error) => {
+  log.error('process.failed', { reason: `cannot start: ${error.message}` })
   process.exit(EXIT_FAILED)
-}
+})
 
 async function stop (signal: string): Promise<void> {
   log.info('process.stopping', { signal })
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -37,7 +37,9 @@
   'bounds.probes-per-s': numberSchema,
   'bounds.retry-budget-ratio': numberSchema,
   'bounds.retry-budget-slack': numberSchema,
-  'bounds.budget-window': durationSchema
+  'bounds.budget-window': durationSchema,
+  /** Not the platform's; its deploy file names the port of the metrics. */
+  'metrics.port': numberSchema.default(METRICS_PORT)
 })
 
 /** Reads the settings file: lines of the form `name=value`. Unknown names are ignored. */
@@ -49,7 +51,7 @@
     readinessListen: fields['listen.ready'],
     directoryListen: fields['listen.directory'],
     peerListen: fields['listen.control'],
-    metricsListen: { host: fields.ip, port: METRICS_PORT },
+    metricsListen: { host: fields.ip, port: fields['metrics.port'] },
     seedPeerUrls: fields.seeds.map(address => `http://${address}`),
     storeUrl: `http://${fields['platform.address']}`,
     leaseMinMs: fields['platform.ttl-min'],
--- a/scripts/bundle-front.mjs
+++ b/scripts/bundle-front.mjs
@@ -1,11 +1,17 @@
 /**
- * Bundles the front program into one file under target/, from the sources of the packages, so that it starts quickly.
+ * Bundles the front program under target/, from the sources of the packages, together with V8's code cache,
+ * so that a restarted process spends little processor time before it serves.
  * Usage: node scripts/bundle-front.mjs
  */
-import { existsSync } from 'node:fs'
-import { join, resolve } from 'node:path'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { existsSync, rmSync, writeFileSync } from 'node:fs'
+import { resolve } from 'node:path'
 import { build } from 'esbuild'
 
+const PROGRAM = 'target/front-program.cjs'
+const LOADER = 'target/carobpitch-front.cjs'
+
 /** Resolves the packages of this repository to their sources, which need no earlier compilation. */
 const ownPackages = {
   name: 'own-packages',
@@ -17,15 +23,25 @@
   }
 }
 
-await build({
-  entryPoints: ['packages/daemon/src/front/main.ts'],
-  outfile: join('target', 'carobpitch-front.mjs'),
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  minifySyntax: true,
-  plugins: [ownPackages],
-  // Bundled CommonJS modules call `require` for modules of Node.
-  banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" }
-})
+const common = { bundle: true, platform: 'node', target: 'node20', format: 'cjs', minifySyntax: true, minifyWhitespace: true, logLevel: 'warning', plugins: [ownPackages] }
+await build({ ...common, entryPoints: ['packages/daemon/src/front/main.ts'], outfile: PROGRAM })
+await build({ ...common, entryPoints: ['packages/daemon/src/front/load.ts'], outfile: LOADER })
+
+/** Settings of a process on loopback whose store does not answer, and which ends as soon as it is told to. */
+const WARM_UP_SETTINGS = {
+  'node-name': 'warm-up', zone: 'none', ip: '127.0.0.1', 'listen.front': '127.0.0.1:0', 'listen.ready': '127.0.0.1:0',
+  'listen.directory': '127.0.0.1:0', 'listen.control': '127.0.0.1:0', 'platform.address': '127.0.0.1:9', 'platform.ttl-min': '1s',
+  'bounds.grace-period': '0ms', 'bounds.ttl_max': '0ms', 'bounds.probes-per-s': '1', 'bounds.retry-budget-ratio': '0',
+  'bounds.retry-budget-slack': '0', 'bounds.budget-window': '1s', 'metrics.port': '0'
+}
+/** Time for the process to load and start everything. */
+const WARM_UP_MS = 1_500
+
+const settingsFile = 'target/warm-up.conf'
+writeFileSync(settingsFile, Object.entries(WARM_UP_SETTINGS).map(([name, value]) => `${name}=${value}\n`).join(''))
+// The cache is taken by the loader itself, at the end of a start.
+const warmUp = spawn(process.execPath, [LOADER, '--write-code-cache'], { stdio: 'ignore', env: { ...process.env, CAROBPITCH_SETTINGS: settingsFile } })
+setTimeout(() => warmUp.kill('SIGTERM'), WARM_UP_MS)
+const [status] = await once(warmUp, 'exit')
+rmSync(settingsFile)
+if (status !== 0) throw new Error(`the start for the code cache ended with status ${status}`)
