Let one instance of each failure domain read the store for the others

Weighed: longer waits on every instance (a silent connection would then hide changes for longer than a configuration may take); readers by square root of the fleet (crosses zones). Change: instances follow the reader of their failure domain by a waiting question that carries the age of what it knows; knowledge older than 1.4 s sends the follower to the store. Targets of the own failure domain are asked first, others when none of those is free and fast.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -7,6 +7,7 @@
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
+import { rankByRendezvous } from '@carobpitch/routing'
 import type { MemberRecord } from '@carobpitch/schema'
 import type { Result } from 'true-myth'
 import { MetricsListener } from './MetricsListener.js'
@@ -34,6 +35,8 @@
 const RENEWALS_PER_LEASE = 3
 /** Time for which callers use an answer of the directory. Some keep it three times as long, which still fits into a planned stop. */
 const DIRECTORY_TTL_MS = 1_500
+/** Key by which the instances of a failure domain choose the one that reads the store. */
+const READER_KEY = 'store-reader'
 /** Multiple of the time to live for which some callers keep an answer. */
 const DIRECTORY_KEPT_FACTOR = 3
 
@@ -74,7 +77,7 @@
     kernel.register('knowledge', { dump: () => knowledge.dump() })
 
     const peerServer = new PeerServer({ listen: settings.peerListen, log })
-    peerServer.mount(KNOWLEDGE_ROUTER, createKnowledgeRouter(knowledge))
+    peerServer.mount(KNOWLEDGE_ROUTER, createKnowledgeRouter(knowledge, () => kernel.get('follower').ageMs()))
     const peerLinks = new PeerLinks({})
     const lease = new LeaseKeeper({
       store,
@@ -153,6 +156,7 @@
       knowledge,
       askPeer: createPeerKnowledge(peerLinks),
       peerUrls: () => this.peerUrls(),
+      relayUrl: () => this.relayUrl(),
       log
     }))
     collectDefaultMetrics({ register: registry })
@@ -211,6 +215,15 @@
     return [...new Set([...known, ...settings.seedPeerUrls])].filter(url => url !== own)
   }
 
+  /** One instance of each failure domain reads the store; the others of the domain follow it. */
+  private relayUrl (): string | undefined {
+    const { instanceId, failureDomain } = this.options.settings
+    const near = this.serving().filter(member => member.failureDomain === failureDomain)
+    const [readerId] = rankByRendezvous(READER_KEY, near.map(member => member.instanceId))
+    if (readerId === undefined || readerId === instanceId) return undefined
+    return near.find(member => member.instanceId === readerId)?.peerUrl
+  }
+
   /** Returns a function that gives the present routes, indexed once for each version. */
   private followRouting (shares: ShareChooser): () => { table: NonNullable<ReturnType<Knowledge['routingTable']>>, index: RouteIndex } | undefined {
     let state: { table: NonNullable<ReturnType<Knowledge['routingTable']>>, index: RouteIndex } | undefined
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -14,6 +14,10 @@
 const REPORT_WAIT_MS = 25
 /** Targets that are asked before a choice. */
 const CANDIDATES = 3
+/** Expected time, in multiples of the usual work, up to which no further targets are asked. */
+const GOOD_FACTOR = 1.6
+/** Factor by which targets of other failure domains must be more promising to be asked in the first round. */
+const OTHER_DOMAIN_LATER = 2
 /** Pause before a request that found no target looks again. */
 const RETRY_MS = 15
 /** Share of the latency objective after which a request that finds no free slot is refused, so that its caller can try again in time. */
@@ -142,16 +146,17 @@
   }
 
   private isGood (target: GatewayTarget): boolean {
-    const report = target.report()
-    return target.reportAgeMs() <= REPORT_FRESH_MS && target.freeSlots() > 0 && report !== undefined && report.slowdown < 2
+    return target.reportAgeMs() <= REPORT_FRESH_MS && target.freeSlots() > 0 && this.mayBegin(target) && this.factorOf(target) < GOOD_FACTOR
   }
 
+  /** Targets not yet asked, the most promising first. Those of other failure domains follow those of this one. */
   private promising (asked: ReadonlySet<GatewayTarget>): GatewayTarget[] {
-    const { registry, service, random } = this.options
+    const { registry, service, random, failureDomain } = this.options
     const ranked: Candidate[] = []
     for (const target of registry.ofService(service)) {
       if (asked.has(target) || target.failures.isResting()) continue
-      ranked.push({ target, factor: this.factorOf(target) * (1 + random()) })
+      const distance = target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_LATER
+      ranked.push({ target, factor: this.factorOf(target) * (1 + random()) * distance })
     }
     ranked.sort((first, second) => first.factor - second.factor)
     return ranked.map(({ target }) => target)
--- a/packages/gateway/src/knowledge/KnowledgeFeed.ts
+++ b/packages/gateway/src/knowledge/KnowledgeFeed.ts
@@ -9,16 +9,28 @@
 /** Longest wait that a peer may ask for. */
 const WAIT_MAX_MS = 10_000
 
+/** Interval at which a waiting answer checks that the knowledge is still young enough. */
+const AGE_CHECK_MS = 100
+
 /** What one instance tells another: the changes after a revision, or everything when they are no longer known. @public */
-export type FeedAnswer =
+export type FeedAnswer = {
+  /** Time since the store confirmed the knowledge. */
+  ageMs: number
+} & (
   | { kind: 'changes', batch: ChangeBatch }
   | { kind: 'snapshot', snapshot: KnowledgeSnapshot }
+)
 
 const feedRequestSchema = z.strictObject({
   revision: z.int().min(0),
-  waitMs: z.int().min(0).max(WAIT_MAX_MS)
+  waitMs: z.int().min(0).max(WAIT_MAX_MS),
+  /** The answer comes at once when the knowledge is older. */
+  ageMaxMs: z.number().min(0).optional()
 })
 
+/** @internal */
+export type FeedRequest = z.infer<typeof feedRequestSchema>
+
 const storedValueSchema = z.strictObject({ key: z.string(), value: z.string(), modRevision: z.int() })
 
 const watchEventSchema: z.ZodType<WatchEvent> = z.discriminatedUnion('kind', [
@@ -28,22 +40,26 @@
 
 /** Validator of answers. @internal */
 export const feedAnswerSchema: z.ZodType<FeedAnswer> = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('changes'), batch: z.strictObject({ events: z.array(watchEventSchema), revision: z.int() }) }),
-  z.strictObject({ kind: z.literal('snapshot'), snapshot: z.strictObject({ records: z.array(storedValueSchema), revision: z.int() }) })
+  z.strictObject({ kind: z.literal('changes'), ageMs: z.number(), batch: z.strictObject({ events: z.array(watchEventSchema), revision: z.int() }) }),
+  z.strictObject({ kind: z.literal('snapshot'), ageMs: z.number(), snapshot: z.strictObject({ records: z.array(storedValueSchema), revision: z.int() }) })
 ])
 
-/** Creates the router by which other instances follow the knowledge of this one. @public */
+/**
+ * Creates the router by which other instances follow the knowledge of this one.
+ * @param ageMs time since the store confirmed the knowledge
+ * @public
+ */
 // eslint-disable-next-line @typescript-eslint/explicit-function-return-type
-export function createKnowledgeRouter (knowledge: Knowledge) {
+export function createKnowledgeRouter (knowledge: Knowledge, ageMs: () => number) {
   const trpc = initTRPC.create()
   return trpc.router({
     changesAfter: trpc.procedure
       .input(feedRequestSchema)
-      .query(async ({ input: { revision, waitMs } }): Promise<FeedAnswer> => {
-        await knowsMoreThan(knowledge, revision, waitMs)
-        const batch = knowledge.changesAfter(revision)
-        if (batch !== undefined) return { kind: 'changes', batch }
-        return { kind: 'snapshot', snapshot: knowledge.snapshot() }
+      .query(async ({ input }): Promise<FeedAnswer> => {
+        await knowsMore(knowledge, input, ageMs)
+        const batch = knowledge.changesAfter(input.revision)
+        if (batch !== undefined) return { kind: 'changes', ageMs: ageMs(), batch }
+        return { kind: 'snapshot', ageMs: ageMs(), snapshot: knowledge.snapshot() }
       })
   })
 }
@@ -51,18 +67,23 @@
 /** Type of the router, for typed clients. @public */
 export type KnowledgeRouter = ReturnType<typeof createKnowledgeRouter>
 
-/** Waits until something is known after a revision, for `waitMs` at most. */
-async function knowsMoreThan (knowledge: Knowledge, revision: number, waitMs: number): Promise<void> {
-  if (waitMs === 0 || hasChangesAfter(knowledge, revision)) return
+/** Waits until something is known after a revision, the knowledge has become too old, or the time has passed. */
+async function knowsMore (knowledge: Knowledge, { revision, waitMs, ageMaxMs = Infinity }: FeedRequest, ageMs: () => number): Promise<void> {
+  const isDue = (): boolean => hasChangesAfter(knowledge, revision) || ageMs() > ageMaxMs
+  if (waitMs === 0 || isDue()) return
   await new Promise<void>(resolve => {
     const finish = (): void => {
       clearTimeout(timer)
+      clearInterval(ageCheck)
       unsubscribe()
       resolve()
     }
-    const unsubscribe = knowledge.onChange(() => { if (hasChangesAfter(knowledge, revision)) finish() })
+    const check = (): void => { if (isDue()) finish() }
+    const unsubscribe = knowledge.onChange(check)
     const timer = setTimeout(finish, waitMs)
+    const ageCheck = setInterval(check, AGE_CHECK_MS)
     timer.unref()
+    ageCheck.unref()
   })
 }
 
--- a/packages/gateway/src/knowledge/KnowledgeFollower.ts
+++ b/packages/gateway/src/knowledge/KnowledgeFollower.ts
@@ -3,12 +3,19 @@
 import type { StoredValue } from '@carobpitch/store'
 import type { ChangeStore } from './ChangeStore.js'
 import type { Knowledge } from './Knowledge.js'
+import type { FeedAnswer } from './KnowledgeFeed.js'
 import type { AskPeer } from './PeerKnowledge.js'
 
-/** Wait of one read of changes. A connection that has gone silent is noticed after it. */
-const STORE_WAIT_MS = 2_000
+/** Wait of one read of changes. Instances that follow this one rely on its age, so that a cut must show within the time for a configuration. */
+const STORE_WAIT_MS = 1_000
 /** Pause between two reads of changes, which gathers changes that come close together into one call. */
-const STORE_PAUSE_MS = 200
+const STORE_PAUSE_MS = 300
+/** Age up to which the knowledge of the instance that this one follows is used: one wait, one pause and the answer. */
+const RELAY_AGE_MAX_MS = 1_400
+/** Wait of one question to the instance that this one follows. */
+const RELAY_WAIT_MS = 5_000
+/** Time for which the store is read instead, after that instance did not answer or knew too little. */
+const RELAY_RETRY_MS = 2_000
 /** Time without an answer of the store after which entries may have lapsed because it was away. */
 const OUTAGE_MS = 1_000
 /** Wait of one question to a peer while the store does not answer. */
@@ -28,6 +35,8 @@
   askPeer: AskPeer
   /** Peers to ask while the store does not answer, without this instance. */
   peerUrls: () => readonly string[]
+  /** Peer whose knowledge is followed in place of the store; `undefined` when this instance reads the store for others. */
+  relayUrl: () => string | undefined
   log: EventLog
   random?: () => number
 }
@@ -40,7 +49,8 @@
   private readonly options: Required<KnowledgeFollowerOptions>
   private readonly backoff: Backoff
   private isRunning = false
-  private lastStoreAnswerAtMs = performance.now()
+  private confirmedAtMs = performance.now()
+  private relayRefusedUntilMs = 0
   private isStoreLost = false
   private lastFailure: string | undefined
 
@@ -52,8 +62,8 @@
   /** Starts to follow. Does not wait for the store, which may be down. */
   async start (): Promise<void> {
     this.isRunning = true
-    this.lastStoreAnswerAtMs = performance.now()
-    this.followStore()
+    this.confirmedAtMs = performance.now()
+    this.follow()
     this.followPeers()
   }
 
@@ -62,19 +72,20 @@
     this.isRunning = false
   }
 
-  /** Time since the store last answered. */
-  storeAgeMs (): number {
-    return performance.now() - this.lastStoreAnswerAtMs
+  /** Time since the store confirmed what is known, to this instance or to the one that it follows. */
+  ageMs (): number {
+    return performance.now() - this.confirmedAtMs
   }
 
   dump (): unknown {
-    return { storeAgeMs: this.storeAgeMs(), isStoreLost: this.isStoreLost, lastFailure: this.lastFailure }
+    return { ageMs: this.ageMs(), relayUrl: this.options.relayUrl(), isStoreLost: this.isStoreLost, lastFailure: this.lastFailure }
   }
 
-  private async followStore (): Promise<void> {
+  private async follow (): Promise<void> {
     let mustRead = true
     while (this.isRunning) {
-      const isAfterOutage = this.storeAgeMs() > STORE_WAIT_MS + OUTAGE_MS
+      if (!mustRead && await this.readRelay()) continue
+      const isAfterOutage = this.ageMs() > STORE_WAIT_MS + OUTAGE_MS
       const outcome = mustRead ? await this.readAll(isAfterOutage) : await this.readChanges(isAfterOutage)
       if (outcome === 'history-lost') mustRead = true
       else if (outcome === 'ok') mustRead = false
@@ -82,6 +93,32 @@
     }
   }
 
+  /** Learns from the instance that this one follows. Returns whether that was possible. */
+  private async readRelay (): Promise<boolean> {
+    const { knowledge, askPeer, relayUrl, log } = this.options
+    const url = relayUrl()
+    if (url === undefined || performance.now() < this.relayRefusedUntilMs) return false
+    const revision = knowledge.revision()
+    const answer = await askPeer(url, { revision, waitMs: RELAY_WAIT_MS, ageMaxMs: RELAY_AGE_MAX_MS })
+    const isUsable = answer.isOk && answer.value.ageMs <= RELAY_AGE_MAX_MS
+    if (isUsable) {
+      this.learn(answer.value, revision, false)
+      this.confirmed(answer.value.ageMs)
+      return true
+    }
+    log.info('relay.refused', { url, reason: answer.isErr ? answer.error : 'too old', ageMs: answer.isOk ? Math.round(answer.value.ageMs) : undefined })
+    this.relayRefusedUntilMs = performance.now() + RELAY_RETRY_MS
+    return false
+  }
+
+  private learn (answer: FeedAnswer, revision: number, isAfterOutage: boolean): boolean {
+    const { knowledge } = this.options
+    if (answer.kind === 'changes') return knowledge.apply(revision, answer.batch, 'peer', isAfterOutage)
+    if (answer.snapshot.revision <= revision) return false
+    knowledge.replace(answer.snapshot, 'peer', isAfterOutage)
+    return true
+  }
+
   private async readAll (isAfterOutage: boolean): Promise<'ok' | 'failed'> {
     const { store, knowledge } = this.options
     const records: StoredValue[] = []
@@ -114,12 +151,16 @@
   }
 
   private answered (): void {
-    if (this.isStoreLost) this.options.log.info('store.regained', { awayMs: Math.round(this.storeAgeMs()) })
+    if (this.isStoreLost) this.options.log.info('store.regained', { awayMs: Math.round(this.ageMs()) })
     this.isStoreLost = false
-    this.lastStoreAnswerAtMs = performance.now()
+    this.confirmed(0)
     this.backoff.reset()
   }
 
+  private confirmed (ageMs: number): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, performance.now() - ageMs)
+  }
+
   private failed (reason: string): 'failed' {
     if (!this.isStoreLost) this.options.log.warn('store.lost', { reason, revision: this.options.knowledge.revision() })
     this.isStoreLost = true
@@ -129,7 +170,7 @@
 
   private async followPeers (): Promise<void> {
     while (this.isRunning) {
-      const isNeeded = this.isStoreLost || this.storeAgeMs() > STORE_WAIT_MS + PEER_AFTER_MS
+      const isNeeded = this.isStoreLost || this.ageMs() > STORE_WAIT_MS + PEER_AFTER_MS
       const hasLearned = isNeeded && await this.askOnePeer()
       if (!hasLearned) await pause(PEER_PAUSE_MS)
     }
@@ -141,15 +182,10 @@
     const url = urls[Math.floor(random() * urls.length)]
     if (url === undefined) return false
     const revision = knowledge.revision()
-    const answer = await askPeer(url, revision, PEER_WAIT_MS)
-    if (answer.isErr) {
-      log.debug('peer.no-answer', { url, reason: answer.error })
-      return false
-    }
-    if (answer.value.kind === 'changes') return knowledge.apply(revision, answer.value.batch, 'peer', true)
-    if (answer.value.snapshot.revision <= revision) return false
-    knowledge.replace(answer.value.snapshot, 'peer', true)
-    return true
+    const answer = await askPeer(url, { revision, waitMs: PEER_WAIT_MS })
+    if (answer.isOk) return this.learn(answer.value, revision, true)
+    log.debug('peer.no-answer', { url, reason: answer.error })
+    return false
   }
 }
 
--- a/packages/gateway/src/knowledge/PeerKnowledge.ts
+++ b/packages/gateway/src/knowledge/PeerKnowledge.ts
@@ -1,19 +1,19 @@
 import { Result } from 'true-myth'
 import type { PeerLinks } from '@carobpitch/membership'
-import { feedAnswerSchema, KNOWLEDGE_ROUTER, type FeedAnswer, type KnowledgeRouter } from './KnowledgeFeed.js'
+import { feedAnswerSchema, KNOWLEDGE_ROUTER, type FeedAnswer, type FeedRequest, type KnowledgeRouter } from './KnowledgeFeed.js'
 
 /** Margin above the time that a peer is asked to wait. */
 const ANSWER_MARGIN_MS = 500
 
 /** Asks another instance for what it knows after a revision. @public */
-export type AskPeer = (peerUrl: string, revision: number, waitMs: number) => Promise<Result<FeedAnswer, string>>
+export type AskPeer = (peerUrl: string, request: FeedRequest) => Promise<Result<FeedAnswer, string>>
 
 /** Returns a function that asks other instances over trpc. @public */
 export function createPeerKnowledge (links: PeerLinks): AskPeer {
-  return async (peerUrl, revision, waitMs) => {
+  return async (peerUrl, request) => {
     try {
-      const client = links.client<KnowledgeRouter>({ peerUrl }, KNOWLEDGE_ROUTER, waitMs + ANSWER_MARGIN_MS)
-      const answer = feedAnswerSchema.safeParse(await client.changesAfter.query({ revision, waitMs }))
+      const client = links.client<KnowledgeRouter>({ peerUrl }, KNOWLEDGE_ROUTER, request.waitMs + ANSWER_MARGIN_MS)
+      const answer = feedAnswerSchema.safeParse(await client.changesAfter.query(request))
       return answer.success ? Result.ok(answer.data) : Result.err(`unreadable answer: ${answer.error.message}`)
     } catch (error) {
       return Result.err((error as Error).message)
