--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -63,7 +63,7 @@
 export class FrontDaemon {
   readonly kernel = new Kernel()
   private readonly options: FrontDaemonOptions
-  private readonly knowledge: Knowledge
+  readonly knowledge: Knowledge
   private readonly stopping: FrontStop
   private readonly incarnation = Date.now()
 
@@ -175,6 +175,12 @@
     await this.stopping.run()
   }
 
+  /** Ends all services at once. */
+  async stop (): Promise<void> {
+    this.knowledge.stop()
+    await this.kernel.stop()
+  }
+
   private isReady (): boolean {
     return this.knowledge.routingTable() !== undefined && !this.stopping.hasBegun()
   }
--- /dev/null
+++ b/packages/daemon/src/front/requests.test.ts
@@ -0,0 +1,122 @@
+import { expect } from 'chai'
+import { wireConfiguration, wireRoute } from '@carobpitch/platform'
+import { FrontRig, until } from './testing/FrontRig.js'
+
+const BOOKING = { method: 'POST', path: '/book/1', body: 'an order' }
+const CONFIGURATION = wireConfiguration({
+  routes: {
+    stock: wireRoute(),
+    book: wireRoute({ prefix: '/book/', 'route-type': 'unsafe' })
+  }
+})
+
+describe('requests through a front process', () => {
+  let rig: FrontRig
+
+  beforeEach(async () => { rig = await FrontRig.start(CONFIGURATION) })
+  afterEach(async () => { await rig.stop() })
+
+  describe('served', () => {
+    it('delivers the whole response with the seal of the target, unchanged', async () => {
+      await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const answer = await rig.call(await rig.addFront())
+      expect(answer).to.include({ status: 200, body: 'the whole body', isComplete: true })
+      expect(answer.headers['x-carobpitch-server-seal']).to.equal('seal-of-i-1')
+    })
+
+    it('passes on the time that is left, bounded by the route', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const front = await rig.addFront()
+      await rig.call(front, { deadlineMs: 700 })
+      await rig.call(front, { deadlineMs: 60_000 })
+      expect(target.arrivals[0]?.remainingMs).to.be.within(1, 700)
+      expect(target.arrivals[1]?.remainingMs).to.be.within(1, 1_200)
+    })
+
+    it('guards against an idempotent request being lost with a broken answer', async () => {
+      const first = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const second = await rig.addTarget({ targetId: 'i-2', service: 'menzaiko' })
+      const deeds = ['reset', 'answer'] as const
+      let sent = 0
+      for (const target of [first, second]) target.deedOf = () => deeds[sent++] ?? 'answer'
+      expect(await rig.call(await rig.addFront())).to.include({ status: 200, isComplete: true })
+      expect(sent).to.equal(2)
+    })
+  })
+
+  describe('that may not run twice', () => {
+    it('guards against a second run after a broken answer, and does not call it a refusal', async () => {
+      const first = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const second = await rig.addTarget({ targetId: 'i-2', service: 'menzaiko' })
+      for (const target of [first, second]) target.deedOf = () => 'reset'
+      const answer = await rig.call(await rig.addFront(), BOOKING)
+      expect(answer.status).to.equal(502)
+      expect(first.arrivals.length + second.arrivals.length).to.equal(1)
+    })
+
+    it('sends on what a target states not to have run', async () => {
+      const first = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const second = await rig.addTarget({ targetId: 'i-2', service: 'menzaiko' })
+      const deeds = ['shed', 'answer'] as const
+      let sent = 0
+      for (const target of [first, second]) target.deedOf = () => deeds[sent++] ?? 'answer'
+      expect(await rig.call(await rig.addFront(), BOOKING)).to.include({ status: 200 })
+      expect(first.runs().length + second.runs().length).to.equal(1)
+    })
+
+    it('guards against an untrue refusal at the deadline while a target is at work', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko', workMs: 2_000 })
+      const answer = await rig.call(await rig.addFront(), { ...BOOKING, deadlineMs: 300 })
+      expect(answer.status).to.equal(504)
+      expect(target.arrivals).to.have.length(1)
+    })
+  })
+
+  describe('refused', () => {
+    it('says that nothing has run and when to come back when all targets shed', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      target.deedOf = () => 'shed'
+      const answer = await rig.call(await rig.addFront(), BOOKING)
+      expect(answer.status).to.equal(503)
+      expect(Number(answer.headers['retry-after'])).to.be.greaterThan(0)
+      expect(target.runs()).to.have.length(0)
+    })
+
+    it('guards against holding a request while no slot is free: the refusal comes well before the objective', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko', slots: 1, workMs: 1_000 })
+      const front = await rig.addFront()
+      const first = rig.call(front)
+      await until(() => target.arrivals.length === 1)
+      const answer = await rig.call(front)
+      expect(answer.status).to.equal(503)
+      expect(answer.elapsedMs).to.be.lessThan(600)
+      await first
+      expect(target.arrivals).to.have.length(1)
+    })
+
+    it('is 404 only when the configuration has no route', async () => {
+      await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const front = await rig.addFront()
+      expect(await rig.call(front, { path: '/unknown/1' })).to.include({ status: 404 })
+      expect(await rig.call(front, { host: 'other.example' })).to.include({ status: 404 })
+    })
+
+    it('guards against 404 from an instance that knows no configuration yet', async () => {
+      rig.store.fateOf = () => 'busy'
+      const front = rig.createFront()
+      await front.start()
+      expect(await rig.call(front)).to.include({ status: 503 })
+    })
+  })
+
+  describe('left by their callers', () => {
+    it('guards against work for a caller that has gone', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko', workMs: 1_000 })
+      const front = await rig.addFront()
+      const call = rig.call(front, { onRequest: request => setTimeout(() => request.destroy(), 150) }).catch(() => undefined)
+      await until(() => target.arrivals.length === 1)
+      await call
+      await until(() => target.arrivals[0]?.isCut === true)
+    })
+  })
+})
--- /dev/null
+++ b/packages/daemon/src/front/testing/FrontRig.ts
@@ -0,0 +1,156 @@
+import { request as httpRequest, type ClientRequest, type IncomingHttpHeaders } from 'node:http'
+import { Registry } from 'prom-client'
+import type { FrontSettings } from '@carobpitch/gateway'
+import { EventLog } from '@carobpitch/kernel'
+import { callerProtocol, decodeRecord, KEYS, PlatformStore, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
+import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
+import { FrontDaemon } from '../FrontDaemon.js'
+
+/** Time within which something expected must come about. */
+const WAIT_MAX_MS = 5_000
+const WAIT_STEP_MS = 10
+
+/** What a caller got. @internal */
+export interface SeenAnswer {
+  status: number
+  headers: IncomingHttpHeaders
+  body: string
+  isComplete: boolean
+  elapsedMs: number
+}
+
+/** Options of `FrontRig.call`. @internal */
+export interface RigCall {
+  method?: string
+  host?: string
+  path?: string
+  requestId?: string
+  deadlineMs?: number
+  body?: string
+  onRequest?: (request: ClientRequest) => void
+}
+
+/**
+ * Front processes of a test in this process, with a stand-in store and stand-in targets on loopback.
+ * @internal
+ */
+export class FrontRig {
+  readonly store = new StandInPlatformStore()
+  readonly targets: StandInPlatformTarget[] = []
+  readonly daemons: FrontDaemon[] = []
+  private readonly clients: PlatformStore[] = []
+  private storeUrl = ''
+  private requests = 0
+
+  /** Starts the store with a configuration. */
+  static async start (configuration: string | undefined = wireConfiguration()): Promise<FrontRig> {
+    const rig = new FrontRig()
+    rig.storeUrl = await rig.store.start()
+    if (configuration !== undefined) rig.store.put(KEYS.configuration, configuration)
+    return rig
+  }
+
+  /** Starts a target and enters it. */
+  async addTarget (options: StandInPlatformTargetOptions): Promise<StandInPlatformTarget> {
+    const target = new StandInPlatformTarget(options)
+    await target.start()
+    this.targets.push(target)
+    this.store.put(target.key(), target.entry())
+    return target
+  }
+
+  /** Starts a front process and waits until it knows the configuration. */
+  async addFront (settings: Partial<FrontSettings> = {}): Promise<FrontDaemon> {
+    const daemon = this.createFront(settings)
+    await daemon.start()
+    await until(() => daemon.knowledge.routingTable() !== undefined)
+    return daemon
+  }
+
+  /** Creates a front process without starting it. */
+  createFront (settings: Partial<FrontSettings> = {}): FrontDaemon {
+    const store = new PlatformStore({ url: this.storeUrl })
+    const own = settingsOf(this.storeUrl, `front-${this.daemons.length + 1}`, settings)
+    const daemon = new FrontDaemon({
+      settings: own,
+      log: new EventLog({ silent: true }),
+      store,
+      decodeRecord,
+      callerProtocol,
+      targetProtocol,
+      memberKey: `${KEYS.memberPrefix}${own.instanceId}`,
+      registry: new Registry()
+    })
+    this.clients.push(store)
+    this.daemons.push(daemon)
+    return daemon
+  }
+
+  /** Sends a caller's request to a front process. */
+  async call (daemon: FrontDaemon, { method = 'GET', host = 'shop.example', path = '/stock/1', requestId, deadlineMs = 2_000, body, onRequest }: RigCall = {}): Promise<SeenAnswer> {
+    const startedAtMs = performance.now()
+    this.requests += 1
+    const headers = {
+      host,
+      'x-carobpitch-attempt-id': requestId ?? `request-${this.requests}`,
+      'x-carobpitch-deadline-ms': String(deadlineMs),
+      ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) })
+    }
+    return await new Promise((resolve, reject) => {
+      const request = httpRequest({ host: '127.0.0.1', port: daemon.kernel.get('front').port(), method, path, headers, agent: false })
+      request.on('error', reject)
+      request.on('response', response => {
+        const chunks: Buffer[] = []
+        response.on('data', (chunk: Buffer) => chunks.push(chunk))
+        response.on('error', () => {})
+        response.on('close', () => resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString(),
+          isComplete: response.complete,
+          elapsedMs: performance.now() - startedAtMs
+        }))
+      })
+      request.end(body)
+      onRequest?.(request)
+    })
+  }
+
+  /** Ends everything. */
+  async stop (): Promise<void> {
+    for (const daemon of this.daemons) await daemon.stop()
+    for (const client of this.clients) await client.close()
+    for (const target of this.targets) await target.stop()
+    await this.store.stop()
+  }
+}
+
+/** Waits until a condition holds. */
+export async function until (condition: () => boolean): Promise<void> {
+  const giveUpAtMs = performance.now() + WAIT_MAX_MS
+  while (!condition()) {
+    if (performance.now() > giveUpAtMs) throw new Error('the condition did not come about')
+    await new Promise(resolve => setTimeout(resolve, WAIT_STEP_MS))
+  }
+}
+
+function settingsOf (storeUrl: string, instanceId: string, settings: Partial<FrontSettings>): FrontSettings {
+  const listen: ListenerSettings = { host: '127.0.0.1', port: 0 }
+  return {
+    instanceId: instanceId as InstanceId,
+    failureDomain: 'zone-a' as FailureDomainId,
+    callerListen: listen,
+    readinessListen: listen,
+    directoryListen: listen,
+    peerListen: listen,
+    metricsListen: listen,
+    seedPeerUrls: [],
+    storeUrl,
+    leaseMinMs: 1_000,
+    stopGraceMs: 1_000,
+    directoryTtlMaxMs: 100,
+    probesPerTargetAndS: 60,
+    retryLimits: { share: 0.2, slack: 56, windowMs: 10_000 },
+    ...settings
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,3 +4,6 @@
 export { callerProtocol } from './callerProtocol.js'
 export { targetProtocol } from './targetProtocol.js'
 export { KEYS } from './wire.js'
+export { StandInPlatformStore, type CallFate } from './testing/StandInPlatformStore.js'
+export { StandInPlatformTarget, type StandInPlatformTargetOptions, type TargetArrival, type TargetDeed } from './testing/StandInPlatformTarget.js'
+export { wireConfiguration, wireRoute, type WireRoute } from './testing/configurations.js'
--- /dev/null
+++ b/packages/platform/src/testing/StandInPlatformStore.ts
@@ -0,0 +1,207 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { text } from 'node:stream/consumers'
+import polka from 'polka'
+import { STORE_PATHS } from '../wire.js'
+
+/** Items on one page of a list. */
+const PAGE_SIZE = 50
+
+interface Item {
+  key: string
+  /** Base64. */
+  value: string
+  revision: number
+  'created-rev': number
+  lease: number
+}
+
+type StoreEvent = Item | { key: string, revision: number, deleted: true }
+
+interface StandInLease {
+  ttlMs: number
+  timer: NodeJS.Timeout
+}
+
+/** How the store treats a call. @public */
+export type CallFate = 'serve' | 'busy' | 'many' | 'reset' | 'silent' | 'lose-answer'
+
+/**
+ * Stand-in of the platform's key-value store on loopback, with its faults.
+ * @public
+ */
+export class StandInPlatformStore {
+  /** Decides the fate of each call by its path. */
+  fateOf: (path: string) => CallFate = () => 'serve'
+  /** Paths of all calls, oldest first. */
+  readonly calls: string[] = []
+  private readonly items = new Map<string, Item>()
+  private readonly leases = new Map<number, StandInLease>()
+  private readonly waiting = new Set<() => void>()
+  private readonly server: Server
+  private events: StoreEvent[] = []
+  private historyStart = 0
+  private revision = 1
+  private lastLease = 0
+
+  constructor () {
+    const app = polka()
+    app.get(STORE_PATHS.list, (request, response) => this.list(queryOf(request.url), response))
+    app.get(STORE_PATHS.changes, (request, response) => { this.changes(queryOf(request.url), response) })
+    app.post(STORE_PATHS.write, (request, response) => { this.write(request as IncomingMessage, response) })
+    app.post(STORE_PATHS.grantLease, (request, response) => { this.grant(request as IncomingMessage, response) })
+    app.post(`${STORE_PATHS.renewLease}:id`, (request, response) => this.renew(Number(request.params.id), response))
+    app.delete(`${STORE_PATHS.endLease}:id`, (request, response) => this.end(Number(request.params.id), response))
+    const handler = app.handler as unknown as (request: IncomingMessage, response: ServerResponse) => void
+    this.server = createServer((request, response) => this.admit(request, response, handler))
+  }
+
+  /** Starts to listen on a port of loopback; 0 takes a free one. Returns the base URL. */
+  async start (port = 0): Promise<string> {
+    await new Promise<void>(resolve => this.server.listen(port, '127.0.0.1', resolve))
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /** Ends all connections. */
+  async stop (): Promise<void> {
+    for (const { timer } of this.leases.values()) clearTimeout(timer)
+    this.server.closeAllConnections()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  /** Writes a key as the operator or a target does. */
+  put (key: string, value: string, lease = 0): void {
+    this.revision += 1
+    const created = this.items.get(key)?.['created-rev'] ?? this.revision
+    const item = { key, value: Buffer.from(value).toString('base64'), revision: this.revision, 'created-rev': created, lease }
+    this.items.set(key, item)
+    this.record(item)
+  }
+
+  /** Deletes a key. */
+  remove (key: string): void {
+    if (!this.items.delete(key)) return
+    this.revision += 1
+    this.record({ key, revision: this.revision, deleted: true })
+  }
+
+  /** Present value of a key. */
+  read (key: string): string | undefined {
+    const item = this.items.get(key)
+    return item === undefined ? undefined : Buffer.from(item.value, 'base64').toString('utf8')
+  }
+
+  /** Forgets all changes so far. */
+  dropHistory (): void {
+    this.events = []
+    this.historyStart = this.revision
+  }
+
+  private record (event: StoreEvent): void {
+    this.events.push(event)
+    for (const wake of [...this.waiting]) wake()
+  }
+
+  private admit (request: IncomingMessage, response: ServerResponse, handler: (request: IncomingMessage, response: ServerResponse) => void): void {
+    const path = request.url ?? ''
+    this.calls.push(path)
+    const fate = this.fateOf(path)
+    switch (fate) {
+      case 'serve': return handler(request, response)
+      case 'busy': return answer(response, 503, {})
+      case 'many': return answer(response, 429, {})
+      case 'reset': {
+        request.socket.resetAndDestroy()
+        return
+      }
+      case 'silent': return
+      case 'lose-answer': {
+        // The call takes effect; its answer goes nowhere.
+        response.end = () => response
+        handler(request, response)
+      }
+    }
+  }
+
+  private list (query: URLSearchParams, response: ServerResponse): void {
+    const prefix = query.get('prefix') ?? ''
+    const after = query.get('after') ?? ''
+    const keys = [...this.items.keys()].filter(key => key.startsWith(prefix) && key > after).sort()
+    const items = keys.slice(0, PAGE_SIZE).map(key => this.items.get(key))
+    answer(response, 200, { items, 'more-pages': keys.length > PAGE_SIZE, 'current-rev': this.revision })
+  }
+
+  private async changes (query: URLSearchParams, response: ServerResponse): Promise<void> {
+    const after = Number(query.get('after'))
+    if (after < this.historyStart) return answer(response, 410, {})
+    await this.wait(() => this.revision > after, Number(query.get('wait-ms')))
+    if (after < this.historyStart) return answer(response, 410, {})
+    const prefix = query.get('prefix') ?? ''
+    const events = this.events.filter(event => event.revision > after && event.key.startsWith(prefix))
+    answer(response, 200, { events, 'current-rev': this.revision })
+  }
+
+  private async wait (isDue: () => boolean, waitMs: number): Promise<void> {
+    if (isDue()) return
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.waiting.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, waitMs)
+      this.waiting.add(wake)
+    })
+  }
+
+  private async write (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { puts = [], remove = [] } = JSON.parse(await text(request)) as { puts?: Array<{ key: string, value: string, lease?: number }>, remove?: string[] }
+    if (puts.some(({ lease = 0 }) => lease !== 0 && !this.leases.has(lease))) return answer(response, 404, {})
+    for (const { key, value, lease } of puts) this.put(key, Buffer.from(value, 'base64').toString('utf8'), lease)
+    for (const key of remove) this.remove(key)
+    answer(response, 200, { revision: this.revision })
+  }
+
+  private async grant (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { ttl_time: ttl } = JSON.parse(await text(request)) as { ttl_time: string }
+    this.lastLease += 1
+    const lease = this.lastLease
+    const ttlMs = Number(ttl.replace('ms', ''))
+    this.leases.set(lease, { ttlMs, timer: this.startLease(lease, ttlMs) })
+    answer(response, 200, { lease, ttl_time: ttl })
+  }
+
+  private renew (lease: number, response: ServerResponse): void {
+    const known = this.leases.get(lease)
+    if (known === undefined) return answer(response, 404, {})
+    clearTimeout(known.timer)
+    known.timer = this.startLease(lease, known.ttlMs)
+    answer(response, 200, { ttl_time: `${known.ttlMs}ms` })
+  }
+
+  private end (lease: number, response: ServerResponse): void {
+    this.endLease(lease)
+    answer(response, 200, {})
+  }
+
+  private startLease (lease: number, ttlMs: number): NodeJS.Timeout {
+    return setTimeout(() => this.endLease(lease), ttlMs).unref()
+  }
+
+  private endLease (lease: number): void {
+    clearTimeout(this.leases.get(lease)?.timer)
+    this.leases.delete(lease)
+    for (const item of [...this.items.values()]) if (item.lease === lease) this.remove(item.key)
+  }
+}
+
+function answer (response: ServerResponse, status: number, body: unknown): void {
+  const bytes = JSON.stringify(body)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(bytes) })
+  response.end(bytes)
+}
+
+function queryOf (url: string): URLSearchParams {
+  const mark = url.indexOf('?')
+  return new URLSearchParams(mark < 0 ? '' : url.slice(mark + 1))
+}
--- /dev/null
+++ b/packages/platform/src/testing/configurations.ts
@@ -0,0 +1,31 @@
+/** Route of a test's configuration, in the platform's form. */
+export interface WireRoute {
+  host: string
+  prefix: string
+  'route-type': 'safe' | 'unsafe'
+  timeout?: string
+  'target-latency': string
+  priority: number
+  service?: string
+  'traffic-split'?: Array<{ service: string, weight: number }>
+  'max-attempts': number
+}
+
+/** Service of a test's configuration, in the platform's form. */
+export const WIRE_SERVICE = { 'health-path': '/healthz', 'max-connections': 220, protocol: 'h1', tls: false, warmup: '3s', 'warmup-per-s': 3.1 }
+
+/** Returns a route with defaults. */
+export function wireRoute (route: Partial<WireRoute> = {}): WireRoute {
+  return { host: 'shop.example', prefix: '/stock/', 'route-type': 'safe', timeout: '1200ms', 'target-latency': '600ms', priority: 2, service: 'menzaiko', 'max-attempts': 2, ...route }
+}
+
+/** Returns a configuration document as the operator writes it. */
+export function wireConfiguration ({ version = 7, routes = { stock: wireRoute() }, services = ['menzaiko'] }: { version?: number, routes?: Record<string, WireRoute>, services?: string[] } = {}): string {
+  return JSON.stringify({
+    version,
+    routes,
+    services: Object.fromEntries(services.map(name => [name, WIRE_SERVICE])),
+    limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout': '3000ms', 'idle-timeout': '15000ms' },
+    'base-version': 1
+  })
+}
