Give late requests only what requests in time leave

Change: a request that can only be late takes slow targets or targets with two free slots, else it is refused; a caller refused for want of room is told to come back after 1 s instead of 0.25 s, when a burst is often over. The store is asked before the listeners open.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,7 +1,7 @@
 import { collectDefaultMetrics, Registry } from 'prom-client'
 import {
   ColdAllowance, createKnowledgeRouter, createPeerKnowledge, Directory, Dispatcher, FrontListener, FrontMetrics, FrontStop, Knowledge,
-  KnowledgeFollower, KNOWLEDGE_ROUTER, Measurer, Readiness, Registration, RouteIndex, ShareChooser, TargetRegistry,
+  KnowledgeFollower, KNOWLEDGE_ROUTER, Measurer, Readiness, Registration, RoutingFollower, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
@@ -118,12 +118,12 @@
       directoryAnswerLifeMs: DIRECTORY_KEPT_FACTOR * directoryTtlMs(settings),
       log
     })
-    const shares = new ShareChooser()
-    const routing = this.followRouting(shares)
+    const routing = new RoutingFollower(knowledge)
     const front = new FrontListener({
       listen: settings.callerListen,
-      routing,
-      shares,
+      routing: () => routing.current(),
+      whenRouting: async waitMs => await routing.first(waitMs),
+      shares: routing.shares,
       dispatcher,
       isEligible: target => targets.isEligible(target),
       onMisplaced: target => targets.noteMisplaced(target),
@@ -137,6 +137,17 @@
     })
     knowledge.onChange(() => front.followLimits())
 
+    // The first answers of the store are on their way while the listeners open.
+    kernel.register('follower', new KnowledgeFollower({
+      store,
+      knowledge,
+      askPeer: createPeerKnowledge(peerLinks),
+      peerUrls: () => this.peerUrls(),
+      relayUrl: () => this.relayUrl(),
+      log
+    }))
+    kernel.register('member-lease', lease)
+    kernel.register('registration', registration)
     kernel.register('front', front)
     kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
     kernel.register('directory', new Directory({
@@ -149,16 +160,6 @@
     kernel.register('feed-links', peerLinks)
     kernel.register('targets', targets)
     kernel.register('dispatcher', dispatcher)
-    kernel.register('registration', registration)
-    kernel.register('member-lease', lease)
-    kernel.register('follower', new KnowledgeFollower({
-      store,
-      knowledge,
-      askPeer: createPeerKnowledge(peerLinks),
-      peerUrls: () => this.peerUrls(),
-      relayUrl: () => this.relayUrl(),
-      log
-    }))
     collectDefaultMetrics({ register: registry })
     kernel.register('front-metrics', new MetricsListener({ listen: settings.metricsListen, registry, dump: () => kernel.dump() }))
   }
@@ -229,19 +230,6 @@
     if (readerId === undefined || readerId === instanceId) return undefined
     return near.find(member => member.instanceId === readerId)?.peerUrl
   }
-
-  /** Returns a function that gives the present routes, indexed once for each version. */
-  private followRouting (shares: ShareChooser): () => { table: NonNullable<ReturnType<Knowledge['routingTable']>>, index: RouteIndex } | undefined {
-    let state: { table: NonNullable<ReturnType<Knowledge['routingTable']>>, index: RouteIndex } | undefined
-    return () => {
-      const table = this.knowledge.routingTable()
-      if (table !== undefined && table !== state?.table) {
-        state = { table, index: new RouteIndex(table.routes) }
-        shares.retain(table.routes)
-      }
-      return state
-    }
-  }
 }
 
 function directoryTtlMs ({ directoryTtlMaxMs }: FrontSettings): number {
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -18,6 +18,10 @@
 const GOOD_FACTOR = 1.6
 /** Factor by which targets of other failure domains must be more promising to be asked in the first round. */
 const OTHER_DOMAIN_LATER = 2
+/** Expected time, in multiples of the usual work, from which on a target is of no use to a request with a usual objective. */
+const LATE_FACTOR = 2.5
+/** Free slots of a target from which on one may go to a request that is late already. */
+const SPARE_SLOTS = 2
 /** Pause before a request that found no target looks again. */
 const RETRY_MS = 15
 /** Share of the latency objective after which a request that finds no free slot is refused, so that its caller can try again in time. */
@@ -203,21 +207,27 @@
     if (nowMs >= request.giveUpAtMs) return Result.err('deadline-unreachable')
     const waitedMs = nowMs - request.arrivedAtMs
     const workMs = this.workTime.expectedMs(request.objectiveMs)
+    const objectiveAtMs = request.arrivedAtMs + request.objectiveMs
+    // Past this moment even a target at its usual speed would answer late.
+    if (nowMs + workMs >= objectiveAtMs) return this.chooseLate(request)
     const best = this.best(request)
-    if (best !== undefined) {
-      const answerAtMs = nowMs + workMs * best.factor
-      const objectiveAtMs = request.arrivedAtMs + request.objectiveMs
-      if (answerAtMs <= objectiveAtMs) return Result.ok(best)
-      // Past this moment even a target at its usual speed would answer late.
-      if (nowMs + workMs >= objectiveAtMs) return Result.ok(best)
-      return Result.err('wait')
-    }
-    if (waitedMs < request.objectiveMs * WAIT_SHARE_OF_OBJECTIVE) return Result.err('wait')
-    return Result.err(this.options.registry.ofService(this.options.service).length === 0 ? 'no-target' : 'no-room')
+    if (best !== undefined && nowMs + workMs * best.factor <= objectiveAtMs) return Result.ok(best)
+    if (best !== undefined || waitedMs < request.objectiveMs * WAIT_SHARE_OF_OBJECTIVE) return Result.err('wait')
+    return Result.err(this.reasonToRefuse())
+  }
+
+  /** A request that can only be late takes what requests in time leave: slow targets, and those with slots to spare. */
+  private chooseLate (request: DispatchRequest): Result<Candidate, DispatchRefusal> {
+    const best = this.best(request, ({ target, factor }) => factor >= LATE_FACTOR || target.freeSlots() >= SPARE_SLOTS)
+    return best === undefined ? Result.err(this.reasonToRefuse()) : Result.ok(best)
+  }
+
+  private reasonToRefuse (): DispatchRefusal {
+    return this.options.registry.ofService(this.options.service).length === 0 ? 'no-target' : 'no-room'
   }
 
   /** Returns the target with a free slot that is expected to answer first: by present reports, else by old ones, else by the own count. */
-  private best (request: DispatchRequest): Candidate | undefined {
+  private best (request: DispatchRequest, suits: (candidate: Candidate) => boolean = () => true): Candidate | undefined {
     const usable = this.options.registry.ofService(this.options.service)
       .filter(target => !request.exclude.has(target.record.targetId) && target.freeSlots() > 0 && this.mayBegin(target))
     const rested = usable.filter(target => !target.failures.isResting())
@@ -225,23 +235,23 @@
     const fresh = pool.filter(target => target.reportAgeMs() <= REPORT_FRESH_MS + REPORT_WAIT_MS)
     const healthy = fresh.filter(target => target.report()?.isHealthy !== false)
     for (const candidates of [healthy, fresh]) {
-      const best = this.fastest(candidates)
+      const best = this.fastest(candidates, suits)
       if (best !== undefined) return best
     }
-    const old = this.fastest(pool.filter(target => target.reportAgeMs() <= REPORT_OLD_MS))
+    const old = this.fastest(pool.filter(target => target.reportAgeMs() <= REPORT_OLD_MS), suits)
     if (old !== undefined || performance.now() - request.arrivedAtMs < UNMEASURED_AFTER_MS) return old
-    return this.fastest(pool.filter(target => !target.isCold()))
+    return this.fastest(pool.filter(target => !target.isCold()), suits)
   }
 
   private mayBegin (target: GatewayTarget): boolean {
     return !target.isCold() || this.options.cold.hasRoom(target)
   }
 
-  private fastest (candidates: readonly GatewayTarget[]): Candidate | undefined {
+  private fastest (candidates: readonly GatewayTarget[], suits: (candidate: Candidate) => boolean): Candidate | undefined {
     let best: Candidate | undefined
     for (const target of candidates) {
-      const factor = this.factorOf(target)
-      if (best === undefined || factor < best.factor) best = { target, factor }
+      const candidate = { target, factor: this.factorOf(target) }
+      if (suits(candidate) && (best === undefined || candidate.factor < best.factor)) best = candidate
     }
     return best
   }
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -7,8 +7,7 @@
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
-import type { Route, RoutingTable } from '../model/Route.js'
-import type { RouteIndex } from '../model/RouteIndex.js'
+import type { Route } from '../model/Route.js'
 import type { ShareChooser } from '../model/ShareChooser.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { TargetProtocol } from '../targets/TargetProtocol.js'
@@ -16,9 +15,14 @@
 import { CollectedResponse } from './CollectedResponse.js'
 import type { FrontMetrics } from './FrontMetrics.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
+import type { RoutingState } from './RoutingFollower.js'
 
-/** When a refused caller may come back: long enough for slots to become free, short enough for its objective. */
+/** When a caller may come back that was refused for want of room; a burst is then often over. Callers wait for a third of their time at most. */
+const RETRY_AFTER_NO_ROOM_S = 1
+/** When a caller may come back that was refused for a reason that another instance may not have. */
 const RETRY_AFTER_S = 0.25
+/** Share of the caller's time for which a request waits for the first configuration. */
+const CONFIGURATION_WAIT_SHARE = 0.15
 /** Time that a caller without a deadline is taken to wait. */
 const DEADLINE_DEFAULT_MS = 10_000
 /** A further attempt with less time than this left cannot get an answer. */
@@ -26,21 +30,14 @@
 /** Statuses with which a target reports its own failure. */
 const TARGET_FAILURE_STATUS_MIN = 500
 
-/**
- * Present configuration with its routes indexed.
- * @internal
- */
-export interface RoutingState {
-  table: RoutingTable
-  index: RouteIndex
-}
-
 /**
  * What all exchanges of an instance share.
  * @internal
  */
 export interface FrontExchangeContext {
   routing: () => RoutingState | undefined
+  /** Waits for the first configuration. */
+  whenRouting: (waitMs: number) => Promise<RoutingState | undefined>
   shares: ShareChooser
   dispatcher: Dispatcher
   isEligible: (target: GatewayTarget) => boolean
@@ -76,7 +73,7 @@
   private readonly abort = new AbortController()
   private readonly tried = new Set<TargetId>()
   private requestId = ''
-  private route: Route | undefined
+  private matched: Route | undefined
   private service: ServiceName | undefined
   private configurationVersion = 0
   private giveUpAtMs = 0
@@ -97,26 +94,11 @@
 
   /** Finds the request's route and starts to serve it. */
   start (): void {
-    const { routing, callerProtocol, targetProtocol, shares, dispatcher, timer } = this.context
-    const { requestId, deadlineMs } = callerProtocol.readFacts(this.request.headers)
+    const { requestId, deadlineMs = DEADLINE_DEFAULT_MS } = this.context.callerProtocol.readFacts(this.request.headers)
     this.requestId = requestId ?? randomUUID()
-    const state = routing()
-    if (state === undefined) {
-      this.finish('no-configuration')
-      return
-    }
-    this.configurationVersion = state.table.version
-    this.route = state.index.find(this.request.headers.host ?? '', this.request.url ?? '')
-    if (this.route === undefined) {
-      this.finish('unknown-route')
-      return
-    }
-    this.service = shares.choose(this.route)
-    dispatcher.noteRequest(this.service)
-    this.giveUpAtMs = this.arrivedAtMs + Math.min(deadlineMs ?? DEADLINE_DEFAULT_MS, this.route.timeoutMs ?? Infinity)
-    this.timerKey = timer.add(this, this.giveUpAtMs)
-    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, targetProtocol.headersSetPerAttempt)
-    this.receive(state.table.callerLimits.bodySizeMaxBytes)
+    const state = this.context.routing()
+    if (state === undefined) this.awaitRouting(deadlineMs)
+    else this.route(state, deadlineMs)
   }
 
   /** Answers a request that is not served. */
@@ -180,6 +162,31 @@
     else this.tryAgain(result.reason ?? 'target-failed')
   }
 
+  /** A process that has just started knows the configuration a moment later. */
+  private async awaitRouting (deadlineMs: number): Promise<void> {
+    const state = await this.context.whenRouting(deadlineMs * CONFIGURATION_WAIT_SHARE)
+    if (this.hasEnded) return
+    if (state === undefined) this.finish('no-configuration')
+    else this.route(state, deadlineMs)
+  }
+
+  private route ({ table, index }: RoutingState, deadlineMs: number): void {
+    const { targetProtocol, shares, dispatcher, timer } = this.context
+    const route = index.find(this.request.headers.host ?? '', this.request.url ?? '')
+    this.configurationVersion = table.version
+    if (route === undefined) {
+      this.finish('unknown-route')
+      return
+    }
+    this.matched = route
+    this.service = shares.choose(route)
+    dispatcher.noteRequest(this.service)
+    this.giveUpAtMs = this.arrivedAtMs + Math.min(deadlineMs, route.timeoutMs ?? Infinity)
+    this.timerKey = timer.add(this, this.giveUpAtMs)
+    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, targetProtocol.headersSetPerAttempt)
+    this.receive(table.callerLimits.bodySizeMaxBytes)
+  }
+
   private receive (bodySizeMaxBytes: number): void {
     const { request } = this
     const length = request.headers['content-length']
@@ -201,7 +208,7 @@
   }
 
   private async dispatch (): Promise<void> {
-    const { route, service } = this
+    const { matched: route, service } = this
     if (this.hasEnded || route === undefined || service === undefined) return
     const endsInMs = this.context.endsInMs()
     if (endsInMs !== undefined && endsInMs < route.objectiveMs) {
@@ -302,7 +309,7 @@
   }
 
   private mayTryAgain (): boolean {
-    const { route, service, giveUpAtMs, body, verdict } = this
+    const { matched: route, service, giveUpAtMs, body, verdict } = this
     if (route === undefined || service === undefined) return false
     const mayRunAgain = route.isIdempotent || verdict === 'not-run'
     const isBodyWhole = body === undefined || Buffer.isBuffer(body)
@@ -325,7 +332,7 @@
     if (this.response.destroyed) return
     const body = `${JSON.stringify({ reason })}\n`
     const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
-    if (status === 503 || status === 429) headers.push(this.context.callerProtocol.retryAfterHeader, String(RETRY_AFTER_S))
+    if (status === 503 || status === 429) headers.push(this.context.callerProtocol.retryAfterHeader, String(reason === 'no-room' ? RETRY_AFTER_NO_ROOM_S : RETRY_AFTER_S))
     this.pushConnection(headers, !this.request.complete)
     this.response.writeHead(status, headers)
     this.response.end(body)
@@ -350,7 +357,7 @@
     metrics.noteRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
     log.info('request.ended', {
       requestId: this.requestId,
-      route: this.route?.name,
+      route: this.matched?.name,
       service: this.service,
       outcome,
       status,
@@ -358,7 +365,7 @@
       targetId,
       attempts: this.attempts,
       elapsedMs: Math.round(elapsedMs),
-      objectiveMs: this.route?.objectiveMs,
+      objectiveMs: this.matched?.objectiveMs,
       configurationVersion: this.configurationVersion
     })
   }
--- /dev/null
+++ b/packages/gateway/src/edge/RoutingFollower.ts
@@ -0,0 +1,52 @@
+import type { Knowledge } from '../knowledge/Knowledge.js'
+import type { RoutingTable } from '../model/Route.js'
+import { RouteIndex } from '../model/RouteIndex.js'
+import { ShareChooser } from '../model/ShareChooser.js'
+
+/**
+ * Present configuration with its routes indexed.
+ * @public
+ */
+export interface RoutingState {
+  table: RoutingTable
+  index: RouteIndex
+}
+
+/**
+ * Gives the routes of the newest known configuration, indexed once for each version.
+ * @public
+ */
+export class RoutingFollower {
+  readonly shares = new ShareChooser()
+  private readonly knowledge: Knowledge
+  private state: RoutingState | undefined
+
+  constructor (knowledge: Knowledge) {
+    this.knowledge = knowledge
+  }
+
+  /** Present routes; `undefined` while no configuration is known. */
+  current (): RoutingState | undefined {
+    const table = this.knowledge.routingTable()
+    if (table !== undefined && table !== this.state?.table) {
+      this.state = { table, index: new RouteIndex(table.routes) }
+      this.shares.retain(table.routes)
+    }
+    return this.state
+  }
+
+  /** Waits for the first configuration; `undefined` when it does not come in time. */
+  async first (waitMs: number): Promise<RoutingState | undefined> {
+    if (this.current() !== undefined) return this.state
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        unsubscribe()
+        resolve()
+      }
+      const unsubscribe = this.knowledge.onChange(() => { if (this.current() !== undefined) finish() })
+      const timer = setTimeout(finish, waitMs)
+    })
+    return this.current()
+  }
+}
