Test knowledge, its follower, allowances, routes and shares of the gateway

A test of many instances found that every instance began a split route with the same service: the starting credit could never reach that of a larger share.

--- a/packages/gateway/src/knowledge/Knowledge.ts
+++ b/packages/gateway/src/knowledge/Knowledge.ts
@@ -224,7 +224,6 @@
   }
 }
 
-
 function revisionOf (event: WatchEvent): number {
   return event.kind === 'put' ? event.value.modRevision : event.modRevision
 }
--- a/packages/gateway/src/knowledge/KnowledgeFeed.ts
+++ b/packages/gateway/src/knowledge/KnowledgeFeed.ts
@@ -49,7 +49,7 @@
  * @param ageMs time since the store confirmed the knowledge
  * @public
  */
-// eslint-disable-next-line @typescript-eslint/explicit-function-return-type
+
 export function createKnowledgeRouter (knowledge: Knowledge, ageMs: () => number) {
   const trpc = initTRPC.create()
   return trpc.router({
--- /dev/null
+++ b/packages/gateway/src/knowledge/KnowledgeFollower.test.ts
@@ -0,0 +1,134 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { Result } from 'true-myth'
+import { EventLog } from '@carobpitch/kernel'
+import type { StoredValue, StoreFailure } from '@carobpitch/store'
+import type { ChangeBatch, ChangesFailure, RecordPage } from './ChangeStore.js'
+import { Knowledge } from './Knowledge.js'
+import type { FeedAnswer } from './KnowledgeFeed.js'
+import { KnowledgeFollower } from './KnowledgeFollower.js'
+
+const FOREIGN = { kind: 'foreign' } as const
+
+/** Store whose answers a test decides. */
+class ScriptedStore {
+  isAway = false
+  hasLostHistory = false
+  revision = 5
+  lists = 0
+  waits = 0
+
+  async listPage (): Promise<Result<RecordPage, StoreFailure>> {
+    if (this.isAway) return Result.err({ effect: 'none', reason: 'away' })
+    this.lists += 1
+    const records: StoredValue[] = []
+    return Result.ok({ records, revision: this.revision, hasMore: false })
+  }
+
+  async changesAfter (_prefix: string, revision: number, waitMs: number): Promise<Result<ChangeBatch, ChangesFailure>> {
+    if (this.isAway) return Result.err({ kind: 'unavailable', reason: 'away' })
+    this.waits += 1
+    if (this.hasLostHistory) {
+      this.hasLostHistory = false
+      return Result.err({ kind: 'history-lost' })
+    }
+    if (revision >= this.revision) await new Promise(resolve => setTimeout(resolve, waitMs))
+    return Result.ok({ events: [], revision: this.revision })
+  }
+}
+
+describe('KnowledgeFollower', () => {
+  let clock: Clock & { uninstall: () => void }
+  let store: ScriptedStore
+  let knowledge: Knowledge
+  let follower: KnowledgeFollower
+  let relayUrl: string | undefined
+  let relayAgeMs: number
+  let asked: string[]
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }) as never
+    store = new ScriptedStore()
+    relayUrl = undefined
+    relayAgeMs = 0
+    asked = []
+    const log = new EventLog({ silent: true })
+    knowledge = new Knowledge({ decode: () => Result.ok(FOREIGN), log })
+    follower = new KnowledgeFollower({
+      store,
+      knowledge,
+      askPeer: async (url, { waitMs }): Promise<Result<FeedAnswer, string>> => {
+        asked.push(url)
+        if (relayAgeMs < 1_400) await new Promise(resolve => setTimeout(resolve, Math.min(waitMs, 500)))
+        return Result.ok({ kind: 'changes', ageMs: relayAgeMs, batch: { events: [], revision: 40 } })
+      },
+      peerUrls: () => ['http://peer'],
+      relayUrl: () => relayUrl,
+      log,
+      random: () => 0.5
+    })
+  })
+
+  afterEach(async () => {
+    await follower.stop()
+    clock.uninstall()
+  })
+
+  it('reads everything once and then only changes', async () => {
+    await follower.start()
+    await clock.tickAsync(10_000)
+    expect(store.lists).to.equal(1)
+    expect(store.waits).to.be.within(6, 9)
+  })
+
+  it('guards against changes missed in a dropped history: it reads everything again', async () => {
+    await follower.start()
+    await clock.tickAsync(2_000)
+    store.hasLostHistory = true
+    await clock.tickAsync(3_000)
+    expect(store.lists).to.equal(2)
+  })
+
+  it('learns from peers while the store does not serve this instance', async () => {
+    store.isAway = true
+    await follower.start()
+    await clock.tickAsync(3_000)
+    knowledge.replace({ records: [], revision: 5 }, 'peer', false)
+    await clock.tickAsync(3_000)
+    expect(asked).to.include('http://peer')
+    expect(knowledge.revision()).to.equal(40)
+  })
+
+  it('guards against a storm of calls when the store is away: at most about one a second', async () => {
+    store.isAway = true
+    let calls = 0
+    const { listPage } = store
+    store.listPage = async () => {
+      calls += 1
+      return await listPage.call(store)
+    }
+    await follower.start()
+    await clock.tickAsync(20_000)
+    expect(calls).to.be.at.most(25)
+  })
+
+  describe('that follows another instance', () => {
+    beforeEach(() => { relayUrl = 'http://reader' })
+
+    it('makes no calls to the store but the first', async () => {
+      await follower.start()
+      await clock.tickAsync(10_000)
+      expect(store.lists).to.equal(1)
+      expect(store.waits).to.equal(0)
+      expect(knowledge.revision()).to.equal(40)
+    })
+
+    it('guards against a reader that is itself cut off: old knowledge sends it to the store', async () => {
+      await follower.start()
+      await clock.tickAsync(2_000)
+      relayAgeMs = 1_500
+      await clock.tickAsync(1_000)
+      expect(store.waits).to.be.greaterThan(0)
+    })
+  })
+})
--- a/packages/gateway/src/model/ShareChooser.ts
+++ b/packages/gateway/src/model/ShareChooser.ts
@@ -1,5 +1,5 @@
 import type { ServiceName } from '@carobpitch/schema'
-import type { Route } from './Route.js'
+import type { Route, RouteShare } from './Route.js'
 
 /**
  * Divides the requests of each route over its services by weight. Each service falls behind its share by less than
@@ -20,19 +20,15 @@
     const [first] = route.shares
     if (first === undefined) throw new Error(`route ${route.name} names no service`)
     if (route.shares.length === 1) return first.service
-    const credits = this.creditsOf(route)
+    const signature = signatureOf(route)
+    const known = this.credits.get(signature)
+    const credits = known ?? new Map<ServiceName, number>()
+    this.credits.set(signature, credits)
     const total = route.shares.reduce((sum, { weight }) => sum + weight, 0)
-    let chosen = first.service
-    let highest = -Infinity
-    for (const { service, weight } of route.shares) {
-      const credit = (credits.get(service) ?? this.random() * weight / total) + weight / total
-      credits.set(service, credit)
-      if (weight > 0 && credit > highest) {
-        highest = credit
-        chosen = service
-      }
-    }
-    credits.set(chosen, highest - 1)
+    for (const { service, weight } of route.shares) credits.set(service, (credits.get(service) ?? 0) + weight / total)
+    // Instances that all begin with the same service would together be off by one request each.
+    const chosen = known === undefined ? this.byChance(route.shares, total) : mostOwed(route.shares, credits)
+    credits.set(chosen, (credits.get(chosen) ?? 0) - 1)
     return chosen
   }
 
@@ -44,17 +40,21 @@
     }
   }
 
-  private creditsOf (route: Route): Map<ServiceName, number> {
-    const signature = signatureOf(route)
-    const known = this.credits.get(signature)
-    if (known !== undefined) return known
-    // Instances that all begin with the same service would together be off by one request each.
-    const credits = new Map<ServiceName, number>()
-    this.credits.set(signature, credits)
-    return credits
+  private byChance (shares: readonly RouteShare[], total: number): ServiceName {
+    let left = this.random() * total
+    const chosen = shares.find(({ weight }) => {
+      left -= weight
+      return left < 0
+    })
+    return (chosen ?? shares[0] as RouteShare).service
   }
 }
 
+function mostOwed (shares: readonly RouteShare[], credits: ReadonlyMap<ServiceName, number>): ServiceName {
+  const owed = ({ service, weight }: RouteShare): number => weight > 0 ? credits.get(service) ?? 0 : -Infinity
+  return shares.reduce((most, share) => owed(share) > owed(most) ? share : most).service
+}
+
 function signatureOf (route: Route): string {
   return `${route.name} ${route.shares.map(({ service, weight }) => `${service}=${weight}`).join(',')}`
 }
--- /dev/null
+++ b/packages/gateway/src/targets/allowances.test.ts
@@ -0,0 +1,102 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { DeadlineTimer } from '@carobpitch/proxy'
+import type { FailureDomainId, InstanceId, ServiceName, TargetId } from '@carobpitch/schema'
+import { ColdAllowance } from './ColdAllowance.js'
+import { FailureRecord } from './FailureRecord.js'
+import { GatewayTarget } from './GatewayTarget.js'
+import { ProbeAllowance } from './ProbeAllowance.js'
+
+const COLD_PER_S = 3.1
+const INSTANCES = 13
+
+function coldTarget (targetId: string): GatewayTarget {
+  return new GatewayTarget({
+    record: {
+      targetId: targetId as TargetId,
+      service: 'menzaiko' as ServiceName,
+      host: '127.0.0.1',
+      port: 1,
+      failureDomain: 'zone-a' as FailureDomainId,
+      slots: 3,
+      isDraining: false,
+      coldForMs: 60_000,
+      bornAtEpochMs: 1
+    },
+    policy: { name: 'menzaiko' as ServiceName, probePath: '/healthz', connectionsMax: 200, warmupMs: 60_000, coldRequestsPerS: COLD_PER_S },
+    timer: new DeadlineTimer()
+  })
+}
+
+describe('allowances', () => {
+  let clock: Clock & { uninstall: () => void }
+
+  beforeEach(() => { clock = FakeTimers.install({ toFake: ['performance', 'Date'] }) as never }) as never
+  afterEach(() => clock.uninstall())
+
+  describe('of cold targets', () => {
+    const ids = Array.from({ length: INSTANCES }, (_, index) => `front-${index}` as InstanceId)
+
+    /** Lets every instance send whenever it may, and returns the most requests within one second. */
+    function mostPerSecond (viewOf: (instance: InstanceId) => readonly InstanceId[]): number {
+      const senders = ids.map(instanceId => ({
+        allowance: new ColdAllowance({ instanceId, instanceIds: () => viewOf(instanceId), enteredForMs: () => 10_000 }),
+        target: coldTarget('i-1')
+      }))
+      const sentAtMs: number[] = []
+      for (let nowMs = 0; nowMs < 6_000; nowMs += 5) {
+        for (const { allowance, target } of senders) {
+          if (!allowance.hasRoom(target)) continue
+          allowance.take(target)
+          sentAtMs.push(nowMs)
+        }
+        clock.tick(5)
+      }
+      return Math.max(...sentAtMs.map(startMs => sentAtMs.filter(atMs => atMs >= startMs && atMs < startMs + 1_000).length))
+    }
+
+    /** What a cold target bears within one second, by the platform's bounds for the smaller deployment. */
+    const BEARABLE = COLD_PER_S * 1.5 + 5
+
+    it('hold over all instances with one view of the members', () => {
+      expect(mostPerSecond(() => ids)).to.be.within(1, BEARABLE)
+    })
+
+    it('guards against two views of the members, as after a partition', () => {
+      const halves = [ids.slice(0, 6), ids.slice(6)]
+      expect(mostPerSecond(instance => halves.find(half => half.includes(instance)) ?? [])).to.be.at.most(BEARABLE)
+    })
+
+    it('guards against instances that have just started and know no others', () => {
+      const allowance = new ColdAllowance({ instanceId: 'front-0' as InstanceId, instanceIds: () => ['front-0' as InstanceId], enteredForMs: () => 0 })
+      expect(allowance.hasRoom(coldTarget('i-1'))).to.equal(false)
+    })
+  })
+
+  describe('of probes', () => {
+    it('stay within the fleet\'s rate per target', () => {
+      const allowances = Array.from({ length: INSTANCES }, () => new ProbeAllowance({ probesPerTargetAndS: 60, instanceCount: () => INSTANCES }))
+      let taken = 0
+      for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
+        for (const allowance of allowances) if (allowance.take()) taken += 1
+        clock.tick(10)
+      }
+      expect(taken / 40).to.be.at.most(60)
+    })
+  })
+
+  describe('of failing targets', () => {
+    it('rest longer with each failure in a row and are tried again', () => {
+      const record = new FailureRecord()
+      record.noteFailure()
+      expect(record.isResting()).to.equal(true)
+      clock.tick(301)
+      expect(record.isResting()).to.equal(false)
+      for (let failure = 0; failure < 10; failure += 1) record.noteFailure()
+      clock.tick(4_900)
+      expect(record.isResting()).to.equal(true)
+      clock.tick(101)
+      expect(record.isResting()).to.equal(false)
+    })
+  })
+})
--- a/scripts/bundle-front.mjs
+++ b/scripts/bundle-front.mjs
@@ -47,10 +47,22 @@
 
 /** Settings of a process on loopback whose store does not answer, and which ends as soon as it is told to. */
 const WARM_UP_SETTINGS = {
-  'node-name': 'warm-up', zone: 'none', ip: '127.0.0.1', 'listen.front': '127.0.0.1:0', 'listen.ready': '127.0.0.1:0',
-  'listen.directory': '127.0.0.1:0', 'listen.control': '127.0.0.1:0', 'platform.address': '127.0.0.1:9', 'platform.ttl-min': '1s',
-  'bounds.grace-period': '0ms', 'bounds.ttl_max': '0ms', 'bounds.probes-per-s': '1', 'bounds.retry-budget-ratio': '0',
-  'bounds.retry-budget-slack': '0', 'bounds.budget-window': '1s', 'metrics.port': '0'
+  'node-name': 'warm-up',
+  zone: 'none',
+  ip: '127.0.0.1',
+  'listen.front': '127.0.0.1:0',
+  'listen.ready': '127.0.0.1:0',
+  'listen.directory': '127.0.0.1:0',
+  'listen.control': '127.0.0.1:0',
+  'platform.address': '127.0.0.1:9',
+  'platform.ttl-min': '1s',
+  'bounds.grace-period': '0ms',
+  'bounds.ttl_max': '0ms',
+  'bounds.probes-per-s': '1',
+  'bounds.retry-budget-ratio': '0',
+  'bounds.retry-budget-slack': '0',
+  'bounds.budget-window': '1s',
+  'metrics.port': '0'
 }
 /** Time for the process to load and start everything. */
 const WARM_UP_MS = 1_500
