--- /dev/null
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai'
+import { PlatformStore } from './PlatformStore.js'
+import { StandInPlatformStore, type CallFate } from './testing/StandInPlatformStore.js'
+
+describe('PlatformStore', () => {
+  let standIn: StandInPlatformStore
+  let store: PlatformStore
+  let counts: string[]
+
+  beforeEach(async () => {
+    standIn = new StandInPlatformStore()
+    counts = []
+    store = new PlatformStore({ url: await standIn.start(), countCall: (call, result) => counts.push(`${call} ${result}`) })
+  })
+
+  afterEach(async () => {
+    await store.close()
+    await standIn.stop()
+  })
+
+  it('reads all pages of a list', async () => {
+    for (let index = 0; index < 120; index += 1) standIn.put(`servers/i-${String(index).padStart(3, '0')}`, `value ${index}`)
+    const keys: string[] = []
+    let after: string | undefined
+    for (let hasMore = true; hasMore;) {
+      const page = (await store.listPage('servers/', after)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      keys.push(...page.records.map(({ key }) => key))
+      after = keys.at(-1)
+      hasMore = page.hasMore
+    }
+    expect(new Set(keys).size).to.equal(120)
+  })
+
+  it('reads changes and deletions after a revision, and waits for them', async () => {
+    standIn.put('op/config', 'first')
+    const before = (await store.listPage('')).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+    const waiting = store.changesAfter('', before.revision, 2_000)
+    standIn.put('op/config', 'sécond')
+    const batch = (await waiting).unwrapOrElse(() => { throw new Error('no changes') })
+    expect(batch.events[0]).to.deep.include({ kind: 'put' })
+    expect(batch.events[0]?.kind === 'put' && batch.events[0].value.value).to.equal('sécond')
+    standIn.remove('op/config')
+    const removal = (await store.changesAfter('', batch.revision, 100)).unwrapOrElse(() => { throw new Error('no changes') })
+    expect(removal.events).to.deep.equal([{ kind: 'delete', key: 'op/config', modRevision: removal.revision }])
+  })
+
+  it('says that history is lost', async () => {
+    standIn.put('a', '1')
+    standIn.dropHistory()
+    const changes = await store.changesAfter('', 1, 100)
+    expect(changes.isErr && changes.error.kind).to.equal('history-lost')
+  })
+
+  it('keeps an entry under its lease, and notices that the lease has ended', async () => {
+    const lease = (await store.grantLease(1_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+    expect((await store.put('carobpitch/members/a', 'entry', lease.leaseId)).isOk).to.equal(true)
+    expect(standIn.read('carobpitch/members/a')).to.equal('entry')
+    expect((await store.renewLease(lease.leaseId)).unwrapOr(undefined)?.ttlMs).to.equal(1_000)
+    await store.revokeLease(lease.leaseId)
+    expect(standIn.read('carobpitch/members/a')).to.equal(undefined)
+    expect((await store.renewLease(lease.leaseId)).unwrapOr(undefined)?.ttlMs).to.equal(0)
+    expect((await store.put('carobpitch/members/a', 'entry', lease.leaseId)).isErr).to.equal(true)
+  })
+
+  for (const [fate, effect] of [['busy', 'none'], ['many', 'none'], ['reset', 'unknown'], ['silent', 'unknown'], ['lose-answer', 'unknown']] as Array<[CallFate, string]>) {
+    it(`returns a failure with the right effect when a call meets "${fate}"`, async () => {
+      const lease = (await store.grantLease(5_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      standIn.fateOf = () => fate
+      const written = await store.put('key', 'value', lease.leaseId)
+      expect(written.isErr && written.error.effect).to.equal(effect)
+      standIn.fateOf = () => 'serve'
+      expect((await store.put('key', 'value', lease.leaseId)).isOk).to.equal(true)
+    })
+  }
+
+  it('counts calls by kind and result', async () => {
+    await store.listPage('')
+    standIn.fateOf = () => 'busy'
+    await store.listPage('')
+    expect(counts).to.deep.equal(['list 200', 'list 503'])
+  })
+})
--- /dev/null
+++ b/packages/platform/src/readSettings.test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai'
+import { readSettings } from './readSettings.js'
+
+const LINES = [
+  'node-name=front-fukuoka-1', 'zone=fukuoka', 'ip=10.1.0.34', 'listen.front=10.1.0.34:8548', 'listen.ready=10.1.0.34:8542',
+  'listen.control=10.1.0.34:8544', 'listen.directory=10.1.0.34:8546', 'seeds=10.1.0.34:8544,10.2.0.34:8544',
+  'bounds.grace-period=6s', 'bounds.ttl_max=5s', 'bounds.probes-per-s=60', 'bounds.retry-budget-ratio=0.2',
+  'bounds.retry-budget-slack=56', 'bounds.budget-window=10s', 'platform.address=10.200.1.7:8541', 'platform.ttl-min=1000ms'
+]
+
+describe('readSettings', () => {
+  it('reads addresses, times and bounds, and ignores what it does not know', () => {
+    const settings = readSettings([...LINES, 'data-dir=', 'unknown.name=1'].join('\n')).unwrapOr(undefined)
+    expect(settings).to.deep.include({
+      instanceId: 'front-fukuoka-1',
+      callerListen: { host: '10.1.0.34', port: 8548 },
+      seedPeerUrls: ['http://10.1.0.34:8544', 'http://10.2.0.34:8544'],
+      storeUrl: 'http://10.200.1.7:8541',
+      stopGraceMs: 6_000,
+      leaseMinMs: 1_000,
+      retryLimits: { share: 0.2, slack: 56, windowMs: 10_000 }
+    })
+  })
+
+  it('accepts an empty list of seeds', () => {
+    const lines = LINES.map(line => line.startsWith('seeds=') ? 'seeds=' : line)
+    expect(readSettings(lines.join('\n')).unwrapOr(undefined)?.seedPeerUrls).to.deep.equal([])
+  })
+
+  it('guards against a start with faulty settings: every fault is named', () => {
+    const lines = LINES.filter(line => !line.startsWith('zone=')).map(line => line.replace('6s', '6 minutes').replace('10.200.1.7:8541', 'store'))
+    const violations = readSettings(lines.join('\n')).match({ Ok: () => [], Err: error => error })
+    expect(violations.map(({ path }) => path)).to.have.members(['zone', 'bounds.grace-period', 'platform.address'])
+  })
+})
