--- a/packages/cli/src/inspectCommands.ts
+++ b/packages/cli/src/inspectCommands.ts
@@ -1,8 +1,10 @@
 import { Argument, type Command } from 'commander'
 import { declarationSchema, parseWith, settingsSchema, type Violation } from '@carobpitch/schema'
+import { CommandFailure } from './CommandFailure.js'
 import { EXIT } from './exitCodes.js'
+import { explainRequest } from './explainRequest.js'
 import { formatInstances, formatViolations } from './formatAnswers.js'
-import { readDocument } from './readDocument.js'
+import { readDocument, readText } from './readDocument.js'
 import type { ToolContext } from './ToolContext.js'
 
 /** Adds the commands that change nothing. @internal */
@@ -16,6 +18,15 @@
       if (violations.length === 0) return context.report({ isValid: true, violations }, `${file} is valid.`)
       context.report({ isValid: false, violations }, `${file} is not valid:\n${formatViolations(violations)}`, EXIT.invalid)
     })
+  program.command('explain')
+    .description('tell from log files of front processes what was decided for a request and why; needs no instance')
+    .argument('<request>', 'id of the request')
+    .argument('<file...>', 'log files')
+    .action((requestId: string, files: string[]) => {
+      const lines = explainRequest(requestId, files.map(readText))
+      if (lines.length === 0) throw new CommandFailure(EXIT.notFound, `no line of the given files belongs to request ${requestId}`)
+      context.report(lines, lines.join('\n'))
+    })
   program.command('dump')
     .description('print the state of an instance as JSON, without credentials')
     .action(async () => {
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -1,4 +1,7 @@
-/** Program `carobpitch-front`. Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings. */
+/**
+ * Program `carobpitch-front`. `--check` validates the settings file and exits.
+ * Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings.
+ */
 import { readFileSync } from 'node:fs'
 import { Counter, Registry } from 'prom-client'
 import { Result } from 'true-myth'
@@ -17,6 +20,7 @@
 
 const output = new BoundedOutput(process.stdout)
 const settings = readSettingsFile().match({ Ok: value => value, Err: exitInvalid })
+if (process.argv.includes('--check')) process.exit(0)
 const log = new EventLog({ fields: { instance: settings.instanceId }, output })
 const registry = new Registry()
 const storeCalls = new Counter({ name: 'carobpitch_store_calls_total', help: 'Calls to the store by kind and result.', labelNames: ['call', 'result'], registers: [registry] })
--- a/packages/gateway/src/knowledge/KnowledgeFeed.ts
+++ b/packages/gateway/src/knowledge/KnowledgeFeed.ts
@@ -49,7 +49,6 @@
  * @param ageMs time since the store confirmed the knowledge
  * @public
  */
-
 export function createKnowledgeRouter (knowledge: Knowledge, ageMs: () => number) {
   const trpc = initTRPC.create()
   return trpc.router({
--- /dev/null
+++ b/scripts/demo-platform.mjs
@@ -0,0 +1,138 @@
+/**
+ * Shows carobpitch on the users' platform on loopback: the real front programs with stand-ins of the store and the targets.
+ * Usage: npm run demo:platform
+ */
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { createWriteStream, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { request } from 'node:http'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { KEYS, StandInPlatformStore, StandInPlatformTarget, wireConfiguration, wireRoute } from '../packages/platform/dist/index.js'
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c']
+const TARGETS_PER_ZONE = 2
+const REQUESTS_PER_PHASE = 60
+const REQUEST_INTERVAL_MS = 25
+
+const directory = mkdtempSync(join(tmpdir(), 'carobpitch-'))
+const store = new StandInPlatformStore()
+const targets = []
+const fronts = []
+let requests = 0
+
+async function freePort () {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address()
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+async function startFront (zone, storeAddress) {
+  const name = `front-${zone}`
+  const ports = { front: await freePort(), ready: await freePort(), directory: await freePort(), control: await freePort(), metrics: await freePort() }
+  const settings = {
+    'node-name': name,
+    zone,
+    ip: '127.0.0.1',
+    ...Object.fromEntries(['front', 'ready', 'directory', 'control'].map(role => [`listen.${role}`, `127.0.0.1:${ports[role]}`])),
+    'platform.address': storeAddress,
+    'platform.ttl-min': '1s',
+    'bounds.grace-period': '3s',
+    'bounds.ttl_max': '500ms',
+    'bounds.probes-per-s': '60',
+    'bounds.retry-budget-ratio': '0.2',
+    'bounds.retry-budget-slack': '56',
+    'bounds.budget-window': '10s',
+    'metrics.port': String(ports.metrics)
+  }
+  const file = join(directory, `${name}.conf`)
+  writeFileSync(file, Object.entries(settings).map(([key, value]) => `${key}=${value}\n`).join(''))
+  const child = spawn(process.execPath, ['target/carobpitch-front.cjs'], { env: { ...process.env, CAROBPITCH_SETTINGS: file }, stdio: ['ignore', 'pipe', 'inherit'] })
+  child.stdout.pipe(createWriteStream(join(directory, `${name}.log`)))
+  fronts.push({ name, child, ports })
+}
+
+function get (port, path, headers = {}, method = 'GET') {
+  return new Promise(resolve => {
+    const call = request({ host: '127.0.0.1', port, path, method, headers, agent: false }, response => {
+      let body = ''
+      response.on('data', chunk => { body += chunk })
+      response.on('end', () => resolve({ status: response.statusCode, body }))
+      response.on('error', () => resolve({ status: 0, body: '' }))
+    })
+    call.on('error', () => resolve({ status: 0, body: '' }))
+    call.end()
+  })
+}
+
+async function untilReady () {
+  for (;;) {
+    const answers = await Promise.all(fronts.map(({ ports }) => get(ports.ready, '/carobpitch/readyz')))
+    if (answers.every(({ status }) => status === 200)) return
+    await new Promise(resolve => setTimeout(resolve, 50))
+  }
+}
+
+/** Sends requests through the addresses that the directory names, and counts their statuses. */
+async function phase (title) {
+  const counts = {}
+  const calls = []
+  for (let sent = 0; sent < REQUESTS_PER_PHASE; sent += 1) {
+    calls.push(sendOne(counts))
+    await new Promise(resolve => setTimeout(resolve, REQUEST_INTERVAL_MS))
+  }
+  await Promise.all(calls)
+  const byZone = ZONES.map(zone => `${zone} ${targets.filter(target => target.zone === zone).reduce((sum, { server }) => sum + server.arrivals.length, 0)}`)
+  for (const { server } of targets) server.arrivals.length = 0
+  console.log(`${title}: ${Object.entries(counts).map(([status, count]) => `${count} x ${status}`).join(', ')}; requests at targets: ${byZone.join(', ')}`)
+}
+
+async function sendOne (counts) {
+  requests += 1
+  const zone = ZONES[requests % ZONES.length]
+  const live = fronts.filter(({ child }) => child.exitCode === null)
+  const { body } = await get(live[requests % live.length].ports.directory, `/carobpitch/resolve?name=shop.example&region=kyushu&zone=${zone}`)
+  const addresses = JSON.parse(body).addresses
+  const port = addresses[requests % addresses.length].split(':')[1]
+  const isBooking = requests % 3 === 0
+  const headers = { host: 'shop.example', 'x-carobpitch-attempt-id': `demo-${requests}`, 'x-carobpitch-deadline-ms': '2000', 'content-length': '0' }
+  const { status } = await get(port, isBooking ? '/book/1' : '/stock/1', headers, isBooking ? 'POST' : 'GET')
+  counts[status] = (counts[status] ?? 0) + 1
+}
+
+try {
+  const storeUrl = await store.start()
+  store.put(KEYS.configuration, wireConfiguration({
+    routes: { stock: wireRoute(), book: wireRoute({ prefix: '/book/', 'route-type': 'unsafe', priority: 1 }) }
+  }))
+  for (const zone of ZONES) {
+    for (let index = 0; index < TARGETS_PER_ZONE; index += 1) {
+      const server = new StandInPlatformTarget({ targetId: `i-${zone}-${index}`, service: 'menzaiko', failureDomain: zone, workMs: 40 })
+      await server.start()
+      store.put(server.key(), server.entry())
+      targets.push({ zone, server })
+    }
+  }
+  for (const zone of ZONES) await startFront(zone, new URL(storeUrl).host)
+  await untilReady()
+  console.log(`three front processes are ready; their logs are in ${directory}`)
+  await phase('calm')
+  store.put(`${KEYS.evacuationPrefix}${ZONES[0]}`, '')
+  await new Promise(resolve => setTimeout(resolve, 1_500))
+  await phase(`${ZONES[0]} evacuated`)
+  store.remove(`${KEYS.evacuationPrefix}${ZONES[0]}`)
+  fronts[1].child.kill('SIGTERM')
+  await phase(`${fronts[1].name} being stopped`)
+  console.log(`calls to the store: ${store.calls.length}`)
+} finally {
+  for (const { child } of fronts) if (child.exitCode === null) child.kill('SIGTERM')
+  await Promise.all(fronts.map(({ child }) => child.exitCode === null ? once(child, 'exit') : undefined))
+  for (const { server } of targets) await server.stop()
+  await store.stop()
+  if (process.argv.includes('--keep-logs')) console.log(`logs kept in ${directory}`)
+  else rmSync(directory, { recursive: true })
+}
