--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'reports/**'] },
   ...neostandard({ ts: true, env: ['node', 'mocha'] }),
   {
     files: ['packages/*/src/**/*.ts'],
