--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,4 +1,4 @@
-import { collectDefaultMetrics, Registry } from 'prom-client'
+import type { Registry } from 'prom-client'
 import {
   ColdAllowance, createKnowledgeRouter, createPeerKnowledge, Directory, Dispatcher, FrontListener, FrontMetrics, FrontStop, Knowledge,
   KnowledgeFollower, KNOWLEDGE_ROUTER, Measurer, Readiness, Registration, RoutingFollower, TargetRegistry,
@@ -160,7 +160,6 @@
     kernel.register('feed-links', peerLinks)
     kernel.register('targets', targets)
     kernel.register('dispatcher', dispatcher)
-    collectDefaultMetrics({ register: registry })
     kernel.register('front-metrics', new MetricsListener({ listen: settings.metricsListen, registry, dump: () => kernel.dump() }))
   }
 
--- a/packages/daemon/src/front/MetricsListener.ts
+++ b/packages/daemon/src/front/MetricsListener.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import polka from 'polka'
-import type { Registry } from 'prom-client'
+import { collectDefaultMetrics, type Registry } from 'prom-client'
 import { closeServer, openServer, type Service } from '@carobpitch/kernel'
 import type { ListenerSettings } from '@carobpitch/schema'
 
@@ -21,6 +21,7 @@
 export class MetricsListener implements Service {
   private readonly options: MetricsListenerOptions
   private readonly server: Server
+  private hasDefaultMetrics = false
 
   constructor (options: MetricsListenerOptions) {
     this.options = options
@@ -42,6 +43,9 @@
 
   private async writeMetrics (response: ServerResponse): Promise<void> {
     const { registry } = this.options
+    // Node's own metrics start observers, which a process that nobody reads does without.
+    if (!this.hasDefaultMetrics) collectDefaultMetrics({ register: registry })
+    this.hasDefaultMetrics = true
     const text = await registry.metrics()
     response.writeHead(200, { 'content-type': registry.contentType }).end(text)
   }
--- /dev/null
+++ b/packages/daemon/src/front/interpretedValidators.ts
@@ -0,0 +1,7 @@
+/**
+ * Switches zod's compiled validators off. A start validates each kind of record a few times, for which compiling costs
+ * more than it saves. Must be imported before any schema is made.
+ */
+import { z } from 'zod'
+
+z.config({ jitless: true })
--- a/packages/daemon/src/front/load.ts
+++ b/packages/daemon/src/front/load.ts
@@ -12,7 +12,8 @@
 const cacheFile = join(directory, 'front-program.cache')
 const writesCache = process.argv[2] === '--write-code-cache'
 
-const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(programFile, 'utf8')}\n})`
+// The bundler writes plain ASCII, which is read faster as latin1.
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(programFile, 'latin1')}\n})`
 const cachedData = !writesCache && existsSync(cacheFile) ? readFileSync(cacheFile) : undefined
 const script = new Script(source, { filename: programFile, ...(cachedData === undefined ? {} : { cachedData }) })
 const programModule = { exports: {} }
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -2,19 +2,16 @@
  * Program `carobpitch-front`. `--check` validates the settings file and exits.
  * Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings.
  */
+import './interpretedValidators.js'
 import { readFileSync } from 'node:fs'
 import { Counter, Registry } from 'prom-client'
 import { Result } from 'true-myth'
-import { z } from 'zod'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { BoundedOutput, EventLog } from '@carobpitch/kernel'
 import { callerProtocol, decodeRecord, KEYS, PlatformStore, readSettings, SETTINGS_VARIABLE, targetProtocol } from '@carobpitch/platform'
 import type { Violation } from '@carobpitch/schema'
 import { FrontDaemon } from './FrontDaemon.js'
 
-// A start validates each kind of record a few times, for which compiled validators cost more than they save.
-z.config({ jitless: true })
-
 const EXIT_FAILED = 1
 const EXIT_INVALID = 2
 
--- a/scripts/bundle-front.mjs
+++ b/scripts/bundle-front.mjs
@@ -36,6 +36,8 @@
         exports.Pool = require('undici/lib/dispatcher/pool.js')`,
       resolveDir: resolve('.')
     }))
+    // undici's HTTP/2, which targets and store do not speak.
+    onLoad({ filter: /undici\/lib\/dispatcher\/client-h2\.js$/ }, () => ({ contents: 'module.exports = undefined' }))
     // prom-client's client for a push gateway.
     onLoad({ filter: /prom-client\/lib\/pushgateway\.js$/ }, () => ({ contents: 'module.exports = undefined' }))
   }
