Let each instance prefer its own targets

Change: targets without a fresh report are asked in an order of the instance's own, by rendezvous hashing.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -104,6 +104,7 @@
       enteredForMs: () => registration.enteredForMs()
     })
     const dispatcher = new Dispatcher({
+      instanceId: settings.instanceId,
       failureDomain: settings.failureDomain,
       registry: targets,
       measurer,
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -1,5 +1,6 @@
 import { Result } from 'true-myth'
-import type { FailureDomainId, ServiceName } from '@carobpitch/schema'
+import { rankByRendezvous } from '@carobpitch/routing'
+import type { FailureDomainId, InstanceId, ServiceName } from '@carobpitch/schema'
 import type { ColdAllowance } from '../targets/ColdAllowance.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { Measurer } from '../targets/Measurer.js'
@@ -37,11 +38,11 @@
  */
 export interface ServiceDispatcherOptions {
   service: ServiceName
+  instanceId: InstanceId
   failureDomain: FailureDomainId
   registry: TargetRegistry
   measurer: Measurer
   cold: ColdAllowance
-  random?: () => number
 }
 
 interface Waiter {
@@ -59,14 +60,16 @@
  * @public
  */
 export class ServiceDispatcher {
-  private readonly options: Required<ServiceDispatcherOptions>
+  private readonly options: ServiceDispatcherOptions
   private readonly workTime = new WorkTime()
   private waiters: Waiter[] = []
+  /** This instance's own order of the present targets. */
+  private ordered: { targets: readonly GatewayTarget[], ranks: ReadonlyMap<GatewayTarget, number> } | undefined
   private isRunning = false
   private wake: (() => void) | undefined
 
   constructor (options: ServiceDispatcherOptions) {
-    this.options = { random: Math.random, ...options }
+    this.options = options
   }
 
   /** Waits for a target. */
@@ -155,17 +158,31 @@
 
   /** Targets not yet asked, the most promising first. Those of other failure domains follow those of this one. */
   private promising (asked: ReadonlySet<GatewayTarget>): GatewayTarget[] {
-    const { registry, service, random, failureDomain } = this.options
+    const { registry, service, failureDomain } = this.options
+    const targets = registry.ofService(service)
     const ranked: Candidate[] = []
-    for (const target of registry.ofService(service)) {
-      if (asked.has(target) || target.failures.isResting()) continue
+    targets.forEach(target => {
+      if (asked.has(target) || target.failures.isResting()) return
       const distance = target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_LATER
-      ranked.push({ target, factor: this.factorOf(target) * (1 + random()) * distance })
-    }
+      ranked.push({ target, factor: this.factorOf(target) * (1 + this.reluctance(targets, target)) * distance })
+    })
     ranked.sort((first, second) => first.factor - second.factor)
     return ranked.map(({ target }) => target)
   }
 
+  /**
+   * How far down a target stands in this instance's own order, from 0 to 1. Instances that prefer different targets spread
+   * their requests, and each needs connections to few.
+   */
+  private reluctance (targets: readonly GatewayTarget[], target: GatewayTarget): number {
+    if (this.ordered?.targets !== targets) {
+      const byId = new Map(targets.map(each => [each.record.targetId, each]))
+      const ranks = new Map(rankByRendezvous(this.options.instanceId, [...byId.keys()]).map((id, rank) => [byId.get(id) as GatewayTarget, rank / targets.length]))
+      this.ordered = { targets, ranks }
+    }
+    return this.ordered.ranks.get(target) ?? 0
+  }
+
   private factorOf (target: GatewayTarget): number {
     return expectedWorkFactor(target, this.options.failureDomain)
   }
