--- a/packages/daemon/src/front/requests.test.ts
+++ b/packages/daemon/src/front/requests.test.ts
@@ -101,6 +101,14 @@
       expect(await rig.call(front, { host: 'other.example' })).to.include({ status: 404 })
     })
 
+    it('guards against heads and bodies above the limits of the configuration', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const front = await rig.addFront()
+      expect(await rig.call(front, { path: `/stock/${'x'.repeat(16_000)}`, requestId: 'y'.repeat(500) })).to.include({ status: 431 })
+      expect(await rig.call(front, { ...BOOKING, body: 'z'.repeat(1_100_000) })).to.include({ status: 413 })
+      expect(target.arrivals).to.have.length(0)
+    })
+
     it('guards against 404 from an instance that knows no configuration yet', async () => {
       rig.store.fateOf = () => 'busy'
       const front = rig.createFront()
--- a/packages/gateway/src/edge/CallerProtocol.ts
+++ b/packages/gateway/src/edge/CallerProtocol.ts
@@ -17,7 +17,6 @@
  * @public
  */
 export interface DirectoryQuestion {
-  host: string | undefined
   failureDomain: FailureDomainId | undefined
 }
 
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -1,7 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
-import type { Client } from 'undici'
 import type { EventLog } from '@carobpitch/kernel'
 import { Attempt, breakOff, endToEndHeaders, readBody, readResponseHead, type AttemptResult, type DeadlineTimer, type Expiring, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
@@ -14,21 +13,20 @@
 import type { CallerProtocol } from './CallerProtocol.js'
 import { CollectedResponse } from './CollectedResponse.js'
 import type { FrontMetrics } from './FrontMetrics.js'
+import { logEnd, logFailedAttempt, logSend, type LoggedRequest } from './exchangeLog.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
+import { isGoodAnswer, judgeAttempt, TARGET_FAILURE_STATUS_MIN, type RunningAttempt } from './judgeAttempt.js'
+import { ownAnswer } from './ownAnswer.js'
 import type { RoutingState } from './RoutingFollower.js'
 
-/** When a caller may come back that was refused for want of room; a burst is then often over. Callers wait for a third of their time at most. */
-const RETRY_AFTER_NO_ROOM_S = 1
-/** When a caller may come back that was refused for a reason that another instance may not have. */
-const RETRY_AFTER_S = 0.25
 /** Share of the caller's time for which a request waits for the first configuration. */
 const CONFIGURATION_WAIT_SHARE = 0.15
 /** Time that a caller without a deadline is taken to wait. */
 const DEADLINE_DEFAULT_MS = 10_000
 /** A further attempt with less time than this left cannot get an answer. */
 const ATTEMPT_MIN_MS = 20
-/** Statuses with which a target reports its own failure. */
-const TARGET_FAILURE_STATUS_MIN = 500
+/** Bytes between the parts of a head: a colon and a space, or the end of a line. */
+const HEADER_SEPARATOR_BYTES = 2
 
 /**
  * What all exchanges of an instance share.
@@ -53,14 +51,6 @@
   endsInMs: () => number | undefined
 }
 
-interface RunningAttempt {
-  attempt: Attempt
-  grant: DispatchGrant
-  client: Client
-  startedAtMs: number
-  collected: CollectedResponse | undefined
-}
-
 /**
  * One request of a caller and its response.
  * @internal
@@ -150,11 +140,11 @@
     const { target } = running.grant
     const elapsedMs = performance.now() - running.startedAtMs
     target.connections.give(running.client, result.isReusable)
-    const kind = this.judge(running, result)
+    const kind = judgeAttempt(running, result, this.context.onMisplaced)
     running.grant.release(kind, elapsedMs)
     this.noteVerdict(result.verdict)
     this.context.metrics.noteAttempt(target.record.service, result.reason ?? 'answered', elapsedMs)
-    this.logAttempt(running, result, elapsedMs)
+    if (!isGoodAnswer(running.attempt, result)) logFailedAttempt(this.context.log, this.logged(), target.record.targetId, running.attempt, result, elapsedMs)
     if (this.hasEnded) return
     const { collected } = running
     if (result.verdict === 'answered' && collected !== undefined) this.answer(running, collected)
@@ -179,6 +169,10 @@
       return
     }
     this.matched = route
+    if (headSizeBytes(this.request.rawHeaders) > table.callerLimits.headSizeMaxBytes) {
+      this.finish('head-too-large')
+      return
+    }
     this.service = shares.choose(route)
     dispatcher.noteRequest(this.service)
     this.giveUpAtMs = this.arrivedAtMs + Math.min(deadlineMs, route.timeoutMs ?? Infinity)
@@ -195,9 +189,15 @@
       this.dispatch()
       return
     }
+    const lengthBytes = length === undefined ? undefined : Number(length)
+    // A body that announces its size is refused before any of it reaches a target.
+    if (lengthBytes !== undefined && lengthBytes > bodySizeMaxBytes) {
+      this.finish('body-too-large')
+      return
+    }
     readBody({
       request,
-      lengthBytes: length === undefined ? undefined : Number(length),
+      lengthBytes,
       sizeMaxBytes: bodySizeMaxBytes,
       onReady: body => {
         this.body = body
@@ -251,24 +251,10 @@
       connectionState: () => target.connections.stateOf(client)
     })
     this.running = { attempt, grant, client, startedAtMs: performance.now(), collected: undefined }
-    this.logSend(grant)
+    logSend(this.context.log, this.logged(), grant)
     attempt.start(client)
   }
 
-  /** Tells the target's records how the attempt went. */
-  private judge ({ grant: { target }, collected, attempt }: RunningAttempt, result: AttemptResult): AttemptResult['kind'] {
-    const head = attempt.head
-    if (head?.occupancy !== undefined) target.noteReport(head.occupancy)
-    if (head?.targetId !== undefined && head.targetId !== target.record.targetId) this.context.onMisplaced(target)
-    if (result.kind === 'cancelled') return 'cancelled'
-    const hasFailed = result.verdict !== 'answered' || (collected !== undefined && collected.head.status >= TARGET_FAILURE_STATUS_MIN)
-    if (hasFailed) target.failures.noteFailure()
-    else target.failures.noteSuccess()
-    // A connection that breaks may mean a restart, after which the target is cold.
-    if (!result.isComplete && result.kind !== 'timed-out') target.forgetReport()
-    return hasFailed && result.kind === 'answered' ? 'failed' : result.kind
-  }
-
   private answer (running: RunningAttempt, collected: CollectedResponse): void {
     const isFailure = collected.head.status >= TARGET_FAILURE_STATUS_MIN
     if (isFailure && this.mayTryAgain()) {
@@ -330,9 +316,7 @@
     const status = frontStatusOf(reason, this.verdict !== 'not-run')
     this.conclude(reason, status)
     if (this.response.destroyed) return
-    const body = `${JSON.stringify({ reason })}\n`
-    const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
-    if (status === 503 || status === 429) headers.push(this.context.callerProtocol.retryAfterHeader, String(reason === 'no-room' ? RETRY_AFTER_NO_ROOM_S : RETRY_AFTER_S))
+    const { headers, body } = ownAnswer(reason, status, this.context.callerProtocol.retryAfterHeader)
     this.pushConnection(headers, !this.request.complete)
     this.response.writeHead(status, headers)
     this.response.end(body)
@@ -355,46 +339,14 @@
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
     metrics.noteRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
-    log.info('request.ended', {
-      requestId: this.requestId,
-      route: this.matched?.name,
-      service: this.service,
-      outcome,
-      status,
-      verdict: this.verdict,
-      targetId,
-      attempts: this.attempts,
-      elapsedMs: Math.round(elapsedMs),
-      objectiveMs: this.matched?.objectiveMs,
-      configurationVersion: this.configurationVersion
-    })
+    logEnd(log, this.logged(), { route: this.matched, outcome, status, verdict: this.verdict, targetId, elapsedMs, configurationVersion: this.configurationVersion })
   }
 
-  private logSend ({ target, reason }: DispatchGrant): void {
-    this.context.log.info('request.sent', {
-      requestId: this.requestId,
-      service: this.service,
-      targetId: target.record.targetId,
-      attempt: this.attempts,
-      factor: Number(reason.factor.toFixed(2)),
-      reportAgeMs: Math.round(Math.min(reason.reportAgeMs, 99_999)),
-      freeSlots: reason.freeSlots,
-      candidates: reason.candidates,
-      waitedMs: Math.round(reason.waitedMs),
-      isCold: target.isCold()
-    })
+  private logged (): LoggedRequest {
+    return { requestId: this.requestId, service: this.service, attempts: this.attempts }
   }
+}
 
-  private logAttempt ({ grant, attempt }: RunningAttempt, result: AttemptResult, elapsedMs: number): void {
-    if (result.verdict === 'answered' && (attempt.head?.status ?? 0) < TARGET_FAILURE_STATUS_MIN) return
-    this.context.log.info('attempt.failed', {
-      requestId: this.requestId,
-      targetId: grant.target.record.targetId,
-      attempt: this.attempts,
-      status: attempt.head?.status,
-      reason: result.reason ?? 'target-failed',
-      verdict: result.verdict,
-      elapsedMs: Math.round(elapsedMs)
-    })
-  }
+function headSizeBytes (rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, part) => sum + part.length + HEADER_SEPARATOR_BYTES, 0)
 }
--- a/packages/gateway/src/model/Route.ts
+++ b/packages/gateway/src/model/Route.ts
@@ -41,8 +41,6 @@
   probePath: string
   /** Connections that one target accepts from all instances together. */
   connectionsMax: number
-  /** Time for which a target is cold after its start. */
-  warmupMs: number
   /** Requests per second that a cold target bears. */
   coldRequestsPerS: number
 }
--- a/packages/gateway/src/targets/GatewayTarget.ts
+++ b/packages/gateway/src/targets/GatewayTarget.ts
@@ -33,8 +33,6 @@
   isMisplaced = false
   readonly failures = new FailureRecord()
   readonly connections: TargetConnections
-  /** When this instance first knew of the target, on the monotonic clock. */
-  readonly knownSinceMs = performance.now()
   private lastReport: TargetReport | undefined
   private sentSinceReport = 0
   private coldUntilMs = 0
--- a/packages/gateway/src/targets/TargetRegistry.ts
+++ b/packages/gateway/src/targets/TargetRegistry.ts
@@ -36,11 +36,6 @@
     return this.byService.get(service) ?? []
   }
 
-  /** All targets that may get requests. */
-  all (): GatewayTarget[] {
-    return [...this.byService.values()].flat()
-  }
-
   /** Whether a target may still get requests, asked right before one is sent. */
   isEligible (target: GatewayTarget): boolean {
     const { targetId, failureDomain, isDraining } = target.record
--- a/packages/gateway/src/targets/allowances.test.ts
+++ b/packages/gateway/src/targets/allowances.test.ts
@@ -23,7 +23,7 @@
       coldForMs: 60_000,
       bornAtEpochMs: 1
     },
-    policy: { name: 'menzaiko' as ServiceName, probePath: '/healthz', connectionsMax: 200, warmupMs: 60_000, coldRequestsPerS: COLD_PER_S },
+    policy: { name: 'menzaiko' as ServiceName, probePath: '/healthz', connectionsMax: 200, coldRequestsPerS: COLD_PER_S },
     timer: new DeadlineTimer()
   })
 }
--- a/packages/platform/src/callerProtocol.ts
+++ b/packages/platform/src/callerProtocol.ts
@@ -13,7 +13,6 @@
   readinessPath: PATHS.readiness,
   directoryPath: PATHS.directory,
   readQuestion: query => ({
-    host: textOf(query.name),
     failureDomain: failureDomainIdSchema.safeParse(query.zone).data
   }),
   formatAddresses: (addresses, ttlMs) => JSON.stringify({ addresses, ttl: formatDuration(ttlMs) })
--- a/packages/platform/src/decodeRecord.ts
+++ b/packages/platform/src/decodeRecord.ts
@@ -25,7 +25,6 @@
   'health-path': z.string().startsWith('/'),
   /** Of all callers together, to one target. */
   'max-connections': z.number().positive(),
-  warmup: durationSchema,
   'warmup-per-s': z.number().positive()
 })
 
@@ -85,7 +84,6 @@
         name: name as ServiceName,
         probePath: service['health-path'],
         connectionsMax: service['max-connections'],
-        warmupMs: service.warmup,
         coldRequestsPerS: service['warmup-per-s']
       }])),
       callerLimits: {
