Keep a planned stop going on a second signal; ignore SIGHUP while loading

Cause: a second SIGTERM ended the process at once, as the second call of the stop returned immediately and the program exits after it; SIGHUP before the program had its handler would have ended it as well. Change: further calls wait for the same end; the loader ignores SIGHUP. Measured: the test of two signals fails before and passes after; 22 tests of front processes passed.

--- a/packages/daemon/src/front/load.ts
+++ b/packages/daemon/src/front/load.ts
@@ -7,6 +7,9 @@
 import { join } from 'node:path'
 import { Script } from 'node:vm'
 
+// Until the program handles it, the signal for changed settings would end the process.
+process.on('SIGHUP', () => {})
+
 const directory = __dirname
 const programFile = join(directory, 'front-program.cjs')
 const cacheFile = join(directory, 'front-program.cache')
--- a/packages/gateway/src/edge/FrontStop.ts
+++ b/packages/gateway/src/edge/FrontStop.ts
@@ -28,6 +28,7 @@
 export class FrontStop {
   private readonly options: FrontStopOptions
   private endsAtMs: number | undefined
+  private ended: Promise<void> | undefined
 
   constructor (options: FrontStopOptions) {
     this.options = options
@@ -43,18 +44,23 @@
     return this.endsAtMs === undefined ? undefined : this.endsAtMs - performance.now()
   }
 
-  /** Runs the stop; a second call changes nothing. Resolves when the process may end. */
+  /** Runs the stop; a further call waits for the same end. Resolves when the process may end. */
   async run (): Promise<void> {
+    this.ended ??= this.drain()
+    await this.ended
+  }
+
+  private async drain (): Promise<void> {
     const { lease, inFlightCount, graceMs, directoryAnswerLifeMs, log } = this.options
-    if (this.hasBegun()) return
     const startedAtMs = performance.now()
-    this.endsAtMs = startedAtMs + graceMs - KILL_MARGIN_MS
+    const endsAtMs = startedAtMs + graceMs - KILL_MARGIN_MS
+    this.endsAtMs = endsAtMs
     log.info('stop.begun', { graceMs, inFlight: inFlightCount() })
     lease.revoke().catch((error: Error) => log.warn('stop.lease-kept', { reason: error.message }))
     for (;;) {
       const elapsedMs = performance.now() - startedAtMs
       const isUnused = elapsedMs > directoryAnswerLifeMs && inFlightCount() === 0
-      if (isUnused || performance.now() >= this.endsAtMs) break
+      if (isUnused || performance.now() >= endsAtMs) break
       await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS))
     }
     log.info('stop.ended', { elapsedMs: Math.round(performance.now() - startedAtMs), inFlight: inFlightCount() })
