--- a/packages/daemon/src/front/requests.test.ts
+++ b/packages/daemon/src/front/requests.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { wireConfiguration, wireRoute } from '@carobpitch/platform'
+import { SEAL_HEADER, wireConfiguration, wireRoute } from '@carobpitch/platform'
 import { FrontRig, until } from './testing/FrontRig.js'
 
 const BOOKING = { method: 'POST', path: '/book/1', body: 'an order' }
@@ -21,7 +21,7 @@
       await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
       const answer = await rig.call(await rig.addFront())
       expect(answer).to.include({ status: 200, body: 'the whole body', isComplete: true })
-      expect(answer.headers['x-carobpitch-server-seal']).to.equal('seal-of-i-1')
+      expect(answer.headers[SEAL_HEADER]).to.equal('seal-of-i-1')
     })
 
     it('passes on the time that is left, bounded by the route', async () => {
--- a/packages/daemon/src/front/testing/FrontRig.ts
+++ b/packages/daemon/src/front/testing/FrontRig.ts
@@ -2,7 +2,7 @@
 import { Registry } from 'prom-client'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { EventLog } from '@carobpitch/kernel'
-import { callerProtocol, decodeRecord, KEYS, PlatformStore, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
+import { callerHeaders, callerProtocol, decodeRecord, KEYS, PlatformStore, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
 import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
 import { FrontDaemon } from '../FrontDaemon.js'
 
@@ -91,9 +91,7 @@
     const startedAtMs = performance.now()
     this.requests += 1
     const headers = {
-      host,
-      'x-carobpitch-attempt-id': requestId ?? `request-${this.requests}`,
-      'x-carobpitch-deadline-ms': String(deadlineMs),
+      ...callerHeaders({ host, requestId: requestId ?? `request-${this.requests}`, deadlineMs }),
       ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) })
     }
     return await new Promise((resolve, reject) => {
--- a/packages/platform/src/testing/StandInPlatformTarget.ts
+++ b/packages/platform/src/testing/StandInPlatformTarget.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { HEADERS, KEYS } from '../wire.js'
+import { SEAL_HEADER } from './callerSide.js'
 
 /** What a target does with a request that it has received. @public */
 export type TargetDeed = 'answer' | 'fail' | 'shed' | 'reset' | 'mute'
@@ -121,7 +122,7 @@
 
   private finish (deed: TargetDeed, requestId: string | undefined, response: ServerResponse): void {
     if (requestId !== undefined) response.setHeader(HEADERS.requestId, requestId)
-    response.setHeader('x-carobpitch-server-seal', `seal-of-${this.options.targetId}`)
+    response.setHeader(SEAL_HEADER, `seal-of-${this.options.targetId}`)
     if (deed === 'reset') response.socket?.resetAndDestroy()
     else if (deed === 'fail') response.writeHead(500).end('failed')
     else if (deed === 'answer') response.writeHead(200, { 'content-type': 'text/plain' }).end('the whole body')
--- a/scripts/demo-platform.mjs
+++ b/scripts/demo-platform.mjs
@@ -9,8 +9,10 @@
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { KEYS, StandInPlatformStore, StandInPlatformTarget, wireConfiguration, wireRoute } from '../packages/platform/dist/index.js'
+import { callerHeaders, callerProtocol, directoryQuestion, KEYS, StandInPlatformStore, StandInPlatformTarget, wireConfiguration, wireRoute } from '../packages/platform/dist/index.js'
 
+const HOST = 'shop.example'
+const DEADLINE_MS = 2_000
 const ZONES = ['zone-a', 'zone-b', 'zone-c']
 const TARGETS_PER_ZONE = 2
 const REQUESTS_PER_PHASE = 60
@@ -71,7 +73,7 @@
 
 async function untilReady () {
   for (;;) {
-    const answers = await Promise.all(fronts.map(({ ports }) => get(ports.ready, '/carobpitch/readyz')))
+    const answers = await Promise.all(fronts.map(({ ports }) => get(ports.ready, callerProtocol.readinessPath)))
     if (answers.every(({ status }) => status === 200)) return
     await new Promise(resolve => setTimeout(resolve, 50))
   }
@@ -95,11 +97,11 @@
   requests += 1
   const zone = ZONES[requests % ZONES.length]
   const live = fronts.filter(({ child }) => child.exitCode === null)
-  const { body } = await get(live[requests % live.length].ports.directory, `/carobpitch/resolve?name=shop.example&region=kyushu&zone=${zone}`)
+  const { body } = await get(live[requests % live.length].ports.directory, directoryQuestion(HOST, zone))
   const addresses = JSON.parse(body).addresses
   const port = addresses[requests % addresses.length].split(':')[1]
   const isBooking = requests % 3 === 0
-  const headers = { host: 'shop.example', 'x-carobpitch-attempt-id': `demo-${requests}`, 'x-carobpitch-deadline-ms': '2000', 'content-length': '0' }
+  const headers = { ...callerHeaders({ host: HOST, requestId: `demo-${requests}`, deadlineMs: DEADLINE_MS }), 'content-length': '0' }
   const { status } = await get(port, isBooking ? '/book/1' : '/stock/1', headers, isBooking ? 'POST' : 'GET')
   counts[status] = (counts[status] ?? 0) + 1
 }
