Notice a reader of the store that does not answer within 1.1 s

Ruled out: a cut reader, whose age is checked already; a silent connection to the store, which the wait of 1 s bounds. Change: a question to the reader waits 0.8 s instead of 5 s, and 0.3 s more for the answer instead of 0.5 s.

--- a/packages/gateway/src/knowledge/KnowledgeFollower.test.ts
+++ b/packages/gateway/src/knowledge/KnowledgeFollower.test.ts
@@ -7,6 +7,10 @@
 import { Knowledge } from './Knowledge.js'
 import type { FeedAnswer } from './KnowledgeFeed.js'
 import { KnowledgeFollower } from './KnowledgeFollower.js'
+import { ANSWER_MARGIN_MS } from './PeerKnowledge.js'
+
+/** Time within which a configuration is in force, by the platform's bounds. */
+const CONFIGURATION_APPLY_MS = 2_000
 
 const FOREIGN = { kind: 'foreign' } as const
 
@@ -45,6 +49,7 @@
   let relayUrl: string | undefined
   let relayAgeMs: number
   let asked: string[]
+  let isRelayFrozen: boolean
 
   beforeEach(() => {
     clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }) as never
@@ -52,6 +57,7 @@
     relayUrl = undefined
     relayAgeMs = 0
     asked = []
+    isRelayFrozen = false
     const log = new EventLog({ silent: true })
     knowledge = new Knowledge({ decode: () => Result.ok(FOREIGN), log })
     follower = new KnowledgeFollower({
@@ -59,6 +65,10 @@
       knowledge,
       askPeer: async (url, { waitMs }): Promise<Result<FeedAnswer, string>> => {
         asked.push(url)
+        if (isRelayFrozen) {
+          await new Promise(resolve => setTimeout(resolve, waitMs + ANSWER_MARGIN_MS))
+          return Result.err('no answer')
+        }
         if (relayAgeMs < 1_400) await new Promise(resolve => setTimeout(resolve, Math.min(waitMs, 500)))
         return Result.ok({ kind: 'changes', ageMs: relayAgeMs, batch: { events: [], revision: 40 } })
       },
@@ -123,6 +133,15 @@
       expect(knowledge.revision()).to.equal(40)
     })
 
+    it('guards against a frozen reader: the store is read within the time for a configuration', async () => {
+      await follower.start()
+      await clock.tickAsync(2_000)
+      isRelayFrozen = true
+      const waitsBefore = store.waits
+      await clock.tickAsync(CONFIGURATION_APPLY_MS)
+      expect(store.waits).to.be.greaterThan(waitsBefore)
+    })
+
     it('guards against a reader that is itself cut off: old knowledge sends it to the store', async () => {
       await follower.start()
       await clock.tickAsync(2_000)
--- a/packages/gateway/src/knowledge/KnowledgeFollower.ts
+++ b/packages/gateway/src/knowledge/KnowledgeFollower.ts
@@ -12,8 +12,8 @@
 const STORE_PAUSE_MS = 300
 /** Age up to which the knowledge of the instance that this one follows is used: one wait, one pause and the answer. */
 const RELAY_AGE_MAX_MS = 1_400
-/** Wait of one question to the instance that this one follows. */
-const RELAY_WAIT_MS = 5_000
+/** Wait of one question to the instance that this one follows. A frozen one shows after it, within the time for a configuration. */
+const RELAY_WAIT_MS = 800
 /** Time for which the store is read instead, after that instance did not answer or knew too little. */
 const RELAY_RETRY_MS = 2_000
 /** Time without an answer of the store after which entries may have lapsed because it was away. */
--- a/packages/gateway/src/knowledge/PeerKnowledge.ts
+++ b/packages/gateway/src/knowledge/PeerKnowledge.ts
@@ -2,8 +2,8 @@
 import type { PeerLinks } from '@carobpitch/membership'
 import { feedAnswerSchema, KNOWLEDGE_ROUTER, type FeedAnswer, type FeedRequest, type KnowledgeRouter } from './KnowledgeFeed.js'
 
-/** Margin above the time that a peer is asked to wait. */
-const ANSWER_MARGIN_MS = 500
+/** Margin above the time that a peer is asked to wait; a question within a failure domain takes a few milliseconds. @internal */
+export const ANSWER_MARGIN_MS = 300
 
 /** Asks another instance for what it knows after a revision. @public */
 export type AskPeer = (peerUrl: string, request: FeedRequest) => Promise<Result<FeedAnswer, string>>
