Refuse what may outlast a process that is being stopped

Change: while stopping, a request is taken only if its whole time fits, else it is refused as not run.

--- a/packages/daemon/src/front/fleet.test.ts
+++ b/packages/daemon/src/front/fleet.test.ts
@@ -114,6 +114,15 @@
       expect(front.kernel.get('directory').addressesFor(ZONE_A)).to.deep.equal([])
     })
 
+    it('guards against a slow request that the end would cut: what may outlast the process is refused as not run', async () => {
+      const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko', workMs: 1_100 })
+      const front = await rig.addFront({ stopGraceMs: 1_500, directoryTtlMaxMs: 1_000 })
+      const stopped = front.stopGracefully()
+      expect(await rig.call(front)).to.include({ status: 503 })
+      expect(target.arrivals).to.have.length(0)
+      await stopped
+    })
+
     it('guards against a request that the end would cut: it is refused as not run', async () => {
       const target = await rig.addTarget({ targetId: 'i-1', service: 'menzaiko' })
       const front = await rig.addFront({ stopGraceMs: 700, directoryTtlMaxMs: 1_000 })
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -211,7 +211,8 @@
     const { matched: route, service } = this
     if (this.hasEnded || route === undefined || service === undefined) return
     const endsInMs = this.context.endsInMs()
-    if (endsInMs !== undefined && endsInMs < route.objectiveMs) {
+    // A request that may outlast this process is served elsewhere.
+    if (endsInMs !== undefined && endsInMs < this.giveUpAtMs - performance.now()) {
       this.finish('stopping')
       return
     }
