Log and measure what the deployment cache waits for

What operators saw: logs of an instance with an old configuration did not say how long its cache had been unconfirmed nor what it had waited for, so that slow recovery of the readers and saturated relays looked the same.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -79,7 +79,7 @@
     kernel.register('knowledge', { dump: () => cache.dump() })
 
     const peerServer = new PeerServer({ listen: settings.peerListen, log })
-    peerServer.mount(DEPLOYMENT_FEED_ROUTER, createDeploymentFeedRouter(cache, () => kernel.get('follower').ageMs()))
+    peerServer.mount(DEPLOYMENT_FEED_ROUTER, createDeploymentFeedRouter({ deploymentCache: cache, ageMs: () => kernel.get('follower').ageMs(), log }))
     const peerLinks = new PeerLinks({})
     const lease = new LeaseKeeper({
       store,
@@ -154,7 +154,8 @@
       queryPeer: createPeerFeedClient(peerLinks),
       peerUrls: () => this.peerUrls(),
       relays: () => this.relays(),
-      log
+      log,
+      onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
     kernel.register('member-lease', lease)
     kernel.register('registration', registration)
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -117,7 +117,7 @@
     for (const [key, existing] of this.records) {
       if (!kept.has(key) && existing.raw.modRevision <= revision) this.removeRecord(key, isAfterOutage)
     }
-    for (const record of records) this.storeRecord(record)
+    for (const record of records) this.storeRecord(record, source)
     this.history = []
     this.historyStartRevision = revision
     this.advance(revision)
@@ -130,7 +130,7 @@
     if (after > this.currentRevision) return false
     const newEvents = events.filter(event => revisionOf(event) > this.currentRevision)
     for (const event of newEvents) {
-      if (event.kind === 'put') this.storeRecord(event.value)
+      if (event.kind === 'put') this.storeRecord(event.value, source)
       else this.removeRecord(event.key, isAfterOutage)
       this.options.log.info('knowledge.changed', { source, key: keyOf(event), kind: event.kind, revision: revisionOf(event) })
     }
@@ -168,7 +168,7 @@
     }
   }
 
-  private storeRecord (raw: StoredValue): void {
+  private storeRecord (raw: StoredValue, source: ChangeSource): void {
     const existing = this.records.get(raw.key)
     if (existing !== undefined && existing.raw.modRevision >= raw.modRevision) return
     this.memberList = undefined
@@ -182,12 +182,12 @@
     if (decoded.value.kind === 'foreign') return
     this.lapsed.delete(raw.key)
     this.records.set(raw.key, { raw, decoded: decoded.value })
-    if (decoded.value.kind === 'configuration') this.adopt(decoded.value.table)
+    if (decoded.value.kind === 'configuration') this.adopt(decoded.value.table, { source, revision: raw.modRevision })
   }
 
-  private adopt (table: RoutingTable): void {
+  private adopt (table: RoutingTable, { source, revision }: { source: ChangeSource, revision: number }): void {
     if (this.table !== undefined && table.version <= this.table.version) return
-    this.options.log.info('configuration.adopted', { version: table.version, previous: this.table?.version, routes: table.routes.length, services: table.services.size })
+    this.options.log.info('configuration.adopted', { version: table.version, previous: this.table?.version, routes: table.routes.length, services: table.services.size, source, revision })
     this.table = table
   }
 
--- a/packages/gateway/src/deployment/DeploymentFeed.ts
+++ b/packages/gateway/src/deployment/DeploymentFeed.ts
@@ -1,5 +1,6 @@
 import { initTRPC } from '@trpc/server'
 import * as z from 'zod'
+import type { EventLog } from '@carobpitch/kernel'
 import type { WatchEvent } from '@carobpitch/store'
 import type { ChangeBatch } from './ChangeStore.js'
 import type { DeploymentCache, DeploymentSnapshot } from './DeploymentCache.js'
@@ -46,12 +47,22 @@
   z.strictObject({ kind: z.literal('snapshot'), ageMs: z.number(), snapshot: z.strictObject({ records: z.array(storedValueSchema), revision: z.int() }) })
 ])
 
+/**
+ * Options of `createDeploymentFeedRouter`.
+ * @public
+ */
+export interface DeploymentFeedOptions {
+  deploymentCache: DeploymentCache
+  /** Time since the store last confirmed the cache. */
+  ageMs: () => number
+  log: EventLog
+}
+
 /**
  * Creates the router through which other instances read the changes of this instance's cache.
- * @param ageMs time since the store last confirmed the cache
  * @public
  */
-export function createDeploymentFeedRouter (deploymentCache: DeploymentCache, ageMs: () => number) {
+export function createDeploymentFeedRouter ({ deploymentCache, ageMs, log }: DeploymentFeedOptions) {
   const trpc = initTRPC.create()
   return trpc.router({
     changesAfter: trpc.procedure
@@ -60,7 +71,9 @@
         await waitForChanges(deploymentCache, input, ageMs)
         const batch = deploymentCache.changesAfter(input.revision)
         if (batch !== undefined) return { kind: 'changes', ageMs: ageMs(), batch }
-        return { kind: 'snapshot', ageMs: ageMs(), snapshot: deploymentCache.snapshot() }
+        const snapshot = deploymentCache.snapshot()
+        log.info('feed.snapshot', { after: input.revision, revision: snapshot.revision, records: snapshot.records.length })
+        return { kind: 'snapshot', ageMs: ageMs(), snapshot }
       })
   })
 }
--- a/packages/gateway/src/deployment/DeploymentWatcher.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.ts
@@ -2,9 +2,10 @@
 import { Backoff } from '@carobpitch/membership'
 import type { StoredValue } from '@carobpitch/store'
 import type { ChangeStore } from './ChangeStore.js'
-import type { DeploymentCache } from './DeploymentCache.js'
+import type { ChangeSource, DeploymentCache } from './DeploymentCache.js'
 import type { FeedResponse } from './DeploymentFeed.js'
 import type { QueryPeer } from './PeerFeedClient.js'
+import { PropagationWaits, type PropagationStep } from './PropagationWaits.js'
 import { RelayReader } from './RelayReader.js'
 
 /** Longest wait of one read of changes. Instances that follow this one rely on the age of its cache, so a lost connection must show within the time for a configuration to take effect. */
@@ -25,6 +26,8 @@
 const PEER_PAUSE_MS = 300
 /** Exponent by which near peers are queried more often than distant ones; half of the queries go to the nearest eighth. */
 const NEAR_PEER_BIAS = 3
+/** Age of the cache from which on its confirmation is logged with the waits that preceded it. */
+const LOGGED_AGE_MS = 1_500
 /** Time without a response of the store after which peers are queried. */
 const PEER_QUERY_AFTER_MS = 500
 
@@ -42,6 +45,8 @@
   relays: () => Relays
   log: EventLog
   random?: () => number
+  /** Called after each wait for the store or another instance. */
+  onWait?: (step: PropagationStep, elapsedMs: number) => void
 }
 
 /**
@@ -62,6 +67,7 @@
 export class DeploymentWatcher implements Service {
   private readonly options: Required<DeploymentWatcherOptions>
   private readonly backoff: Backoff
+  private readonly waits: PropagationWaits
   private isRunning = false
   /** Time when the store last confirmed the cache. */
   private confirmedAtMs: number | undefined
@@ -73,7 +79,8 @@
   private lastFailure: string | undefined
 
   constructor (options: DeploymentWatcherOptions) {
-    this.options = { random: Math.random, ...options }
+    this.options = { random: Math.random, onWait: () => {}, ...options }
+    this.waits = new PropagationWaits({ onWait: this.options.onWait })
     this.relayReader = new RelayReader(this.options)
     this.backoff = new Backoff({ random: this.options.random, memberCount: () => Math.max(1, options.deploymentCache.members().length) })
   }
@@ -97,7 +104,7 @@
   }
 
   dump (): unknown {
-    return { ageMs: this.ageMs(), relays: this.options.relays(), isStoreLost: this.isStoreLost, lastFailure: this.lastFailure }
+    return { ageMs: this.ageMs(), waits: this.waits.describe(), relays: this.options.relays(), isStoreLost: this.isStoreLost, lastFailure: this.lastFailure }
   }
 
   /** Time without a confirmation by the store. */
@@ -121,7 +128,8 @@
       if (outcome === 'history-lost') mustReadAll = true
       else if (outcome === 'ok') mustReadAll = false
       isFirst &&= outcome === 'failed'
-      await pause(outcome === 'failed' ? this.backoff.nextDelayMs() : STORE_PAUSE_MS)
+      if (outcome === 'failed') await this.waits.measure('store-retry', pause(this.backoff.nextDelayMs()))
+      else await this.waits.measure('store-pause', pause(STORE_PAUSE_MS))
     }
   }
 
@@ -131,15 +139,15 @@
     const { urls, isSubstitute } = relays()
     if (urls.length === 0) return false
     const revision = deploymentCache.revision()
-    const response = await this.relayReader.read(urls, revision)
+    const response = await this.waits.measure('relay', this.relayReader.read(urls, revision))
     if (response !== undefined) {
       this.applyResponse(response, revision, this.isAfterOutage())
-      this.recordStoreResponse(response.ageMs)
+      this.recordStoreResponse(response.ageMs, 'peer')
       this.lastContactAtMs = performance.now()
       return true
     }
     if (isSubstitute || performance.now() - this.lastContactAtMs > OWN_READ_INTERVAL_MS) return false
-    await pause(RELAY_PAUSE_MS)
+    await this.waits.measure('relay-pause', pause(RELAY_PAUSE_MS))
     return true
   }
 
@@ -161,7 +169,7 @@
     const records: StoredValue[] = []
     let revision = Infinity
     for (let after: string | undefined, hasMore = true; hasMore;) {
-      const page = await store.listPage('', { after, isStaleAllowed: isFirst })
+      const page = await this.waits.measure('store-list', store.listPage('', { after, isStaleAllowed: isFirst }))
       if (page.isErr) return this.recordStoreFailure(page.error.reason)
       records.push(...page.value.records)
       // Each page may have another revision; changes after the oldest one are read again.
@@ -170,33 +178,41 @@
       hasMore = page.value.hasMore && after !== undefined
     }
     deploymentCache.replace({ records, revision }, 'store', isAfterOutage)
-    this.recordStoreResponse(isFirst ? undefined : 0)
+    this.recordStoreResponse(isFirst ? undefined : 0, 'store')
     return 'ok'
   }
 
   private async readChanges (isAfterOutage: boolean): Promise<'ok' | 'failed' | 'history-lost'> {
     const { store, deploymentCache, log } = this.options
     const revision = deploymentCache.revision()
-    const batch = await store.changesAfter('', revision, STORE_WAIT_MS)
+    const batch = await this.waits.measure('store-watch', store.changesAfter('', revision, STORE_WAIT_MS))
     if (batch.isErr) {
       if (batch.error.kind === 'unavailable') return this.recordStoreFailure(batch.error.reason)
       log.warn('store.history-lost', { revision })
       return 'history-lost'
     }
-    this.recordStoreResponse(0)
+    this.recordStoreResponse(0, 'store')
     return deploymentCache.apply(revision, batch.value, 'store', isAfterOutage) ? 'ok' : 'history-lost'
   }
 
   /** @param ageMs age of the response; `undefined` if it is unknown */
-  private recordStoreResponse (ageMs: number | undefined): void {
+  private recordStoreResponse (ageMs: number | undefined, source: ChangeSource): void {
     if (this.isStoreLost) this.options.log.info('store.regained', { awayMs: Math.round(this.unconfirmedMs()) })
     this.isStoreLost = false
-    if (ageMs !== undefined) this.recordConfirmation(ageMs)
+    if (ageMs !== undefined) this.recordConfirmation(ageMs, source)
     this.backoff.reset()
   }
 
-  private recordConfirmation (ageMs: number): void {
-    this.confirmedAtMs = Math.max(this.confirmedAtMs ?? -Infinity, performance.now() - ageMs)
+  private recordConfirmation (ageMs: number, source: ChangeSource): void {
+    const confirmedAtMs = performance.now() - ageMs
+    if (confirmedAtMs <= (this.confirmedAtMs ?? -Infinity)) return
+    const unconfirmedMs = this.unconfirmedMs()
+    if (unconfirmedMs > LOGGED_AGE_MS) {
+      const { deploymentCache, log } = this.options
+      log.info('knowledge.confirmed', { source, revision: deploymentCache.revision(), unconfirmedMs: Math.round(unconfirmedMs), ageMs: Math.round(ageMs), waits: this.waits.describe() })
+    }
+    this.confirmedAtMs = confirmedAtMs
+    this.waits.reset()
   }
 
   private recordStoreFailure (reason: string): 'failed' {
@@ -222,12 +238,12 @@
     const url = urls[Math.floor(random() ** NEAR_PEER_BIAS * urls.length)]
     if (url === undefined) return false
     const revision = deploymentCache.revision()
-    const response = await queryPeer(url, { revision, waitMs: PEER_WAIT_MS })
+    const response = await this.waits.measure('peer', queryPeer(url, { revision, waitMs: PEER_WAIT_MS }))
     if (response.isErr) {
       log.debug('peer.no-answer', { url, reason: response.error })
       return false
     }
-    if (this.applyResponse(response.value, revision, true)) this.recordConfirmation(response.value.ageMs)
+    if (this.applyResponse(response.value, revision, true)) this.recordConfirmation(response.value.ageMs, 'peer')
     return deploymentCache.revision() > revision
   }
 }
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client'
 import type { ServiceName, Verdict } from '@carobpitch/schema'
+import type { PropagationStep } from '../deployment/PropagationWaits.js'
 import type { ServiceStats } from '../dispatch/Dispatcher.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
@@ -27,6 +28,7 @@
   private readonly attemptLatency: Histogram
   private readonly probes: Counter
   private readonly coldRequests: Counter
+  private readonly propagationWaits: Counter
 
   constructor (registry: Registry, { inFlight, cacheAgeMs, services }: FrontMetricsSources) {
     const registers = [registry]
@@ -51,6 +53,7 @@
       registers,
       collect: () => { for (const figures of services()) retries.set({ service: figures.service }, figures.retriesLeft) }
     })
+    this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
 
@@ -75,4 +78,9 @@
   recordColdRequest (service: ServiceName): void {
     this.coldRequests.inc({ service })
   }
+
+  /** Adds a wait on the way of the deployment's records to this instance. */
+  recordPropagationWait (step: PropagationStep, elapsedMs: number): void {
+    this.propagationWaits.inc({ step }, elapsedMs / 1_000)
+  }
 }
