Reproduce late configurations in a simulated fleet

Change: the selection of relays moves to a function of its own, so that the fleet of a test can use it. The simulated fleet runs the deployment watchers of 116 instances on a paused clock, with links of 7 and 140 Mbit/s and processors of 0.27 and 1 core. The tests hold the stated bounds of the grown deployments: config-apply 2.5 s, contact 3 s.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,13 +1,12 @@
 import type { Registry } from 'prom-client'
 import {
   ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, Readiness, Registration, RoutingHolder, TargetRegistry,
-  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type Relays, type TargetProtocol
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, Readiness, Registration, RoutingHolder, selectRelays, TargetRegistry,
+  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
-import { rankByRendezvous } from '@carobpitch/routing'
 import type { MemberRecord } from '@carobpitch/schema'
 import type { Result } from 'true-myth'
 import { MetricsListener } from './MetricsListener.js'
@@ -35,10 +34,6 @@
 const RENEWALS_PER_LEASE = 2
 /** TTL of a directory response. Some callers keep it three times as long, which still fits into a planned stop. */
 const DIRECTORY_TTL_MS = 1_500
-/** Rendezvous hashing key by which the instances of a failure domain select their store readers. */
-const STORE_READER_KEY = 'store-reader'
-/** Store readers per failure domain: one, and two substitutes in case it is partitioned or down. */
-const READERS_PER_DOMAIN = 3
 /** Some callers keep a directory response for this multiple of its TTL. */
 const DIRECTORY_RETENTION_FACTOR = 3
 
@@ -153,7 +148,7 @@
       deploymentCache: cache,
       queryPeer: createPeerFeedClient(peerLinks),
       peerUrls: () => this.peerUrls(),
-      relays: () => this.relays(),
+      relays: () => selectRelays({ members: cache.members(), instanceId: settings.instanceId, failureDomain: settings.failureDomain }),
       log,
       onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
@@ -233,16 +228,6 @@
     const sameDomain = members.filter(({ failureDomain }) => failureDomain === settings.failureDomain)
     return [...new Set([...sameDomain, ...members].map(({ peerUrl }) => peerUrl).concat(settings.seedPeerUrls))].filter(url => url !== ownUrl)
   }
-
-  /** One instance of each failure domain reads the store, with two substitutes; the other instances of the domain read from them. */
-  private relays (): Relays {
-    const { instanceId, failureDomain } = this.options.settings
-    const sameDomainUrls = new Map(this.servingMembers().filter(member => member.failureDomain === failureDomain).map(member => [member.instanceId, member.peerUrl]))
-    const readers = rankByRendezvous(STORE_READER_KEY, [...sameDomainUrls.keys()]).slice(0, READERS_PER_DOMAIN)
-    const ownRank = readers.indexOf(instanceId)
-    const higherRanked = ownRank < 0 ? readers : readers.slice(0, ownRank)
-    return { urls: higherRanked.map(id => sameDomainUrls.get(id) as string), isSubstitute: ownRank >= 0 }
-  }
 }
 
 function directoryTtlMs ({ directoryTtlMaxMs }: FrontSettings): number {
--- /dev/null
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -0,0 +1,92 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
+import { SimulatedFleet } from './testing/SimulatedFleet.js'
+
+/** Bounds of the grown deployments. */
+const CONFIG_APPLY_MS = 2_500
+const CONTACT_MS = 3_000
+/** Configuration with 1,900 routes. */
+const LARGE_CONFIGURATION_BYTES = 335_000
+
+const VERSION = 7
+/** Each seed starts the instances' loops at other moments. */
+const SEEDS = [1, 2, 3, 4, 5]
+
+describe('a confirmed configuration in a fleet of 116 unequal instances', function () {
+  this.timeout(60_000)
+  let clock: Clock & { uninstall: () => void }
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] }) as never
+  })
+
+  afterEach(() => clock.uninstall())
+
+  /** Returns the longest time from the end of the disturbance to the last adoption in several fleets. */
+  async function worstDelayMs (disturb: (fleet: SimulatedFleet) => Promise<void> | void): Promise<number> {
+    const delaysMs = []
+    for (const seed of SEEDS) {
+      const fleet = new SimulatedFleet({ seed })
+      await fleet.start()
+      await clock.tickAsync(10_000 + 170 * seed)
+      await disturb(fleet)
+      const startedAtMs = performance.now()
+      await clock.tickAsync(10_000)
+      delaysMs.push(fleet.lastAdoptionAtMs(VERSION, fleet.instances.filter(({ isFrozen }) => !isFrozen)) - startedAtMs)
+      await fleet.stop()
+    }
+    return Math.max(...delaysMs)
+  }
+
+  describe('after a disturbance of the store', () => {
+    it('guards against adoption later than contact after the store drops its history and cuts its watches', async () => {
+      const delayMs = await worstDelayMs(async ({ store, confirmConfiguration }) => {
+        store.areWatchesSilent = true
+        await clock.tickAsync(200)
+        confirmConfiguration(VERSION)
+        await clock.tickAsync(1_000)
+        store.compact()
+      })
+      expect(delayMs).to.be.below(CONTACT_MS)
+    })
+
+    for (const behaviour of ['busy', 'silent'] as const) {
+      it(`guards against adoption later than contact after the store was ${behaviour} to all`, async () => {
+        const delayMs = await worstDelayMs(async ({ store, confirmConfiguration }) => {
+          store.behaviourFor = () => behaviour
+          await clock.tickAsync(6_000)
+          confirmConfiguration(VERSION)
+          store.behaviourFor = () => 'serve'
+        })
+        expect(delayMs).to.be.below(CONTACT_MS)
+      })
+    }
+  })
+
+  describe('while the store is sound', () => {
+    it('guards against a large configuration that saturates the links of the relays', async () => {
+      const delayMs = await worstDelayMs(fleet => fleet.confirmConfiguration(VERSION, LARGE_CONFIGURATION_BYTES))
+      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
+    })
+
+    it('guards against waiting for frozen relays one after the other', async () => {
+      const delayMs = await worstDelayMs(fleet => {
+        const frozen = fleet.readersOf('zone-1').slice(0, 3)
+        for (const reader of frozen) reader.isFrozen = true
+        fleet.store.behaviourFor = instanceId => frozen.some(({ record }) => record.instanceId === instanceId) ? 'silent' : 'serve'
+        fleet.confirmConfiguration(VERSION)
+      })
+      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
+    })
+
+    it('guards against relays that the store turns away while it serves their followers', async () => {
+      const delayMs = await worstDelayMs(fleet => {
+        const refused = fleet.readersOf('zone-1').slice(0, 3).map(({ record }) => record.instanceId as string)
+        fleet.store.behaviourFor = instanceId => refused.includes(instanceId) ? 'silent' : 'serve'
+        fleet.store.cutWatches()
+        fleet.confirmConfiguration(VERSION)
+      })
+      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
+    })
+  })
+})
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export { createDeploymentFeedRouter, DEPLOYMENT_FEED_ROUTER, type DeploymentFeedOptions, type FeedResponse, type DeploymentFeedRouter } from './deployment/DeploymentFeed.js'
 export { createPeerFeedClient, type QueryPeer } from './deployment/PeerFeedClient.js'
 export { DeploymentWatcher, type DeploymentWatcherOptions, type Relays } from './deployment/DeploymentWatcher.js'
+export { selectRelays, type SelectRelaysOptions } from './deployment/selectRelays.js'
 export type { PropagationStep } from './deployment/PropagationWaits.js'
 export { Registration, type RegistrationOptions } from './deployment/Registration.js'
 export * from './targets/TargetProtocol.js'
