--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -74,6 +74,32 @@
     })
   })
 
+  describe('a complete read of a cache in use', () => {
+    beforeEach(() => {
+      cache.apply(3, { events: [put('t2', 'ready', 4)], revision: 4 }, 'store')
+      cache.replace({ records: [{ key: 'configuration', value: '9', modRevision: 7 }, { key: 't2', value: 'ready', modRevision: 4 }], revision: 8 }, 'store', false)
+    })
+
+    it('guards against a snapshot for every follower: the differences are returned as changes', () => {
+      expect(cache.changesAfter(4)).to.deep.equal({ events: [put('configuration', '9', 7), { kind: 'delete', key: 't1', modRevision: 8 }], revision: 8 })
+      expect(cache.changesAfter(3)?.events).to.have.length(3)
+    })
+
+    it('leads to the same records at an instance that applies the differences', () => {
+      const follower = new DeploymentCache({ decode, log: new EventLog({ silent: true }) })
+      follower.replace({ records: [{ key: 'configuration', value: '7', modRevision: 2 }, { key: 't1', value: 'ready', modRevision: 3 }], revision: 3 }, 'peer', false)
+      follower.apply(3, cache.changesAfter(3) ?? { events: [], revision: 0 }, 'peer')
+      expect(follower.revision()).to.equal(8)
+      expect(follower.targets()).to.deep.equal(cache.targets())
+      expect(follower.routingTable()?.version).to.equal(9)
+    })
+
+    it('guards against the removal of a record that was written again after the deletion', () => {
+      cache.apply(8, { events: [put('t1', 'ready', 10), { kind: 'delete', key: 't1', modRevision: 9 }], revision: 10 }, 'peer')
+      expect(targetIds()).to.include('t1')
+    })
+  })
+
   describe('unreadable records', () => {
     it('guards against use of a target whose record was overwritten by an unreadable one', () => {
       cache.apply(3, { events: [put('t1', 'bad', 4)], revision: 4 }, 'store')
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -108,18 +108,25 @@
   }
 
   /**
-   * Replaces all records by a complete read.
+   * Replaces all records by a complete read. Its differences from the cached records enter the history, so that instances which follow
+   * this one need no complete read themselves.
    * @param isAfterOutage whether missing records may have expired only because the store was unavailable for their renewal
    */
   replace ({ records, revision }: DeploymentSnapshot, source: ChangeSource, isAfterOutage: boolean): void {
     if (revision < this.currentRevision) return
     const kept = new Set(records.map(({ key }) => key))
+    const events: WatchEvent[] = records
+      .filter(({ key, modRevision }) => (this.records.get(key)?.raw.modRevision ?? 0) < modRevision)
+      .map(value => ({ kind: 'put', value }))
     for (const [key, existing] of this.records) {
-      if (!kept.has(key) && existing.raw.modRevision <= revision) this.removeRecord(key, isAfterOutage)
+      // The revision of the deletion is not known; it is at most that of the read.
+      if (!kept.has(key) && existing.raw.modRevision <= revision) events.push({ kind: 'delete', key, modRevision: revision })
     }
-    for (const record of records) this.storeRecord(record, source)
-    this.history = []
-    this.historyStartRevision = revision
+    events.sort((first, second) => revisionOf(first) - revisionOf(second))
+    const isFirstRead = this.currentRevision === 0
+    for (const event of events) this.applyEvent(event, source, isAfterOutage)
+    if (isFirstRead) this.historyStartRevision = revision
+    else this.appendHistory(events)
     this.advance(revision)
     this.options.log.info('knowledge.read', { source, revision, records: records.length, targets: this.targets().length, members: this.members().length })
     this.notify()
@@ -130,8 +137,7 @@
     if (after > this.currentRevision) return false
     const newEvents = events.filter(event => revisionOf(event) > this.currentRevision)
     for (const event of newEvents) {
-      if (event.kind === 'put') this.storeRecord(event.value, source)
-      else this.removeRecord(event.key, isAfterOutage)
+      this.applyEvent(event, source, isAfterOutage)
       this.options.log.info('knowledge.changed', { source, key: keyOf(event), kind: event.kind, revision: revisionOf(event) })
     }
     this.appendHistory(newEvents)
@@ -168,6 +174,11 @@
     }
   }
 
+  private applyEvent (event: WatchEvent, source: ChangeSource, isAfterOutage: boolean): void {
+    if (event.kind === 'put') this.storeRecord(event.value, source)
+    else if ((this.records.get(event.key)?.raw.modRevision ?? 0) <= event.modRevision) this.removeRecord(event.key, isAfterOutage)
+  }
+
   private storeRecord (raw: StoredValue, source: ChangeSource): void {
     const existing = this.records.get(raw.key)
     if (existing !== undefined && existing.raw.modRevision >= raw.modRevision) return
