Compress large responses between instances

Cause: a relay sends 335 KB to each of 26 to 32 followers, about 10 MB over a link of 7 Mbit/s.

Change: the peer listener compresses responses of 4 KiB and more with gzip for clients that accept it, which instances of earlier versions do not send. The body of a response can get a timeout of its own, apart from the one that tells an unresponsive instance.

--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -1,5 +1,6 @@
 import { Result } from 'true-myth'
 import { EventLog } from '@carobpitch/kernel'
+import { encodePeerBody } from '@carobpitch/membership'
 import { memberRecordSchema, type FailureDomainId, type InstanceId, type MemberRecord, type ServiceName, type TargetId } from '@carobpitch/schema'
 import type { DeploymentRecord } from '../../model/DeploymentRecord.js'
 import type { RoutingTable } from '../../model/Route.js'
@@ -16,6 +17,7 @@
 const TARGET_PREFIX = 'servers/i-'
 const MEMBER_PREFIX = 'carobpitch/members/'
 const LATENCY_MS = 1
+const HEAD_SIZE_BYTES = 200
 const STORE_TIMEOUT_MS = 1_000
 /** Processor time of one message on a whole core, and of one kilobyte of it. */
 const MESSAGE_MS = 0.5
@@ -148,7 +150,7 @@
     if (sender.isFrozen || receiver.isFrozen) await new Promise(() => {})
     const response = await receiver.feed.changesAfter(request)
     if (receiver.isFrozen) await new Promise(() => {})
-    const sizeBytes = Buffer.byteLength(JSON.stringify(response))
+    const sizeBytes = encodePeerBody(response, 'gzip').body.length + HEAD_SIZE_BYTES
     await receiver.processor.occupy(processorMs(sizeBytes) / receiver.cpuShare)
     await receiver.uplink.transfer(sizeBytes)
     await sleep(LATENCY_MS)
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,4 +1,5 @@
 export { PeerServer, type PeerServerOptions } from './transport/PeerServer.js'
+export { encodePeerBody, type PeerBody } from './transport/peerBody.js'
 export { PeerLinks, type PeerAddress, type PeerLinksOptions } from './transport/PeerLinks.js'
 export { Membership } from './detection/Membership.js'
 export type { MembershipOptions } from './detection/MembershipOptions.js'
--- a/packages/membership/src/transport/PeerLinks.ts
+++ b/packages/membership/src/transport/PeerLinks.ts
@@ -52,16 +52,19 @@
     this.agent.on('free', (socket: Socket) => this.track(socket))
   }
 
-  /** Returns the typed client of the router mounted under `name` at a member. Calls reject on failure and timeout. */
-  client<Router extends AnyRouter> (member: PeerAddress, name: string, timeoutMs = this.options.timeoutMs): CreateTRPCClient<Router> {
-    const key = `${member.peerUrl} ${name} ${timeoutMs}`
+  /**
+   * Returns the typed client of the router mounted under `name` at a member. Calls reject on failure and timeout.
+   * @param bodyTimeoutMs time for the body after the head; without it, `timeoutMs` covers the complete exchange
+   */
+  client<Router extends AnyRouter> (member: PeerAddress, name: string, timeoutMs = this.options.timeoutMs, bodyTimeoutMs?: number): CreateTRPCClient<Router> {
+    const key = `${member.peerUrl} ${name} ${timeoutMs} ${bodyTimeoutMs ?? ''}`
     const known = this.clients.get(key)
     if (known !== undefined) return known as CreateTRPCClient<Router>
-    const peerFetch = createPeerFetch({ agent: this.agent, timeoutMs, responseSizeMaxBytes: PEER_REQUEST_SIZE_MAX_BYTES })
+    const peerFetch = createPeerFetch({ agent: this.agent, timeoutMs, bodyTimeoutMs, responseSizeMaxBytes: PEER_REQUEST_SIZE_MAX_BYTES })
     const client = createTRPCClient<Router>({
       links: [httpLink({
         url: `${member.peerUrl}/${name}`,
-        headers: this.options.token === undefined ? {} : { authorization: `Bearer ${this.options.token}` },
+        headers: { 'accept-encoding': 'gzip', ...(this.options.token === undefined ? {} : { authorization: `Bearer ${this.options.token}` }) },
         fetch: ((url: unknown, init: never) => {
           this.callCount += 1
           return peerFetch(url, init)
--- a/packages/membership/src/transport/PeerServer.test.ts
+++ b/packages/membership/src/transport/PeerServer.test.ts
@@ -10,6 +10,7 @@
 const router = t.router({
   echo: t.procedure.input(z.string()).mutation(({ input }) => input),
   double: t.procedure.input(z.object({ value: z.number() })).query(({ input }) => input.value * 2),
+  large: t.procedure.input(z.int()).query(({ input }) => 'x'.repeat(input)),
   nothing: t.procedure.query(() => undefined),
   fails: t.procedure.mutation(() => { throw new Error('deliberate') }),
   never: t.procedure.mutation(() => new Promise<string>(() => {}))
@@ -43,6 +44,23 @@
     expect(await client.nothing.query()).to.equal(undefined)
   })
 
+  describe('large responses', () => {
+    const headers = { authorization: `Bearer ${TOKEN}` }
+
+    it('guards against links saturated by repetitive records: a response is compressed for clients that accept it', async () => {
+      const before = server.transferredBytes()
+      expect(await links.client<typeof router>({ peerUrl }, 'test').large.query(100_000)).to.have.length(100_000)
+      expect(server.transferredBytes() - before).to.be.below(5_000)
+      const response = await fetch(`${peerUrl}/test/large?input=100000`, { headers: { ...headers, 'accept-encoding': 'identity' } })
+      expect(response.headers.get('content-encoding')).to.equal(null)
+      expect((await response.arrayBuffer()).byteLength).to.be.above(100_000)
+    })
+
+    it('guards against memory exhaustion by a compressed response', async () => {
+      expect(await rejectionOf(links.client<typeof router>({ peerUrl }, 'test').large.query(3_000_000))).to.be.instanceOf(Error)
+    })
+  })
+
   it('reports errors of procedures, inputs and paths to the client, guarding against failures that look like results', async () => {
     const client = links.client<typeof router>({ peerUrl }, 'test')
     expect(String(await rejectionOf(client.fails.mutate()))).to.contain('deliberate')
--- a/packages/membership/src/transport/peerFetch.ts
+++ b/packages/membership/src/transport/peerFetch.ts
@@ -1,4 +1,5 @@
 import { request, type Agent, type IncomingMessage } from 'node:http'
+import { decodePeerBody } from './peerBody.js'
 
 /**
  * The part of a fetch response that the trpc client reads.
@@ -27,7 +28,10 @@
  */
 export interface PeerFetchOptions {
   agent: Agent
+  /** Timeout until the head of the response has arrived. */
   timeoutMs: number
+  /** Timeout of the body after the head; without it, `timeoutMs` covers the complete exchange. */
+  bodyTimeoutMs?: number | undefined
   /** A larger response is rejected. */
   responseSizeMaxBytes: number
 }
@@ -37,18 +41,23 @@
  * of connections and does not count their bytes.
  * @internal
  */
-export function createPeerFetch ({ agent, timeoutMs, responseSizeMaxBytes }: PeerFetchOptions): (url: unknown, init?: PeerRequestInit) => Promise<PeerResponse> {
+export function createPeerFetch ({ agent, timeoutMs, bodyTimeoutMs, responseSizeMaxBytes }: PeerFetchOptions): (url: unknown, init?: PeerRequestInit) => Promise<PeerResponse> {
   return (url, init = {}) => new Promise((resolve, reject) => {
     const body = typeof init.body === 'string' ? Buffer.from(init.body) : undefined
     const headers = { ...(init.headers as Record<string, string>), ...(body === undefined ? {} : { 'content-length': String(body.length) }) }
     const outgoing = request(String(url), { agent, method: init.method ?? 'GET', headers, signal: init.signal ?? undefined })
-    const deadline = setTimeout(() => outgoing.destroy(new Error(`peer did not respond within ${timeoutMs} ms`)), timeoutMs)
+    const destroyAfter = (durationMs: number, reason: string): NodeJS.Timeout => setTimeout(() => outgoing.destroy(new Error(`peer ${reason} within ${durationMs} ms`)), durationMs)
+    let deadline = destroyAfter(timeoutMs, 'did not respond')
     const settle = (action: () => void): void => {
       clearTimeout(deadline)
       action()
     }
     outgoing.on('error', error => settle(() => reject(error)))
     outgoing.on('response', incoming => {
+      if (bodyTimeoutMs !== undefined) {
+        clearTimeout(deadline)
+        deadline = destroyAfter(bodyTimeoutMs, 'did not complete its response')
+      }
       readText(incoming, responseSizeMaxBytes).then(
         text => settle(() => resolve(toResponse(incoming.statusCode ?? 0, text))),
         (error: Error) => {
@@ -69,7 +78,7 @@
     if (sizeBytes > sizeMaxBytes) throw new Error(`peer response exceeds ${sizeMaxBytes} bytes`)
     chunks.push(chunk as Buffer)
   }
-  return Buffer.concat(chunks).toString('utf8')
+  return decodePeerBody(Buffer.concat(chunks), incoming.headers['content-encoding'], sizeMaxBytes)
 }
 
 function toResponse (status: number, text: string): PeerResponse {
--- a/packages/membership/src/transport/trpcHandler.ts
+++ b/packages/membership/src/transport/trpcHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { callTRPCProcedure, getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError, type AnyRouter, type TRPCProcedureType } from '@trpc/server'
 import { getHTTPStatusCodeFromError } from '@trpc/server/http'
+import { encodePeerBody } from './peerBody.js'
 
 /**
  * A request to a procedure of a router.
@@ -36,23 +37,23 @@
       signal: undefined,
       batchIndex: 0
     })
-    sendJson(response, 200, { result: { data } })
+    sendJson({ request, response }, 200, { result: { data } })
   } catch (cause) {
-    sendError({ router, path, type, response }, cause)
+    sendError({ router, path, type, request, response }, cause)
   }
 }
 
-function sendError ({ router, path, type, response }: { router: AnyRouter, path: string, type: TRPCProcedureType, response: ServerResponse }, cause: unknown): void {
+function sendError ({ router, path, type, request, response }: Pick<ProcedureRequest, 'router' | 'path' | 'request' | 'response'> & { type: TRPCProcedureType }, cause: unknown): void {
   const error = getTRPCErrorFromUnknown(cause)
   const shape = getTRPCErrorShape({ config: router._def._config, error, type, path, input: undefined, ctx: {} })
   // The rest of an oversized body is not read, so that the connection cannot be reused.
   if (error.code === 'PAYLOAD_TOO_LARGE') response.setHeader('connection', 'close')
-  sendJson(response, getHTTPStatusCodeFromError(error), { error: shape })
+  sendJson({ request, response }, getHTTPStatusCodeFromError(error), { error: shape })
 }
 
-function sendJson (response: ServerResponse, statusCode: number, value: unknown): void {
-  const body = Buffer.from(JSON.stringify(value))
-  response.writeHead(statusCode, { 'content-type': 'application/json', 'content-length': body.length })
+function sendJson ({ request, response }: Pick<ProcedureRequest, 'request' | 'response'>, statusCode: number, value: unknown): void {
+  const { body, headers } = encodePeerBody(value, request.headers['accept-encoding']?.toString())
+  response.writeHead(statusCode, headers)
   response.end(body)
 }
 
