Give each step of propagation a share of the stated bounds

What callers saw: CONFIG, requests handled by a configuration that had been replaced for longer than config-apply, or contact after a disturbance.

Readers waited 0.9 to 1.5 s after a cut, because their backoff grew with the whole fleet, up to 14 s after an outage; relays that did not respond were tried one after the other, 1.1 s each; and a follower whose relays all failed read the store every 4 s only.

Evidence: 1.02 s between the cut and the next call in the timeline; the simulated fleet.

Change: propagationBudget divides the bounds of the settings file (bounds.config-apply, bounds.contact) among the steps. StoreReader reads all records at once when the history is lost and retries by its own failures. RelayReader waits at one relay only and then queries the others and readers of two other failure domains together. Without a relay that responds, an instance reads the store itself within the bound. Responses have separate timeouts for head and body.

Measured: the sums of all paths are tested against the bounds of three deployments.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,7 +1,7 @@
 import type { Registry } from 'prom-client'
 import {
-  ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, Readiness, Registration, RoutingHolder, selectRelays, TargetRegistry,
+  ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
@@ -69,6 +69,7 @@
     const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, memberKey, registry } = options
     const { kernel } = this
     const timer = new DeadlineTimer()
+    const budget = propagationBudget(settings.propagationBounds)
     const cache = new DeploymentCache({ decode: decodeRecord, log })
     this.deploymentCache = cache
     kernel.register('knowledge', { dump: () => cache.dump() })
@@ -146,9 +147,10 @@
     kernel.register('follower', new DeploymentWatcher({
       store,
       deploymentCache: cache,
-      queryPeer: createPeerFeedClient(peerLinks),
+      queryPeer: createPeerFeedClient(peerLinks, budget),
+      budget,
       peerUrls: () => this.peerUrls(),
-      relays: () => selectRelays({ members: cache.members(), instanceId: settings.instanceId, failureDomain: settings.failureDomain }),
+      relays: createRelaySelector({ members: () => cache.members(), instanceId: settings.instanceId, failureDomain: settings.failureDomain }),
       log,
       onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -144,6 +144,7 @@
     metricsListen: listen,
     seedPeerUrls: [],
     storeUrl,
+    propagationBounds: { configApplyMs: 2_000, contactMs: 3_000 },
     leaseMinMs: 1_000,
     stopGraceMs: 1_000,
     directoryTtlMaxMs: 100,
--- a/packages/gateway/src/deployment/ChangeStore.ts
+++ b/packages/gateway/src/deployment/ChangeStore.ts
@@ -28,11 +28,20 @@
  */
 export type ChangesFailure = { kind: 'history-lost' } | { kind: 'unavailable', reason: string }
 
+/**
+ * Options of a read.
+ * @public
+ */
+export interface ReadOptions {
+  /** Time for the head of the response, beyond a wait that is part of the call. */
+  responseTimeoutMs?: number
+}
+
 /**
  * Options for reading a page of records.
  * @public
  */
-export interface ListOptions {
+export interface ListOptions extends ReadOptions {
   /** Key after which the page begins. */
   after?: string | undefined
   /** Whether the records may be seconds old, which costs the store less. */
@@ -47,7 +56,7 @@
   /** Reads the records whose keys begin with the prefix. */
   listPage(prefix: string, options?: ListOptions): Promise<Result<RecordPage, StoreFailure>>
   /** Waits up to `waitMs` for changes below the prefix. */
-  changesAfter(prefix: string, revision: number, waitMs: number): Promise<Result<ChangeBatch, ChangesFailure>>
+  changesAfter(prefix: string, revision: number, waitMs: number, options?: ReadOptions): Promise<Result<ChangeBatch, ChangesFailure>>
   /** Writes a key under a lease. The error `lease-ended` means that nothing was written. */
   put(key: string, value: string, leaseId: string): Promise<Result<void, StoreFailure>>
   grantLease(ttlMs: number): Promise<Result<Lease, StoreFailure>>
--- a/packages/gateway/src/deployment/DeploymentWatcher.test.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.test.ts
@@ -6,12 +6,15 @@
 import type { ChangeBatch, ChangesFailure, ListOptions, RecordPage } from './ChangeStore.js'
 import { DeploymentCache } from './DeploymentCache.js'
 import type { FeedResponse } from './DeploymentFeed.js'
-import { DeploymentWatcher, type Relays } from './DeploymentWatcher.js'
-import { RESPONSE_MARGIN_MS } from './PeerFeedClient.js'
+import { DeploymentWatcher } from './DeploymentWatcher.js'
+import { propagationBudget } from './propagationBudget.js'
+import type { Relays } from './selectRelays.js'
 
 /** Time within which a configuration must take effect, by the platform's bounds. */
 const CONFIGURATION_APPLY_MS = 2_000
 
+const BUDGET = propagationBudget({ configApplyMs: CONFIGURATION_APPLY_MS, contactMs: 3_000 })
+
 const FOREIGN = { kind: 'foreign' } as const
 
 /** Store whose responses are set by the test. */
@@ -56,7 +59,7 @@
   beforeEach(() => {
     clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }) as never
     store = new ScriptedStore()
-    relays = { urls: [], isSubstitute: true }
+    relays = { urls: [], distantUrls: [], isSubstitute: true }
     relayAgeMs = 0
     queriedUrls = []
     isRelayFrozen = false
@@ -68,7 +71,7 @@
       queryPeer: async (url, { waitMs }): Promise<Result<FeedResponse, string>> => {
         queriedUrls.push(url)
         if (isRelayFrozen) {
-          await new Promise(resolve => setTimeout(resolve, waitMs + RESPONSE_MARGIN_MS))
+          await new Promise(resolve => setTimeout(resolve, waitMs + BUDGET.relayResponseMs))
           return Result.err('no answer')
         }
         if (relayAgeMs < 1_400) await new Promise(resolve => setTimeout(resolve, Math.min(waitMs, 500)))
@@ -76,6 +79,7 @@
       },
       peerUrls: () => ['http://peer'],
       relays: () => relays,
+      budget: BUDGET,
       log,
       random: () => 0.5
     })
@@ -143,7 +147,7 @@
   })
 
   describe('that follows another instance', () => {
-    beforeEach(() => { relays = { urls: ['http://reader'], isSubstitute: true } })
+    beforeEach(() => { relays = { urls: ['http://reader'], distantUrls: [], isSubstitute: true } })
 
     it('makes only the first call to the store', async () => {
       await follower.start()
@@ -171,7 +175,7 @@
     })
 
     it('guards against a storm of calls while the store is unavailable: an instance that is not a substitute reads it every few seconds', async () => {
-      relays = { urls: ['http://reader', 'http://substitute'], isSubstitute: false }
+      relays = { urls: ['http://reader', 'http://substitute'], distantUrls: ['http://distant'], isSubstitute: false }
       await follower.start()
       await clock.tickAsync(2_000)
       relayAgeMs = 1_500
@@ -187,6 +191,23 @@
       expect(queriedUrls).to.include('http://substitute')
     })
 
+    it('guards against own reads that are rarer than the time to apply a configuration while no relay responds', async () => {
+      relays = { urls: ['http://reader', 'http://substitute'], distantUrls: ['http://distant'], isSubstitute: false }
+      await follower.start()
+      await clock.tickAsync(2_000)
+      isRelayFrozen = true
+      const callsAtMs: number[] = []
+      store.changesAfter = async () => {
+        callsAtMs.push(performance.now())
+        return Result.err({ kind: 'unavailable', reason: 'away' })
+      }
+      const frozenAtMs = performance.now()
+      await clock.tickAsync(10_000)
+      const intervalsMs = callsAtMs.map((atMs, index) => atMs - (callsAtMs[index - 1] ?? frozenAtMs))
+      expect(Math.max(...intervalsMs)).to.be.below(CONFIGURATION_APPLY_MS)
+      expect(Math.min(...intervalsMs.slice(1))).to.be.above(CONFIGURATION_APPLY_MS / 2)
+    })
+
     it('guards against treating a first read, which may be seconds old, as fresh: its age is unconfirmed', async () => {
       isRelayFrozen = true
       await follower.start()
@@ -196,7 +217,7 @@
     })
 
     it('guards against querying all peers forever after an outage of the store: the relays are queried again', async () => {
-      relays = { urls: ['http://reader'], isSubstitute: false }
+      relays = { urls: ['http://reader'], distantUrls: [], isSubstitute: false }
       await follower.start()
       await clock.tickAsync(2_000)
       relayAgeMs = 1_500
--- a/packages/gateway/src/deployment/DeploymentWatcher.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.ts
@@ -1,35 +1,18 @@
 import type { EventLog, Service } from '@carobpitch/kernel'
-import { Backoff } from '@carobpitch/membership'
-import type { StoredValue } from '@carobpitch/store'
 import type { ChangeStore } from './ChangeStore.js'
 import type { ChangeSource, DeploymentCache } from './DeploymentCache.js'
 import type { FeedResponse } from './DeploymentFeed.js'
 import type { QueryPeer } from './PeerFeedClient.js'
+import type { PropagationBudget } from './propagationBudget.js'
 import { PropagationWaits, type PropagationStep } from './PropagationWaits.js'
 import { RelayReader } from './RelayReader.js'
+import type { Relays } from './selectRelays.js'
+import { StoreReader } from './StoreReader.js'
 
-/** Longest wait of one read of changes. Instances that follow this one rely on the age of its cache, so a lost connection must show within the time for a configuration to take effect. */
-const STORE_WAIT_MS = 1_000
-/** Pause between two reads of changes, which batches changes that come close together into one call. */
-const STORE_PAUSE_MS = 300
-/** Pause before the relays are queried again when none of them was recent enough. */
-const RELAY_PAUSE_MS = 200
-/** Interval at which an instance that does not read for others reads the store itself while no relay is recent enough. */
-const OWN_READ_INTERVAL_MS = 4_000
-/** Time without a response of the store after which records may have lapsed because of its outage. */
-const OUTAGE_MS = 1_000
 /** Age of a cache that the store has not yet confirmed; finite because it is sent to peers. */
 const NEVER_CONFIRMED_AGE_MS = 3_600_000
-/** Longest wait of one query to a peer while the store does not respond. */
-const PEER_WAIT_MS = 1_000
-/** Pause after a peer that had no changes or did not respond. */
-const PEER_PAUSE_MS = 300
 /** Exponent by which near peers are queried more often than distant ones; half of the queries go to the nearest eighth. */
 const NEAR_PEER_BIAS = 3
-/** Age of the cache from which on its confirmation is logged with the waits that preceded it. */
-const LOGGED_AGE_MS = 1_500
-/** Time without a response of the store after which peers are queried. */
-const PEER_QUERY_AFTER_MS = 500
 
 /**
  * Options of `DeploymentWatcher`.
@@ -43,46 +26,47 @@
   peerUrls: () => readonly string[]
   /** Peers whose caches are followed instead of the store. */
   relays: () => Relays
+  /** Times of the steps by which a change reaches this instance. */
+  budget: PropagationBudget
   log: EventLog
   random?: () => number
   /** Called after each wait for the store or another instance. */
   onWait?: (step: PropagationStep, elapsedMs: number) => void
 }
 
-/**
- * The instances that read the store and pass its changes on to this one.
- * @public
- */
-export interface Relays {
-  /** URLs of their peer listeners in order of precedence; none if this instance comes first. */
-  urls: readonly string[]
-  /** Whether this instance reads the store when all relays fail. If every instance did, each fault of the store would cause a call by all of them. */
-  isSubstitute: boolean
-}
-
 /**
  * Keeps the deployment cache up to date: from the store or its relays, and from peers while the store is unavailable to this instance.
  * @public
  */
 export class DeploymentWatcher implements Service {
   private readonly options: Required<DeploymentWatcherOptions>
-  private readonly backoff: Backoff
   private readonly waits: PropagationWaits
+  private readonly storeReader: StoreReader
+  private readonly relayReader: RelayReader
   private isRunning = false
   /** Time when the store last confirmed the cache. */
   private confirmedAtMs: number | undefined
   private startedAtMs = performance.now()
-  private readonly relayReader: RelayReader
-  /** Time of the last read attempt at the store or of the last response of a relay. */
+  private lastOwnReadAtMs = -Infinity
+  /** Time of the last read attempt at the store or of the last recent response of a relay. */
   private lastContactAtMs = -Infinity
   private isStoreLost = false
-  private lastFailure: string | undefined
+  /** Whether a relay has been recent enough since the last own read. */
+  private hasFollowedRelay = false
+  private peerQueries = 0
 
   constructor (options: DeploymentWatcherOptions) {
     this.options = { random: Math.random, onWait: () => {}, ...options }
+    const { deploymentCache, queryPeer, budget, log } = this.options
     this.waits = new PropagationWaits({ onWait: this.options.onWait })
-    this.relayReader = new RelayReader(this.options)
-    this.backoff = new Backoff({ random: this.options.random, memberCount: () => Math.max(1, options.deploymentCache.members().length) })
+    this.storeReader = new StoreReader({ ...this.options, waits: this.waits })
+    this.relayReader = new RelayReader({
+      queryPeer,
+      budget,
+      apply: (response, revision) => this.applyResponse(response, revision, this.isAfterOutage()),
+      revision: () => deploymentCache.revision(),
+      log
+    })
   }
 
   /** Starts watching. Does not wait for the store, which may be down. */
@@ -104,7 +88,7 @@
   }
 
   dump (): unknown {
-    return { ageMs: this.ageMs(), waits: this.waits.describe(), relays: this.options.relays(), isStoreLost: this.isStoreLost, lastFailure: this.lastFailure }
+    return { ageMs: this.ageMs(), waits: this.waits.describe(), relays: this.options.relays(), isStoreLost: this.isStoreLost, lastFailure: this.storeReader.lastFailure() }
   }
 
   /** Time without a confirmation by the store. */
@@ -114,40 +98,61 @@
 
   /** Whether records may have lapsed because the store was unavailable. */
   private isAfterOutage (): boolean {
-    return this.unconfirmedMs() > STORE_WAIT_MS + OUTAGE_MS
+    return this.unconfirmedMs() > this.options.budget.peerQueryAfterMs
   }
 
   private async watchStore (): Promise<void> {
-    let mustReadAll = true
-    let isFirst = true
     while (this.isRunning) {
-      if (!mustReadAll && await this.readRelays()) continue
-      const isAfterOutage = this.isAfterOutage()
-      this.lastContactAtMs = performance.now()
-      const outcome: 'ok' | 'failed' | 'history-lost' = mustReadAll ? await this.readAll(isAfterOutage, isFirst) : await this.readChanges(isAfterOutage)
-      if (outcome === 'history-lost') mustReadAll = true
-      else if (outcome === 'ok') mustReadAll = false
-      isFirst &&= outcome === 'failed'
-      if (outcome === 'failed') await this.waits.measure('store-retry', pause(this.backoff.nextDelayMs()))
-      else await this.waits.measure('store-pause', pause(STORE_PAUSE_MS))
+      if (!this.storeReader.isEmpty() && await this.readRelays()) continue
+      await this.readStore()
+    }
+  }
+
+  private async readStore (): Promise<void> {
+    const { budget } = this.options
+    this.lastOwnReadAtMs = this.lastContactAtMs = performance.now()
+    const outcome = await this.storeReader.read({ isAfterOutage: this.isAfterOutage(), mayWait: !this.hasFollowedRelay })
+    this.hasFollowedRelay = false
+    switch (outcome) {
+      case 'confirmed': {
+        this.recordConfirmation(0, 'store')
+        await this.waits.measure('store-pause', pause(budget.storePauseMs))
+        break
+      }
+      case 'unconfirmed': {
+        this.recordStoreFound()
+        break
+      }
+      case 'failed': {
+        this.recordStoreLost()
+        await this.waits.measure('store-retry', pause(this.storeReader.retryDelayMs()))
+      }
     }
   }
 
   /** Reads changes from the relays. Returns `false` if this instance has to read the store itself. */
   private async readRelays (): Promise<boolean> {
-    const { deploymentCache, relays } = this.options
-    const { urls, isSubstitute } = relays()
-    if (urls.length === 0) return false
-    const revision = deploymentCache.revision()
-    const response = await this.waits.measure('relay', this.relayReader.read(urls, revision))
-    if (response !== undefined) {
-      this.applyResponse(response, revision, this.isAfterOutage())
-      this.recordStoreResponse(response.ageMs, 'peer')
-      this.lastContactAtMs = performance.now()
-      return true
+    const { budget } = this.options
+    const relays = this.options.relays()
+    if (relays.urls.length === 0) return false
+    const outcome = await this.waits.measure('relay', this.relayReader.read(relays))
+    switch (outcome.kind) {
+      case 'fresh': {
+        this.lastContactAtMs = performance.now()
+        this.hasFollowedRelay = true
+        this.storeReader.resetFailures()
+        this.recordConfirmation(outcome.ageMs, 'peer')
+        return true
+      }
+      case 'stale': {
+        if (performance.now() - this.lastContactAtMs > budget.idleReadIntervalMs) return false
+        break
+      }
+      case 'unreachable': {
+        if (relays.isSubstitute || performance.now() - this.lastOwnReadAtMs > budget.ownReadIntervalMs) return false
+      }
     }
-    if (isSubstitute || performance.now() - this.lastContactAtMs > OWN_READ_INTERVAL_MS) return false
-    await this.waits.measure('relay-pause', pause(RELAY_PAUSE_MS))
+    await this.waits.measure('relay-pause', pause(budget.relayPauseMs))
     return true
   }
 
@@ -159,86 +164,44 @@
     return true
   }
 
-  /**
-   * Reads all records.
-   * @param isFirst whether the cache is empty; cheap reads that may be seconds old suffice then, because the changes
-   * after them are read next
-   */
-  private async readAll (isAfterOutage: boolean, isFirst: boolean): Promise<'ok' | 'failed'> {
-    const { store, deploymentCache } = this.options
-    const records: StoredValue[] = []
-    let revision = Infinity
-    for (let after: string | undefined, hasMore = true; hasMore;) {
-      const page = await this.waits.measure('store-list', store.listPage('', { after, isStaleAllowed: isFirst }))
-      if (page.isErr) return this.recordStoreFailure(page.error.reason)
-      records.push(...page.value.records)
-      // Each page may have another revision; changes after the oldest one are read again.
-      revision = Math.min(revision, page.value.revision)
-      after = records.at(-1)?.key
-      hasMore = page.value.hasMore && after !== undefined
-    }
-    deploymentCache.replace({ records, revision }, 'store', isAfterOutage)
-    this.recordStoreResponse(isFirst ? undefined : 0, 'store')
-    return 'ok'
-  }
-
-  private async readChanges (isAfterOutage: boolean): Promise<'ok' | 'failed' | 'history-lost'> {
-    const { store, deploymentCache, log } = this.options
-    const revision = deploymentCache.revision()
-    const batch = await this.waits.measure('store-watch', store.changesAfter('', revision, STORE_WAIT_MS))
-    if (batch.isErr) {
-      if (batch.error.kind === 'unavailable') return this.recordStoreFailure(batch.error.reason)
-      log.warn('store.history-lost', { revision })
-      return 'history-lost'
-    }
-    this.recordStoreResponse(0, 'store')
-    return deploymentCache.apply(revision, batch.value, 'store', isAfterOutage) ? 'ok' : 'history-lost'
-  }
-
-  /** @param ageMs age of the response; `undefined` if it is unknown */
-  private recordStoreResponse (ageMs: number | undefined, source: ChangeSource): void {
+  private recordStoreFound (): void {
     if (this.isStoreLost) this.options.log.info('store.regained', { awayMs: Math.round(this.unconfirmedMs()) })
     this.isStoreLost = false
-    if (ageMs !== undefined) this.recordConfirmation(ageMs, source)
-    this.backoff.reset()
   }
 
   private recordConfirmation (ageMs: number, source: ChangeSource): void {
+    this.recordStoreFound()
     const confirmedAtMs = performance.now() - ageMs
     if (confirmedAtMs <= (this.confirmedAtMs ?? -Infinity)) return
     const unconfirmedMs = this.unconfirmedMs()
-    if (unconfirmedMs > LOGGED_AGE_MS) {
-      const { deploymentCache, log } = this.options
+    const { deploymentCache, budget, log } = this.options
+    if (unconfirmedMs > budget.peerQueryAfterMs) {
       log.info('knowledge.confirmed', { source, revision: deploymentCache.revision(), unconfirmedMs: Math.round(unconfirmedMs), ageMs: Math.round(ageMs), waits: this.waits.describe() })
     }
     this.confirmedAtMs = confirmedAtMs
     this.waits.reset()
   }
 
-  private recordStoreFailure (reason: string): 'failed' {
-    if (!this.isStoreLost) this.options.log.warn('store.lost', { reason, revision: this.options.deploymentCache.revision() })
+  private recordStoreLost (): void {
+    if (!this.isStoreLost) this.options.log.warn('store.lost', { reason: this.storeReader.lastFailure(), revision: this.options.deploymentCache.revision() })
     this.isStoreLost = true
-    this.lastFailure = reason
-    return 'failed'
   }
 
   private async watchPeers (): Promise<void> {
+    const { budget } = this.options
     while (this.isRunning) {
-      const isNeeded = this.isStoreLost || this.unconfirmedMs() > STORE_WAIT_MS + PEER_QUERY_AFTER_MS
+      const isNeeded = this.isStoreLost || this.unconfirmedMs() > budget.peerQueryAfterMs
       const hasNewRevision = isNeeded && await this.queryOnePeer()
-      if (!hasNewRevision) await pause(PEER_PAUSE_MS)
+      if (!hasNewRevision) await pause(budget.relayPauseMs)
     }
   }
 
   private async queryOnePeer (): Promise<boolean> {
-    const { deploymentCache, queryPeer, peerUrls, log, random } = this.options
-    const urls = peerUrls()
-    // Prefers near peers, because traffic between failure domains is expensive, but also queries distant ones, because the
-    // near peers may be cut off from the store like this instance.
-    const url = urls[Math.floor(random() ** NEAR_PEER_BIAS * urls.length)]
+    const { deploymentCache, queryPeer, budget, log } = this.options
+    const url = this.nextPeerUrl()
     if (url === undefined) return false
     const revision = deploymentCache.revision()
-    const response = await this.waits.measure('peer', queryPeer(url, { revision, waitMs: PEER_WAIT_MS }))
+    const response = await this.waits.measure('peer', queryPeer(url, { revision, waitMs: budget.relayWaitMs }))
     if (response.isErr) {
       log.debug('peer.no-answer', { url, reason: response.error })
       return false
@@ -246,6 +209,16 @@
     if (this.applyResponse(response.value, revision, true)) this.recordConfirmation(response.value.ageMs, 'peer')
     return deploymentCache.revision() > revision
   }
+
+  /** Alternates between the readers of other failure domains and any peer, near ones more often because distant traffic is expensive. */
+  private nextPeerUrl (): string | undefined {
+    const { peerUrls, relays, random } = this.options
+    const { distantUrls } = relays()
+    this.peerQueries += 1
+    if (this.peerQueries % 2 === 1 && distantUrls.length > 0) return distantUrls[Math.floor(random() * distantUrls.length)]
+    const urls = peerUrls()
+    return urls[Math.floor(random() ** NEAR_PEER_BIAS * urls.length)]
+  }
 }
 
 async function pause (durationMs: number): Promise<void> {
--- a/packages/gateway/src/deployment/RelayReader.ts
+++ b/packages/gateway/src/deployment/RelayReader.ts
@@ -1,62 +1,104 @@
-import { Result } from 'true-myth'
 import type { EventLog } from '@carobpitch/kernel'
 import type { FeedResponse } from './DeploymentFeed.js'
 import type { QueryPeer } from './PeerFeedClient.js'
+import type { PropagationBudget } from './propagationBudget.js'
+import type { Relays } from './selectRelays.js'
 
-/** Largest accepted age of a relay's cache: one wait at the store, one pause and the response. @internal */
-export const RELAY_AGE_MAX_MS = 1_400
-/** Longest wait of one query to a relay. A frozen relay is detected after it, within the time for a configuration to take effect. */
-const RELAY_WAIT_MS = 800
 /** Time for which a relay is skipped after it did not respond; instances freeze for a few seconds. */
 const UNRESPONSIVE_RELAY_SKIP_MS = 6_000
-/** Time for which a relay is skipped that refused, is just starting or was not recent enough; another may be reading the store by then. */
-const REFUSED_RELAY_SKIP_MS = 200
 
 /**
  * Options of `RelayReader`.
- * @public
+ * @internal
  */
 export interface RelayReaderOptions {
   queryPeer: QueryPeer
+  budget: PropagationBudget
+  /** Applies a response to the cache. Changes of a relay that is too old are valid as well, they only confirm nothing. */
+  apply: (response: FeedResponse, revision: number) => void
+  revision: () => number
   log: EventLog
 }
 
 /**
- * Queries the instances that read the store for this one, up to the first whose cache is recent enough.
+ * Result of a round of queries. `stale`: relays in several failure domains have responded, but none has reached the store recently;
+ * `unreachable`: too few have responded to conclude that.
+ * @internal
+ */
+export type RelayReadOutcome = { kind: 'fresh', ageMs: number } | { kind: 'stale' } | { kind: 'unreachable' }
+
+/** What one query has shown. */
+type QueryOutcome = { kind: 'fresh', ageMs: number } | { kind: 'stale' | 'unresponsive' }
+
+/**
+ * Queries the instances that read the store for this one.
  * @internal
  */
 export class RelayReader {
   private readonly options: RelayReaderOptions
   private readonly skippedUntilMs = new Map<string, number>()
+  /** Relays that responded, but not recent enough. They are queried after the others. */
+  private readonly demotedUntilMs = new Map<string, number>()
 
   constructor (options: RelayReaderOptions) {
     this.options = options
   }
 
-  /** Waits for changes after a revision. Returns `undefined` if no relay is recent enough. */
-  async read (urls: readonly string[], revision: number): Promise<FeedResponse | undefined> {
-    for (const url of urls) {
-      if (performance.now() < (this.skippedUntilMs.get(url) ?? 0)) continue
-      const response = await this.query(url, revision)
-      if (response.isOk) return response.value
-      this.options.log.info('relay.refused', { url, reason: response.error })
-    }
-    this.dropExpired()
-    return undefined
+  /** Waits for changes at the first relay. If that fails, queries all others at once, so that their timeouts do not add up. */
+  async read ({ urls, distantUrls, isSubstitute }: Relays): Promise<RelayReadOutcome> {
+    const { budget } = this.options
+    dropExpired(this.skippedUntilMs)
+    dropExpired(this.demotedUntilMs)
+    const responsive = urls.filter(url => !this.skippedUntilMs.has(url))
+    const [primary, ...others] = [...responsive.filter(url => !this.demotedUntilMs.has(url)), ...responsive.filter(url => this.demotedUntilMs.has(url))]
+    const first = primary === undefined ? undefined : await this.query(primary, budget.relayWaitMs)
+    if (first?.kind === 'fresh') return first
+    if (isSubstitute) return { kind: 'unreachable' }
+    return await this.queryAll(others, distantUrls.filter(url => !this.skippedUntilMs.has(url)), first)
   }
 
-  private async query (url: string, revision: number): Promise<Result<FeedResponse, string>> {
+  private async queryAll (others: readonly string[], distant: readonly string[], first: QueryOutcome | undefined): Promise<RelayReadOutcome> {
+    const nearQueries = others.map(async url => await this.query(url, 0))
+    const distantQueries = distant.map(async url => await this.query(url, 0))
+    const fresh = await firstFresh([...nearQueries, ...distantQueries])
+    if (fresh !== undefined) return fresh
+    const near = [...(first === undefined ? [] : [first]), ...await Promise.all(nearQueries)]
+    const isStaleIn = (outcomes: readonly QueryOutcome[]): boolean => outcomes.some(({ kind }) => kind === 'stale')
+    return { kind: isStaleIn(near) && isStaleIn(await Promise.all(distantQueries)) ? 'stale' : 'unreachable' }
+  }
+
+  private async query (url: string, waitMs: number): Promise<QueryOutcome> {
+    const { queryPeer, budget, apply, revision, log } = this.options
     const sentAtMs = performance.now()
-    const response = await this.options.queryPeer(url, { revision, waitMs: RELAY_WAIT_MS, ageMaxMs: RELAY_AGE_MAX_MS })
-    if (response.isOk && response.value.ageMs <= RELAY_AGE_MAX_MS) return response
-    const isUnresponsive = response.isErr && performance.now() - sentAtMs >= RELAY_WAIT_MS
-    this.skippedUntilMs.set(url, performance.now() + (isUnresponsive ? UNRESPONSIVE_RELAY_SKIP_MS : REFUSED_RELAY_SKIP_MS))
-    return response.isErr ? response : Result.err(`its cache is ${Math.round(response.value.ageMs)} ms old`)
+    const after = revision()
+    const response = await queryPeer(url, { revision: after, waitMs, ageMaxMs: budget.relayAgeMaxMs })
+    if (response.isOk) apply(response.value, after)
+    if (response.isOk && response.value.ageMs <= budget.relayAgeMaxMs) return { kind: 'fresh', ageMs: response.value.ageMs }
+    const isUnresponsive = response.isErr && performance.now() - sentAtMs >= budget.relayResponseMs
+    if (isUnresponsive) this.skippedUntilMs.set(url, performance.now() + UNRESPONSIVE_RELAY_SKIP_MS)
+    else this.demotedUntilMs.set(url, performance.now() + budget.relayAgeMaxMs)
+    log.info('relay.refused', { url, reason: response.isErr ? response.error : `its cache is ${Math.round(response.value.ageMs)} ms old` })
+    return { kind: response.isErr ? 'unresponsive' : 'stale' }
   }
+}
 
-  private dropExpired (): void {
-    for (const [url, untilMs] of this.skippedUntilMs) {
-      if (untilMs <= performance.now()) this.skippedUntilMs.delete(url)
-    }
+function dropExpired (untilMsByUrl: Map<string, number>): void {
+  for (const [url, untilMs] of untilMsByUrl) {
+    if (untilMs <= performance.now()) untilMsByUrl.delete(url)
   }
 }
+
+/** Resolves with the first fresh outcome, or with `undefined` once all queries have ended without one. */
+async function firstFresh (queries: ReadonlyArray<Promise<QueryOutcome>>): Promise<QueryOutcome & { kind: 'fresh' } | undefined> {
+  return await new Promise(resolve => {
+    let pending = queries.length
+    if (pending === 0) resolve(undefined)
+    for (const query of queries) {
+      query.then(outcome => {
+        pending -= 1
+        if (outcome.kind === 'fresh') resolve(outcome)
+        else if (pending === 0) resolve(undefined)
+      })
+    }
+  })
+}
--- a/packages/gateway/src/deployment/propagation.test.ts
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -28,10 +28,10 @@
     for (const seed of SEEDS) {
       const fleet = new SimulatedFleet({ seed })
       await fleet.start()
-      await clock.tickAsync(10_000 + 170 * seed)
+      await clock.tickAsync(4_000 + 170 * seed)
       await disturb(fleet)
       const startedAtMs = performance.now()
-      await clock.tickAsync(10_000)
+      await clock.tickAsync(2 * CONTACT_MS)
       delaysMs.push(fleet.lastAdoptionAtMs(VERSION, fleet.instances.filter(({ isFrozen }) => !isFrozen)) - startedAtMs)
       await fleet.stop()
     }
--- /dev/null
+++ b/packages/gateway/src/deployment/propagationBudget.test.ts
@@ -0,0 +1,53 @@
+import { expect } from 'chai'
+import { propagationBudget, type PropagationBudget } from './propagationBudget.js'
+
+/** Largest factor by which a delay with jitter exceeds its nominal value. */
+const JITTER_MAX_FACTOR = 1.25
+/** Time of a response of a store without disturbance, and of a complete read of its records. */
+const SOUND_RESPONSE_MS = 50
+const COMPLETE_READ_MS = 200
+
+const DEPLOYMENTS = {
+  'the small deployments': { configApplyMs: 2_000, contactMs: 3_000 },
+  'the grown deployments': { configApplyMs: 2_500, contactMs: 3_000 },
+  'the target size': { configApplyMs: 4_000, contactMs: 4_000 }
+}
+
+/** Steps of the slowest path while the store is sound. */
+const APPLY_PATHS: Record<string, (budget: PropagationBudget) => number[]> = {
+  'a calm fleet': ({ storePauseMs, storeResponseMs, relayHopMs }) => [storePauseMs, storeResponseMs, relayHopMs],
+  'a relay that does not respond': ({ relayWaitMs, relayResponseMs, relayHopMs }) => [relayWaitMs, relayResponseMs, relayResponseMs, SOUND_RESPONSE_MS, relayHopMs],
+  'a relay that is cut off from the store': ({ relayAgeMaxMs, relayResponseMs, relayHopMs }) => [relayAgeMaxMs, relayResponseMs, relayHopMs],
+  'own reads while no relay responds': ({ ownReadIntervalMs, storeResponseMs, relayPauseMs }) => [ownReadIntervalMs, relayPauseMs, storeResponseMs]
+}
+
+/** Steps of the slowest path after the end of a disturbance of the store. */
+const CONTACT_PATHS: Record<string, (budget: PropagationBudget) => number[]> = {
+  'watches that were cut and a history that was dropped': ({ storeRetryMs, relayHopMs }) => [storeRetryMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, COMPLETE_READ_MS, relayHopMs],
+  'a connection that has fallen silent': ({ storeWaitMs, storeResponseMs, storeRetryMs, relayHopMs }) => [storeWaitMs, storeResponseMs, storeRetryMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, relayHopMs],
+  'a store that returns after an outage': ({ storeSlowResponseMs, storeRetryMaxMs, relayHopMs }) => [storeSlowResponseMs, storeRetryMaxMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, COMPLETE_READ_MS, relayHopMs],
+  'the first read of an instance during an outage': ({ storeSlowResponseMs, firstReadRetryMaxMs, relayHopMs }) => [storeSlowResponseMs, firstReadRetryMaxMs * JITTER_MAX_FACTOR, COMPLETE_READ_MS, relayHopMs]
+}
+
+describe('propagationBudget', () => {
+  for (const [deployment, bounds] of Object.entries(DEPLOYMENTS)) {
+    describe(`at the bounds of ${deployment}`, () => {
+      const budget = propagationBudget(bounds)
+      const sumOf = (steps: readonly number[]): number => steps.reduce((sumMs, stepMs) => sumMs + stepMs, 0)
+
+      for (const [path, stepsOf] of Object.entries(APPLY_PATHS)) {
+        it(`guards against steps that together exceed the time to apply a configuration: ${path}`, () => {
+          expect(sumOf(stepsOf(budget))).to.be.below(bounds.configApplyMs)
+        })
+      }
+      for (const [path, stepsOf] of Object.entries(CONTACT_PATHS)) {
+        it(`guards against steps that together exceed contact: ${path}`, () => {
+          expect(sumOf(stepsOf(budget))).to.be.below(bounds.contactMs)
+        })
+      }
+      it('accepts the age of a relay that reads the store without failures', () => {
+        expect(budget.storeWaitMs + budget.storePauseMs + SOUND_RESPONSE_MS).to.be.below(budget.relayAgeMaxMs)
+      })
+    })
+  }
+})
--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -8,8 +8,9 @@
 import { DeploymentCache } from '../DeploymentCache.js'
 import { createDeploymentFeedRouter, type FeedResponse } from '../DeploymentFeed.js'
 import { DeploymentWatcher } from '../DeploymentWatcher.js'
-import { RESPONSE_MARGIN_MS, type QueryPeer } from '../PeerFeedClient.js'
-import { selectRelays } from '../selectRelays.js'
+import type { QueryPeer } from '../PeerFeedClient.js'
+import { propagationBudget, type PropagationBounds } from '../propagationBudget.js'
+import { createRelaySelector, selectRelays, type Relays } from '../selectRelays.js'
 import { SimulatedLink, sleep } from './SimulatedLink.js'
 import { SimulatedStore } from './SimulatedStore.js'
 
@@ -18,7 +19,6 @@
 const MEMBER_PREFIX = 'carobpitch/members/'
 const LATENCY_MS = 1
 const HEAD_SIZE_BYTES = 200
-const STORE_TIMEOUT_MS = 1_000
 /** Processor time of one message on a whole core, and of one kilobyte of it. */
 const MESSAGE_MS = 0.5
 const MESSAGE_MS_PER_KB = 0.015
@@ -26,6 +26,7 @@
 /** Options of `SimulatedFleet`. @internal */
 export interface SimulatedFleetOptions {
   seed?: number
+  bounds?: PropagationBounds
   failureDomains?: number
   instancesPerDomain?: number
   /** Instances of each failure domain with the fast link and a whole core; the others have the slow link and `slowCpuShare`. */
@@ -61,7 +62,7 @@
   private readonly random: () => number
 
   constructor (options: SimulatedFleetOptions = {}) {
-    this.options = { seed: 1, failureDomains: 4, instancesPerDomain: 29, fastInstancesPerDomain: 2, fastLinkMbps: 140, slowLinkMbps: 7, slowCpuShare: 0.27, targets: 186, ...options }
+    this.options = { seed: 1, bounds: { configApplyMs: 2_500, contactMs: 3_000 }, failureDomains: 4, instancesPerDomain: 29, fastInstancesPerDomain: 2, fastLinkMbps: 140, slowLinkMbps: 7, slowCpuShare: 0.27, targets: 186, ...options }
     this.random = createRandom(this.options.seed)
     for (let index = 0; index < this.options.targets; index += 1) this.store.put(`${TARGET_PREFIX}${index}`, JSON.stringify(targetRecord(index)))
     this.confirmConfiguration(3)
@@ -100,7 +101,7 @@
       .sort((first, second) => this.relaysOf(first.record).urls.length - this.relaysOf(second.record).urls.length)
   }
 
-  private relaysOf ({ instanceId, failureDomain }: MemberRecord) {
+  private relaysOf ({ instanceId, failureDomain }: MemberRecord): Relays {
     return selectRelays({ members: this.instances.map(({ record }) => record), instanceId, failureDomain })
   }
 
@@ -116,11 +117,12 @@
     const log = new EventLog({ silent: true })
     const cache = new DeploymentCache({ decode, log })
     const watcher = new DeploymentWatcher({
-      store: this.store.clientOf({ id: instanceId, link: downlink, responseTimeoutMs: STORE_TIMEOUT_MS }),
+      store: this.store.clientOf({ id: instanceId, link: downlink }),
       deploymentCache: cache,
       queryPeer: async (url, request) => await this.query(instance, url, request),
       peerUrls: () => cache.members().map(member => member.peerUrl).filter(url => url !== peerUrl),
-      relays: () => selectRelays({ members: cache.members(), instanceId, failureDomain }),
+      relays: createRelaySelector({ members: () => cache.members(), instanceId, failureDomain }),
+      budget: propagationBudget(this.options.bounds),
       log,
       random: this.random
     })
@@ -138,28 +140,42 @@
   private async query (sender: SimulatedInstance, url: string, request: Parameters<QueryPeer>[1]): Promise<Result<FeedResponse, string>> {
     const receiver = this.byUrl.get(url)
     if (receiver === undefined) return Result.err('no such peer')
-    const timeoutMs = request.waitMs + RESPONSE_MARGIN_MS
-    return await Promise.race([
-      this.exchange(sender, receiver, request),
-      sleep(timeoutMs).then(() => Result.err<FeedResponse, string>(`peer did not respond within ${timeoutMs} ms`))
-    ])
+    const { relayResponseMs, transferMs } = propagationBudget(this.options.bounds)
+    const head = await withTimeout(this.respond(sender, receiver, request), request.waitMs + relayResponseMs)
+    if (head === undefined) return Result.err(`peer did not respond within ${request.waitMs + relayResponseMs} ms`)
+    const body = await withTimeout(this.transfer(sender, receiver, head), transferMs)
+    return body === undefined ? Result.err(`peer did not complete its response within ${transferMs} ms`) : Result.ok(body)
   }
 
-  private async exchange (sender: SimulatedInstance, receiver: SimulatedInstance, request: Parameters<QueryPeer>[1]): Promise<Result<FeedResponse, string>> {
+  private async respond (sender: SimulatedInstance, receiver: SimulatedInstance, request: Parameters<QueryPeer>[1]): Promise<FeedResponse> {
     await sleep(LATENCY_MS)
     if (sender.isFrozen || receiver.isFrozen) await new Promise(() => {})
     const response = await receiver.feed.changesAfter(request)
     if (receiver.isFrozen) await new Promise(() => {})
-    const sizeBytes = encodePeerBody(response, 'gzip').body.length + HEAD_SIZE_BYTES
-    await receiver.processor.occupy(processorMs(sizeBytes) / receiver.cpuShare)
+    await receiver.processor.occupy(processorMs(sizeOf(response)) / receiver.cpuShare)
+    await receiver.uplink.transfer(HEAD_SIZE_BYTES)
+    return response
+  }
+
+  private async transfer (sender: SimulatedInstance, receiver: SimulatedInstance, response: FeedResponse): Promise<FeedResponse> {
+    const sizeBytes = sizeOf(response)
     await receiver.uplink.transfer(sizeBytes)
     await sleep(LATENCY_MS)
     await sender.downlink.transfer(sizeBytes)
     await sender.processor.occupy(processorMs(sizeBytes) / sender.cpuShare)
-    return Result.ok(response)
+    return response
   }
 }
 
+/** Resolves with `undefined` if the promise does not resolve in time. */
+async function withTimeout<T> (promise: Promise<T>, timeoutMs: number): Promise<T | undefined> {
+  return await Promise.race([promise, sleep(timeoutMs).then(() => undefined)])
+}
+
+function sizeOf (response: FeedResponse): number {
+  return encodePeerBody(response, 'gzip').body.length
+}
+
 /** Returns a seeded generator of numbers in [0, 1). */
 function createRandom (seed: number): () => number {
   let state = seed >>> 0
--- a/packages/gateway/src/deployment/testing/SimulatedStore.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedStore.ts
@@ -4,6 +4,7 @@
 import { type SimulatedLink, sleep } from './SimulatedLink.js'
 
 const RESPONSE_MS = 4
+const RESPONSE_TIMEOUT_MS = 1_000
 const PAGE_SIZE = 50
 /** Base64 and the names of the fields add about this much to a value. */
 const WIRE_SIZE_FACTOR = 1.4
@@ -15,7 +16,6 @@
 export interface StoreCaller {
   id: string
   link: SimulatedLink
-  responseTimeoutMs: number
 }
 
 /**
@@ -63,7 +63,7 @@
   clientOf (caller: StoreCaller): Pick<ChangeStore, 'listPage' | 'changesAfter'> {
     return {
       listPage: async (_prefix, options) => await this.listPage(caller, options ?? {}),
-      changesAfter: async (_prefix, revision, waitMs) => await this.changesAfter(caller, revision, waitMs)
+      changesAfter: async (_prefix, revision, waitMs, options) => await this.changesAfter(caller, revision, waitMs, options?.responseTimeoutMs)
     }
   }
 
@@ -72,8 +72,8 @@
     if (!this.areWatchesSilent) for (const { wake } of [...this.watches]) wake()
   }
 
-  private async listPage (caller: StoreCaller, { after = '' }: ListOptions): Promise<Result<RecordPage, StoreFailure>> {
-    const refusal = await this.receive(caller, 0)
+  private async listPage (caller: StoreCaller, { after = '', responseTimeoutMs = RESPONSE_TIMEOUT_MS }: ListOptions): Promise<Result<RecordPage, StoreFailure>> {
+    const refusal = await this.receive(caller, responseTimeoutMs)
     if (refusal !== undefined) return Result.err({ effect: 'none', reason: refusal })
     const keys = [...this.records.keys()].filter(key => key > after).sort()
     const records = keys.slice(0, PAGE_SIZE).map(key => this.records.get(key) as StoredValue)
@@ -82,11 +82,11 @@
     return Result.ok({ records, revision, hasMore: keys.length > PAGE_SIZE })
   }
 
-  private async changesAfter (caller: StoreCaller, revision: number, waitMs: number): Promise<Result<ChangeBatch, ChangesFailure>> {
-    const refusal = await this.receive(caller, waitMs)
+  private async changesAfter (caller: StoreCaller, revision: number, waitMs: number, responseTimeoutMs = RESPONSE_TIMEOUT_MS): Promise<Result<ChangeBatch, ChangesFailure>> {
+    const refusal = await this.receive(caller, waitMs + responseTimeoutMs)
     if (refusal !== undefined) return Result.err({ kind: 'unavailable', reason: refusal })
     if (revision < this.historyStart) return Result.err({ kind: 'history-lost' })
-    const end = await this.wait(revision, waitMs, caller.responseTimeoutMs)
+    const end = await this.wait(revision, waitMs, responseTimeoutMs)
     if (end === 'cut') return Result.err({ kind: 'unavailable', reason: 'read ECONNRESET' })
     if (end === 'timeout') return Result.err({ kind: 'unavailable', reason: 'no response' })
     const events = this.events.filter(event => (event.kind === 'put' ? event.value.modRevision : event.modRevision) > revision)
@@ -96,14 +96,14 @@
   }
 
   /** Returns the reason if the call gets no regular response. */
-  private async receive ({ id, responseTimeoutMs }: StoreCaller, waitMs: number): Promise<string | undefined> {
+  private async receive ({ id }: StoreCaller, timeoutMs: number): Promise<string | undefined> {
     this.calls += 1
     await sleep(RESPONSE_MS)
     switch (this.behaviourFor(id)) {
       case 'serve': return undefined
       case 'busy': return 'status 503'
       case 'silent': {
-        await sleep(waitMs + responseTimeoutMs - RESPONSE_MS)
+        await sleep(timeoutMs - RESPONSE_MS)
         return 'no response'
       }
     }
--- a/packages/gateway/src/model/FrontSettings.ts
+++ b/packages/gateway/src/model/FrontSettings.ts
@@ -1,4 +1,5 @@
 import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
+import type { PropagationBounds } from '../deployment/propagationBudget.js'
 
 /**
  * Settings of one front process.
@@ -20,6 +21,8 @@
   /** Peer listeners of other instances, which may be down. */
   seedPeerUrls: readonly string[]
   storeUrl: string
+  /** Bounds within which a confirmed change has to be in force. */
+  propagationBounds: PropagationBounds
   /** Shortest lease that the store grants. */
   leaseMinMs: number
   /** Time between the stop signal and the forced kill of the process. */
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -1,15 +1,17 @@
 import { Result } from 'true-myth'
 import { Pool } from 'undici'
 import * as z from 'zod'
-import type { ChangeBatch, ChangesFailure, ChangeStore, ListOptions, RecordPage } from '@carobpitch/gateway'
+import type { ChangeBatch, ChangesFailure, ChangeStore, ListOptions, ReadOptions, RecordPage } from '@carobpitch/gateway'
 import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
 import { durationSchema, formatDuration } from './durations.js'
 import { STORE_PATHS } from './wire.js'
 
 /** Number of connections to the store: one each for a long poll of changes, a lease renewal and a write, and one spare. */
 const CONNECTIONS_MAX = 4
-/** Timeout of a call. The store usually responds in 4 ms, but may be a hundred times slower. */
+/** Timeout of the head of a response. The store usually responds in 4 ms, but may be a hundred times slower. */
 const RESPONSE_TIMEOUT_MS = 1_000
+/** Timeout of the body after the head: the largest value over a link of 7 Mbit/s. */
+const BODY_TIMEOUT_MS = 2_000
 
 const itemSchema = z.object({
   key: z.string(),
@@ -59,7 +61,7 @@
   method: 'GET' | 'POST' | 'DELETE'
   path: string
   body?: unknown
-  timeoutMs?: number
+  timeoutMs?: number | undefined
 }
 
 /**
@@ -75,9 +77,9 @@
     this.pool = new Pool(options.url, { connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
   }
 
-  async listPage (prefix: string, { after, isStaleAllowed = false }: ListOptions = {}): Promise<Result<RecordPage, StoreFailure>> {
+  async listPage (prefix: string, { after, isStaleAllowed = false, responseTimeoutMs }: ListOptions = {}): Promise<Result<RecordPage, StoreFailure>> {
     const query = new URLSearchParams({ prefix, ...(after === undefined ? {} : { after }), ...(isStaleAllowed ? { 'allow-stale': '1' } : {}) })
-    const response = await this.call({ name: 'list', method: 'GET', path: `${STORE_PATHS.list}?${query}` })
+    const response = await this.call({ name: 'list', method: 'GET', path: `${STORE_PATHS.list}?${query}`, timeoutMs: responseTimeoutMs })
     if (response.isErr) return Result.err(response.error)
     const page = pageSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !page.success) return Result.err(unexpectedResponse(response.value))
@@ -88,9 +90,9 @@
     })
   }
 
-  async changesAfter (prefix: string, revision: number, waitMs: number): Promise<Result<ChangeBatch, ChangesFailure>> {
+  async changesAfter (prefix: string, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS }: ReadOptions = {}): Promise<Result<ChangeBatch, ChangesFailure>> {
     const query = new URLSearchParams({ prefix, after: String(revision), 'wait-ms': String(waitMs) })
-    const response = await this.call({ name: 'changes', method: 'GET', path: `${STORE_PATHS.changes}?${query}`, timeoutMs: waitMs + RESPONSE_TIMEOUT_MS })
+    const response = await this.call({ name: 'changes', method: 'GET', path: `${STORE_PATHS.changes}?${query}`, timeoutMs: waitMs + responseTimeoutMs })
     if (response.isErr) return Result.err({ kind: 'unavailable', reason: response.error.reason })
     if (response.value.status === 410) return Result.err({ kind: 'history-lost' })
     const batch = batchSchema.safeParse(response.value.body)
@@ -137,7 +139,8 @@
   private async call ({ name, method, path, body, timeoutMs = RESPONSE_TIMEOUT_MS }: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
     const controller = new AbortController()
     // Closes the connection as well, because a connection that has lost a response returns no further one.
-    const timer = setTimeout(() => controller.abort(new Error(`no response within ${timeoutMs} ms`)), timeoutMs)
+    const abortAfter = (durationMs: number, what: string): NodeJS.Timeout => setTimeout(() => controller.abort(new Error(`no ${what} within ${durationMs} ms`)), durationMs)
+    let timer = abortAfter(timeoutMs, 'response')
     try {
       const response = await this.pool.request({
         method,
@@ -146,6 +149,8 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: controller.signal
       })
+      clearTimeout(timer)
+      timer = abortAfter(BODY_TIMEOUT_MS, 'complete response')
       const bodyText = await response.body.text()
       this.options.countCall?.(name, String(response.statusCode))
       return Result.ok({ status: response.statusCode, body: parseBody(bodyText) })
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -8,6 +8,9 @@
 export const SETTINGS_VARIABLE = 'CAROBPITCH_SETTINGS'
 /** Port of the metrics endpoint. The platform's deploy file names the same port. */
 const DEFAULT_METRICS_PORT = 9_464
+/** Bounds of a settings file that names none. */
+const DEFAULT_CONFIG_APPLY_MS = 2_000
+const DEFAULT_CONTACT_MS = 3_000
 
 const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
 
@@ -33,6 +36,8 @@
   'platform.address': z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>'),
   'platform.ttl-min': durationSchema,
   'bounds.grace-period': durationSchema,
+  'bounds.config-apply': durationSchema.default(DEFAULT_CONFIG_APPLY_MS),
+  'bounds.contact': durationSchema.default(DEFAULT_CONTACT_MS),
   'bounds.ttl_max': durationSchema,
   'bounds.probes-per-s': numberSchema,
   'bounds.retry-budget-ratio': numberSchema,
@@ -54,6 +59,7 @@
     metricsListen: { host: fields.ip, port: fields['metrics.port'] },
     seedPeerUrls: fields.seeds.map(address => `http://${address}`),
     storeUrl: `http://${fields['platform.address']}`,
+    propagationBounds: { configApplyMs: fields['bounds.config-apply'], contactMs: fields['bounds.contact'] },
     leaseMinMs: fields['platform.ttl-min'],
     stopGraceMs: fields['bounds.grace-period'],
     directoryTtlMaxMs: fields['bounds.ttl_max'],
