Believe a refusal on a reused connection only with the id of its request

Cause: a refusal without a request id was taken as the response to whatever request was in progress. A refusal with the id of another request was already rejected.

Change: over a connection that has carried an earlier exchange, a refusal without an id counts as the response to another request: the connection is closed, the request may have run. The platform's targets echo the id in each response, so there any response without it is rejected; otherwise the response to a probe could follow as the response to a request. Responses to probes have no id, so a connection on which a probe was refused is closed.

--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -244,6 +244,7 @@
       headers,
       body: this.body,
       requestId: this.requestId,
+      missingRequestId: targetProtocol.missingRequestId,
       sink: this,
       checkBeforeSend: () => isEligible(target) ? undefined : 'target-withdrawn'
     })
--- a/packages/gateway/src/targets/LoadProber.ts
+++ b/packages/gateway/src/targets/LoadProber.ts
@@ -65,6 +65,8 @@
         headers: [],
         body: undefined,
         requestId: PROBE_REQUEST_ID,
+        // Responses to probes have no id.
+        missingRequestId: 'accepted',
         checkBeforeSend: () => undefined,
         sink: {
           takeHead: taken => {
@@ -74,7 +76,8 @@
           takeData: () => true,
           onAttemptEnd: (_attempt: Attempt, result: AttemptResult) => {
             timer.remove(expiring, timerKey)
-            target.connections.release(client, result.isReusable)
+            // A refusal may be an earlier one that was sent once more, and the response to this probe may follow it.
+            target.connections.release(client, result.isReusable && result.verdict === 'answered')
             resolve(this.handleResult(target, head, result))
           }
         }
--- a/packages/gateway/src/targets/TargetProtocol.ts
+++ b/packages/gateway/src/targets/TargetProtocol.ts
@@ -1,4 +1,4 @@
-import type { ReadOwnHeader } from '@carobpitch/proxy'
+import type { MissingRequestIdPolicy, ReadOwnHeader } from '@carobpitch/proxy'
 import type { TargetId } from '@carobpitch/schema'
 
 /**
@@ -24,4 +24,6 @@
   attemptHeaders: (facts: AttemptMetadata) => string[]
   /** Reads the headers that concern carobpitch from a response. */
   readOwnHeader: ReadOwnHeader
+  /** How a response without the id of its request is treated over a reused connection. */
+  missingRequestId: MissingRequestIdPolicy
 }
--- a/packages/gateway/src/targets/createAttempt.ts
+++ b/packages/gateway/src/targets/createAttempt.ts
@@ -4,7 +4,7 @@
 import type { TargetProtocol } from './TargetProtocol.js'
 
 /** Attempt options that differ between requests and probes. @internal */
-export type TargetAttemptOptions = Omit<AttemptOptions, 'notRunStatuses' | 'readHead' | 'connectionState'>
+export type TargetAttemptOptions = Omit<AttemptOptions, 'notRunStatuses' | 'readHead' | 'connectionState' | 'isConnectionReused'>
 
 /** Returns an attempt at a target over one of its connections, in the deployment's protocol. @internal */
 export function createAttempt (target: GatewayTarget, client: Client, protocol: TargetProtocol, options: TargetAttemptOptions): Attempt {
@@ -13,6 +13,7 @@
     // Targets state in a header, not by the status, that a request has not run.
     notRunStatuses: [],
     readHead: (method, status, rawHeaders) => readResponseHead(method, status, rawHeaders, protocol.readOwnHeader),
-    connectionState: () => target.connections.stateOf(client)
+    connectionState: () => target.connections.stateOf(client),
+    isConnectionReused: () => target.connections.isReused(client)
   })
 }
--- a/packages/platform/src/targetProtocol.ts
+++ b/packages/platform/src/targetProtocol.ts
@@ -13,6 +13,7 @@
     WIRE_HEADERS.remainingMs, String(Math.max(1, Math.floor(remainingMs))),
     WIRE_HEADERS.expectedTarget, targetId
   ],
+  missingRequestId: 'rejected',
   readOwnHeader: (head, key, value) => {
     if (head.status === MISDIRECTED_STATUS) head.reportsNotRun = true
     switch (key) {
--- a/packages/platform/src/testing/StandInPlatformTarget.ts
+++ b/packages/platform/src/testing/StandInPlatformTarget.ts
@@ -96,6 +96,8 @@
       response.writeHead(this.isHealthy ? 200 : 503).end()
       return
     }
+    const requestId = request.headers[WIRE_HEADERS.requestId]
+    if (requestId !== undefined) response.setHeader(WIRE_HEADERS.requestId, requestId)
     const expected = request.headers[WIRE_HEADERS.expectedTarget]
     if (expected !== undefined && expected !== targetId) {
       response.writeHead(421, { [WIRE_HEADERS.answeringTarget]: targetId }).end()
@@ -117,11 +119,10 @@
     this.running += 1
     await new Promise(resolve => setTimeout(resolve, this.serviceTimeMs * this.slowdown))
     this.running -= 1
-    this.finish(received.behaviour, requestId, response)
+    this.finish(received.behaviour, response)
   }
 
-  private finish (behaviour: StandInTargetBehaviour, requestId: string | undefined, response: ServerResponse): void {
-    if (requestId !== undefined) response.setHeader(WIRE_HEADERS.requestId, requestId)
+  private finish (behaviour: StandInTargetBehaviour, response: ServerResponse): void {
     response.setHeader(SEAL_HEADER, `seal-of-${this.options.targetId}`)
     if (behaviour === 'reset') response.socket?.resetAndDestroy()
     else if (behaviour === 'fail') response.writeHead(500).end('failed')
--- a/packages/proxy/src/Attempt.ts
+++ b/packages/proxy/src/Attempt.ts
@@ -58,8 +58,19 @@
    * a complete chunked response from one whose connection ended early.
    */
   connectionState?: () => ConnectionState
+  /** Whether the connection has carried an earlier exchange, whose response the target may send once more. */
+  isConnectionReused?: () => boolean
+  /** How a response without a request id is treated over a reused connection; defaults to `refusal-rejected`. */
+  missingRequestId?: MissingRequestIdPolicy
 }
 
+/**
+ * How a response without a request id is treated over a reused connection, where it may repeat an earlier response: `accepted`;
+ * `refusal-rejected`, if it says that the request has not run; `rejected`, for targets that echo the id in each response.
+ * @public
+ */
+export type MissingRequestIdPolicy = 'accepted' | 'refusal-rejected' | 'rejected'
+
 /** Whether a connection is open, was ended by the target, or failed. @public */
 export type ConnectionState = 'open' | 'ended' | 'broken'
 
@@ -137,10 +148,11 @@
     this.resumeConnection = resume
     const { method, requestId, notRunStatuses, sink, readHead = readResponseHead, connectionState } = this.options
     const head = readHead(method, status, rawHeaders)
-    if (head.requestId !== undefined && head.requestId !== requestId) return this.fail('mismatched-response', 'failed')
+    const isRefusal = head.reportsNotRun === true || notRunStatuses.includes(status)
+    if (head.requestId === undefined ? this.mayBelongToEarlierRequest(isRefusal) : head.requestId !== requestId) return this.fail('mismatched-response', 'failed')
     if (head.framing.kind === 'endless' && connectionState === undefined) return this.fail('unframed-response', 'failed')
     this.head = head
-    if (head.reportsNotRun === true || notRunStatuses.includes(status)) this.verdict = 'not-run'
+    if (isRefusal) this.verdict = 'not-run'
     this.isForwarding = sink.takeHead(head, this.verdict === 'not-run' ? 'not-run' : 'answered')
     return true
   }
@@ -176,6 +188,17 @@
     this.end({ verdict: this.verdict, reason, kind, isComplete: false, isReusable: false })
   }
 
+  /** Whether a response without a request id may repeat the response to an earlier request on the same connection. */
+  private mayBelongToEarlierRequest (isRefusal: boolean): boolean {
+    const { isConnectionReused, missingRequestId = 'refusal-rejected' } = this.options
+    if (isConnectionReused?.() !== true) return false
+    switch (missingRequestId) {
+      case 'accepted': return false
+      case 'refusal-rejected': return isRefusal
+      case 'rejected': return true
+    }
+  }
+
   /** Detects a response whose connection ended early, which undici reports as complete. */
   private isTruncated (): boolean {
     const state = this.options.connectionState?.()
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -213,6 +213,8 @@
     const isStreamed = this.body !== undefined && !Buffer.isBuffer(this.body)
     const startedAtMs = performance.now()
     const isResend = this.attempts > 0
+    const connections = pools.poolOf(target)
+    const client = connections.acquire()
     const attempt = new Attempt({
       method,
       path,
@@ -226,10 +228,9 @@
       requestId: this.requestId,
       notRunStatuses: serviceConfiguration.notRunStatuses,
       sink: this,
-      checkBeforeSend: () => this.checkBeforeSend(grant)
+      checkBeforeSend: () => this.checkBeforeSend(grant),
+      isConnectionReused: () => connections.isReused(client)
     })
-    const connections = pools.poolOf(target)
-    const client = connections.acquire()
     this.stage = 'attempting'
     this.targetId = target.targetId
     this.attempts += 1
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -42,6 +42,8 @@
   private readonly spares: SpareConnection[] = []
   private readonly opening = new Set<Socket>()
   private readonly sockets = new WeakMap<Client, Socket>()
+  /** Connections that have carried an exchange. */
+  private readonly reused = new WeakSet<Client>()
   private isClosed = false
 
   constructor (options: TargetConnectionPoolOptions) {
@@ -60,10 +62,16 @@
   /** Returns a connection to the pool. A connection whose request failed or was cancelled must not be reused. */
   release (client: Client, isReusable: boolean): void {
     this.busy.delete(client)
+    this.reused.add(client)
     if (isReusable && !this.isClosed) this.idle.push(client)
     else client.destroy().catch(() => {})
   }
 
+  /** Whether a client's connection has carried an earlier exchange. */
+  isReused (client: Client): boolean {
+    return this.reused.has(client)
+  }
+
   /** Returns the state of a client's connection. */
   stateOf (client: Client): ConnectionState {
     const socket = this.sockets.get(client)
--- a/packages/proxy/src/wholeAnswers.test.ts
+++ b/packages/proxy/src/wholeAnswers.test.ts
@@ -92,6 +92,20 @@
       await target.untilClosed(0)
     })
 
+    for (const [name, repeatedId] of [['without an id', undefined], ['with the id of the earlier request', 'first']] as const) {
+      it(`guards against an earlier refusal that is written once more on a kept connection, ${name}: the request may have run`, async () => {
+        await start(({ head, socket }, index) => {
+          const requestId = index === 0 ? headerOf(head, 'carobpitch-request-id') : repeatedId
+          socket.write(rawResponse('', requestId === undefined ? [] : [`carobpitch-request-id: ${requestId}`], '503 Service Unavailable'))
+        }, { notRunStatuses: [503] })
+        expect((await rig.call()).headers['carobpitch-verdict']).to.equal('not-run')
+        const response = await rig.call()
+        expect(target.requests.map(({ connection }) => connection)).to.deep.equal([0, 0])
+        expect(response.status).to.equal(502)
+        expect(response.headers['carobpitch-verdict']).to.equal('may-have-run')
+      })
+    }
+
     it('closes the connection after surplus bytes, guarding against their use as the next response', async () => {
       await start(({ socket, head }) => {
         const id = headerOf(head, 'carobpitch-request-id') ?? ''
