Bound the time until an instance registers again after an outage

What callers could see: instances missing from directory responses after the store had been unavailable, the longer the larger the fleet.

Cause: the same as in the readers: the backoff of the lease grew with the number of members, to 11.7 s before jitter at 117 instances.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -82,7 +82,8 @@
       memberCount: () => this.instanceCount(),
       log,
       ttlMsOf: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS),
-      renewalIntervalMsOf: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS) / RENEWALS_PER_LEASE
+      renewalIntervalMsOf: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS) / RENEWALS_PER_LEASE,
+      retryMaxMs: budget.leaseRetryMaxMs
     })
     const registration = new Registration({ store, lease, deploymentCache: cache, key: memberKey, record: () => this.ownRecord(), log })
     const targets = new TargetRegistry({ deploymentCache: cache, timer, log })
--- a/packages/gateway/src/deployment/propagationBudget.ts
+++ b/packages/gateway/src/deployment/propagationBudget.ts
@@ -43,6 +43,8 @@
   transferMs: number
   /** Interval between own reads of the store while no relay responds. */
   ownReadIntervalMs: number
+  /** Longest delay before an instance tries again to renew or obtain its lease, before jitter. */
+  leaseRetryMaxMs: number
   /** Time without a confirmation after which any instance is asked for changes. */
   peerQueryAfterMs: number
   /** Interval between own reads while relays respond in several failure domains, but none has reached the store. */
@@ -74,6 +76,7 @@
     relayHopMs: share(0.1),
     transferMs: share(0.5),
     ownReadIntervalMs: share(0.6),
+    leaseRetryMaxMs: share(0.4),
     peerQueryAfterMs: share(1),
     idleReadIntervalMs: share(2)
   }
--- a/packages/membership/src/registry/LeaseKeeper.ts
+++ b/packages/membership/src/registry/LeaseKeeper.ts
@@ -49,6 +49,8 @@
   ttlMsOf?: (memberCount: number) => number
   /** Returns the time between two renewals for a number of members. */
   renewalIntervalMsOf?: (memberCount: number) => number
+  /** Longest delay before a call after failures, before jitter; without it, the delay grows with the number of members. */
+  retryMaxMs?: number
 }
 
 /**
@@ -66,8 +68,9 @@
   private lastFailure: string | undefined
 
   constructor (options: LeaseKeeperOptions) {
-    this.options = { random: Math.random, ttlMsOf: leaseTtlMs, renewalIntervalMsOf: renewalIntervalMs, ...options }
-    this.backoff = new Backoff(this.options)
+    this.options = { random: Math.random, ttlMsOf: leaseTtlMs, renewalIntervalMsOf: renewalIntervalMs, retryMaxMs: Infinity, ...options }
+    const { random, memberCount, retryMaxMs } = this.options
+    this.backoff = new Backoff({ random, memberCount, delayMaxMs: retryMaxMs })
   }
 
   /** Starts obtaining the lease in the background, because the store may be down. */
