Bound the backoff of carobpitchd's store readers

What callers could see: a change that is not in force within 4 s of an outage's end, in deployments of more than about 40 members.

The backoff of a store reader grew with the number of members, to 11.4 s at 114, although only the square root of them read the store.

Evidence: StoreWatcher.test.ts, outages of 30 to 41 s at 114 members.

Change: the backoff is 0.5 to 1 s, like the regular reads.

--- a/packages/control/src/StoreWatcher.ts
+++ b/packages/control/src/StoreWatcher.ts
@@ -8,10 +8,8 @@
 /** Interval between a store reader's reads. @public */
 export const STORE_READ_INTERVAL_MS = 1_000
 
-/** Maximum backoff per known member after failed reads; it keeps the retries of the whole fleet near 10/s. */
-const BACKOFF_MAX_PER_MEMBER_MS = 100
-/** Lower bound of the maximum backoff. */
-const BACKOFF_MAX_FLOOR_MS = 1_000
+/** Maximum backoff after failed reads. It does not grow with the fleet, since the number of store readers grows only with its square root. */
+const BACKOFF_MAX_MS = 1_000
 
 /** Options of `StoreWatcher`. @internal */
 export interface StoreWatcherOptions {
@@ -100,11 +98,9 @@
     this.schedule(this.failures > 0 ? this.backoffMs() : Math.max(0, STORE_READ_INTERVAL_MS - elapsedMs))
   }
 
-  /** Exponential backoff with random jitter between half and all of each step. */
+  /** Backoff with random jitter between half and all of it. */
   private backoffMs (): number {
-    const limitMs = Math.max(BACKOFF_MAX_FLOOR_MS, this.options.membership.knownMembers().length * BACKOFF_MAX_PER_MEMBER_MS)
-    const stepMs = Math.min(limitMs, STORE_READ_INTERVAL_MS * 2 ** Math.min(this.failures - 1, 10))
-    return stepMs * (0.5 + this.random() / 2)
+    return BACKOFF_MAX_MS * (0.5 + this.random() / 2)
   }
 
   private openWatch (): void {
