Limit the followers of one store reader

What callers could see: at larger fleets a large configuration reaches the last follower later than config-apply: 159 followers of one reader take 2.7 MB of compressed routes, 3.1 s on a link of 7 Mbit/s.

Cause: one reader served a whole failure domain, whatever its size.

Change: a failure domain has one reader per 32 instances; a follower prefers one of them by rendezvous hashing. Domains of up to 32 instances keep one reader, so the calls to the store of the present deployments stay the same.

Measured: selectRelays.test.ts with 15, 116 and 636 instances.

--- /dev/null
+++ b/packages/gateway/src/deployment/selectRelays.test.ts
@@ -0,0 +1,50 @@
+import { expect } from 'chai'
+import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
+import { selectRelays, type Relays } from './selectRelays.js'
+
+/** Followers of one reader above which a large configuration takes longer than its share on a link of 7 Mbit/s. */
+const FOLLOWERS_MAX = 50
+
+describe('selectRelays', () => {
+  function membersOf (failureDomains: number, instancesPerDomain: number): MemberRecord[] {
+    return Array.from({ length: failureDomains * instancesPerDomain }, (_, index): MemberRecord => {
+      const instanceId = `front-${index}` as InstanceId
+      const url = `http://${instanceId}`
+      return { instanceId, incarnation: 1, failureDomain: `zone-${index % failureDomains}` as FailureDomainId, callerUrl: url, peerUrl: url, state: 'serving', adoptedRevision: 0 }
+    })
+  }
+
+  function relaysOfAll (members: readonly MemberRecord[]): Relays[] {
+    return members.map(({ instanceId, failureDomain }) => selectRelays({ members, instanceId, failureDomain }))
+  }
+
+  for (const [failureDomains, instancesPerDomain, readers] of [[3, 5, 3], [4, 29, 4], [4, 159, 20]] as const) {
+    describe(`in ${failureDomains} failure domains of ${instancesPerDomain} instances`, () => {
+      const members = membersOf(failureDomains, instancesPerDomain)
+      const all = relaysOfAll(members)
+
+      it('guards against calls to the store that grow as fast as the fleet', () => {
+        expect(all.filter(({ urls }) => urls.length === 0)).to.have.length(readers)
+        expect(all.filter(({ isSubstitute }) => isSubstitute)).to.have.length(2 * failureDomains)
+      })
+
+      it('guards against more followers of one reader than its link can serve in time', () => {
+        const followers = new Map<string, number>()
+        for (const { urls: [first] } of all) if (first !== undefined) followers.set(first, (followers.get(first) ?? 0) + 1)
+        expect(Math.max(...followers.values())).to.be.at.most(FOLLOWERS_MAX)
+      })
+
+      it('guards against a single point of failure: each follower knows other relays and other failure domains', () => {
+        for (const { urls, distantUrls, isSubstitute } of all) {
+          if (urls.length > 0 && !isSubstitute) expect(urls.length).to.equal(3)
+          expect(new Set(distantUrls).size).to.equal(2)
+        }
+      })
+    })
+  }
+
+  it('ignores members that do not serve', () => {
+    const members = membersOf(1, 4).map((member, index): MemberRecord => ({ ...member, state: index < 3 ? 'leaving' : 'serving' }))
+    expect(relaysOfAll(members).at(-1)).to.deep.equal({ urls: [], distantUrls: [], isSubstitute: false })
+  })
+})
--- a/packages/gateway/src/deployment/selectRelays.ts
+++ b/packages/gateway/src/deployment/selectRelays.ts
@@ -3,8 +3,12 @@
 
 /** Rendezvous hashing key by which the instances of a failure domain select their store readers. */
 const STORE_READER_KEY = 'store-reader'
-/** Store readers per failure domain: one, and two substitutes in case it is partitioned or down. */
-const READERS_PER_DOMAIN = 3
+/** Instances that one store reader serves. A large compressed configuration passes a link of 7 Mbit/s this often in a quarter of the time to apply it. */
+const GROUP_SIZE = 32
+/** Substitutes of the store readers of a failure domain, in case these are partitioned or down. */
+const SUBSTITUTES = 2
+/** Relays of an instance that is neither a store reader nor a substitute. */
+const RELAYS_MAX = 3
 /** Other failure domains whose readers are queried when those of the own one have failed. */
 const DISTANT_DOMAINS = 2
 
@@ -32,8 +36,8 @@
 }
 
 /**
- * Selects the instances that read the store for this one. One instance of each failure domain reads it, with two substitutes; the
- * other instances of the domain read from them.
+ * Selects the instances that read the store for this one. Each failure domain has one reader per `GROUP_SIZE` instances and two
+ * substitutes; the other instances of the domain read from them, each preferring another one.
  * @public
  */
 export function selectRelays ({ members, instanceId, failureDomain }: SelectRelaysOptions): Relays {
@@ -44,15 +48,17 @@
     byDomain.set(member.failureDomain, urls.set(member.instanceId, member.peerUrl))
   }
   const ownDomain = byDomain.get(failureDomain) ?? new Map<InstanceId, string>()
-  const readers = readersOf(ownDomain)
-  const ownRank = readers.indexOf(instanceId)
-  const relays = ownRank < 0 ? readers : readers.slice(0, ownRank)
+  const { readers, substitutes } = rolesOf(ownDomain)
+  const ownRank = substitutes.indexOf(instanceId)
+  // A substitute follows only those before it, so that no two follow each other while their reader is down.
+  const candidates = [...rankByRendezvous(instanceId, readers), ...(ownRank < 0 ? substitutes : substitutes.slice(0, ownRank))]
+  const relays = readers.includes(instanceId) ? [] : candidates.slice(0, RELAYS_MAX)
   const otherDomains = rankByRendezvous(instanceId, [...byDomain.keys()].filter(domain => domain !== failureDomain)).slice(0, DISTANT_DOMAINS)
   return {
     urls: relays.map(id => ownDomain.get(id) as string),
     distantUrls: otherDomains.map(domain => {
       const urls = byDomain.get(domain) as Map<InstanceId, string>
-      return urls.get(readersOf(urls)[0] as InstanceId) as string
+      return urls.get(rankByRendezvous(instanceId, rolesOf(urls).readers)[0] as InstanceId) as string
     }),
     isSubstitute: ownRank >= 0
   }
@@ -74,6 +80,8 @@
   }
 }
 
-function readersOf (urls: ReadonlyMap<InstanceId, string>): InstanceId[] {
-  return rankByRendezvous(STORE_READER_KEY, [...urls.keys()]).slice(0, READERS_PER_DOMAIN)
+function rolesOf (urls: ReadonlyMap<InstanceId, string>): { readers: InstanceId[], substitutes: InstanceId[] } {
+  const readerCount = Math.ceil(urls.size / GROUP_SIZE)
+  const ranked = rankByRendezvous(STORE_READER_KEY, [...urls.keys()])
+  return { readers: ranked.slice(0, readerCount), substitutes: ranked.slice(readerCount, readerCount + SUBSTITUTES) }
 }
--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -93,12 +93,11 @@
     return Math.max(...instances.map(({ adoptedAtMs }) => Math.min(...[...adoptedAtMs].filter(([adopted]) => adopted >= version).map(([, atMs]) => atMs))))
   }
 
-  /** Instances of a failure domain that read the store, those of first choice first. */
+  /** Store readers of a failure domain and their substitutes, the readers first. */
   readersOf (failureDomain: string): SimulatedInstance[] {
-    return this.instances
-      .filter(({ record }) => record.failureDomain === failureDomain)
-      .filter(instance => this.relaysOf(instance.record).isSubstitute)
-      .sort((first, second) => this.relaysOf(first.record).urls.length - this.relaysOf(second.record).urls.length)
+    const sameDomain = this.instances.filter(({ record }) => record.failureDomain === failureDomain)
+    const readers = sameDomain.filter(({ record }) => this.relaysOf(record).urls.length === 0)
+    return [...readers, ...sameDomain.filter(({ record }) => this.relaysOf(record).isSubstitute)]
   }
 
   private relaysOf ({ instanceId, failureDomain }: MemberRecord): Relays {
