--- a/packages/gateway/src/deployment/selectRelays.test.ts
+++ b/packages/gateway/src/deployment/selectRelays.test.ts
@@ -2,7 +2,7 @@
 import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
 import { selectRelays, type Relays } from './selectRelays.js'
 
-/** Followers of one reader above which a large configuration takes longer than its share on a link of 7 Mbit/s. */
+/** A configuration of 17 KB (compressed) reaches this many followers within 1 s over a link of 7 Mbit/s. */
 const FOLLOWERS_MAX = 50
 
 describe('selectRelays', () => {
--- a/packages/gateway/src/deployment/selectRelays.ts
+++ b/packages/gateway/src/deployment/selectRelays.ts
@@ -3,7 +3,7 @@
 
 /** Rendezvous hashing key by which the instances of a failure domain select their store readers. */
 const STORE_READER_KEY = 'store-reader'
-/** Instances that one store reader serves. A large compressed configuration passes a link of 7 Mbit/s this often in a quarter of the time to apply it. */
+/** Instances of a failure domain per store reader, because a reader sends each change over its own link to all of them. */
 const GROUP_SIZE = 32
 /** Substitutes of the store readers of a failure domain, in case these are partitioned or down. */
 const SUBSTITUTES = 2
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -10,7 +10,7 @@
 const CONNECTIONS_MAX = 4
 /** Timeout of the head of a response. The store usually responds in 4 ms, but may be a hundred times slower. */
 const RESPONSE_TIMEOUT_MS = 1_000
-/** Timeout of the body after the head: the largest value over a link of 7 Mbit/s. */
+/** Timeout of the body after the head. A large configuration takes long over a slow link. */
 const BODY_TIMEOUT_MS = 2_000
 
 const itemSchema = z.object({
