Balance the followers of the store readers of a failure domain

What callers could see: in failure domains of more than 32 instances a large configuration reaches some followers later than config-apply.

Cause: followers chose their reader by rendezvous hashing, which spread 154 followers unevenly over 5 readers.

Change: followers are assigned to the readers in turn, so that each reader has at most 31. Reading from another reader after a change of the members costs one connection, because queries name the revision they follow. Domains of up to 32 instances have one reader and do not change.

Measured: the test with 636 instances failed with 46 of at most 32 followers before and passes.

--- a/packages/gateway/src/deployment/selectRelays.test.ts
+++ b/packages/gateway/src/deployment/selectRelays.test.ts
@@ -2,8 +2,8 @@
 import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
 import { selectRelays, type Relays } from './selectRelays.js'
 
-/** A configuration of 17 KB (compressed) reaches this many followers within 1 s over a link of 7 Mbit/s. */
-const FOLLOWERS_MAX = 50
+/** Followers of one reader for which the slowest path of a large configuration stays within its bound, see propagationBudget.test.ts. */
+const FOLLOWERS_MAX = 32
 
 describe('selectRelays', () => {
   function membersOf (failureDomains: number, instancesPerDomain: number): MemberRecord[] {
--- a/packages/gateway/src/deployment/selectRelays.ts
+++ b/packages/gateway/src/deployment/selectRelays.ts
@@ -37,7 +37,8 @@
 
 /**
  * Selects the instances that read the store for this one. Each failure domain has one reader per `GROUP_SIZE` instances and two
- * substitutes; the other instances of the domain read from them, each preferring another one.
+ * substitutes; the other instances of the domain read from them, each preferring another one, so that no reader has more followers than
+ * its link can serve in time.
  * @public
  */
 export function selectRelays ({ members, instanceId, failureDomain }: SelectRelaysOptions): Relays {
@@ -51,7 +52,7 @@
   const { readers, substitutes } = rolesOf(ownDomain)
   const ownRank = substitutes.indexOf(instanceId)
   // A substitute follows only those before it, so that no two follow each other while their reader is down.
-  const candidates = [...rankByRendezvous(instanceId, readers), ...(ownRank < 0 ? substitutes : substitutes.slice(0, ownRank))]
+  const candidates = [...balancedReaders({ readers, instanceId, instanceIds: [...ownDomain.keys()] }), ...(ownRank < 0 ? substitutes : substitutes.slice(0, ownRank))]
   const relays = readers.includes(instanceId) ? [] : candidates.slice(0, RELAYS_MAX)
   const otherDomains = rankByRendezvous(instanceId, [...byDomain.keys()].filter(domain => domain !== failureDomain)).slice(0, DISTANT_DOMAINS)
   return {
@@ -80,6 +81,13 @@
   }
 }
 
+/** Orders the readers for one of their followers. Each reader comes first for equally many followers. */
+function balancedReaders ({ readers, instanceId, instanceIds }: { readers: readonly InstanceId[], instanceId: InstanceId, instanceIds: readonly InstanceId[] }): InstanceId[] {
+  const precedingFollowers = instanceIds.filter(id => id < instanceId && !readers.includes(id)).length
+  const firstIndex = precedingFollowers % Math.max(1, readers.length)
+  return [...readers.slice(firstIndex), ...readers.slice(0, firstIndex)]
+}
+
 function rolesOf (urls: ReadonlyMap<InstanceId, string>): { readers: InstanceId[], substitutes: InstanceId[] } {
   const readerCount = Math.ceil(urls.size / GROUP_SIZE)
   const ranked = rankByRendezvous(STORE_READER_KEY, [...urls.keys()])
