Keep a large configuration within config-apply while a relay is cut off

What callers could see: CONFIG, a configuration of 335 KB that is in force after 2.55 s of 2.5 s at followers of a relay that loses the store in the same moment. docs/CAPACITY.md named this case as not met.

Cause: the largest accepted age of a relay's cache took 65% of the bound, and 17 KB to 32 followers need a quarter of it.

Evidence: the sum of the steps.

Change: a read of changes waits 46% of the bound instead of 50%, so that 60% suffice for the age.

--- a/packages/gateway/src/deployment/propagation.test.ts
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -79,14 +79,16 @@
       expect(delayMs).to.be.below(CONFIG_APPLY_MS)
     })
 
-    it('guards against relays that the store turns away while it serves their followers', async () => {
-      const delayMs = await worstDelayMs(fleet => {
-        const refused = fleet.readersOf('zone-1').slice(0, 3).map(({ record }) => record.instanceId as string)
-        fleet.store.behaviourFor = instanceId => refused.includes(instanceId) ? 'silent' : 'serve'
-        fleet.store.cutWatches()
-        fleet.confirmConfiguration(VERSION)
+    for (const [size, sizeBytes] of [['small', 3_000], ['large', LARGE_CONFIGURATION_BYTES]] as const) {
+      it(`guards against relays that the store turns away while it serves their followers: ${size} configuration`, async () => {
+        const delayMs = await worstDelayMs(fleet => {
+          const refused = fleet.readersOf('zone-1').slice(0, 3).map(({ record }) => record.instanceId as string)
+          fleet.store.behaviourFor = instanceId => refused.includes(instanceId) ? 'silent' : 'serve'
+          fleet.store.cutWatches()
+          fleet.confirmConfiguration(VERSION, sizeBytes)
+        })
+        expect(delayMs).to.be.below(CONFIG_APPLY_MS)
       })
-      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
-    })
+    }
   })
 })
--- a/packages/gateway/src/deployment/propagationBudget.test.ts
+++ b/packages/gateway/src/deployment/propagationBudget.test.ts
@@ -7,10 +7,15 @@
 const SOUND_RESPONSE_MS = 50
 const COMPLETE_READ_MS = 200
 
+/** Compressed size of a configuration with 1,900 routes, and the link of the slowest instances. */
+const LARGE_CONFIGURATION_BYTES = 17_000
+const SLOW_LINK_BITS_PER_MS = 7_000
+
+/** Bounds, and the most followers of one store reader; larger failure domains have more readers. */
 const DEPLOYMENTS = {
-  'the small deployments': { configApplyMs: 2_000, contactMs: 3_000 },
-  'the grown deployments': { configApplyMs: 2_500, contactMs: 3_000 },
-  'the target size': { configApplyMs: 4_000, contactMs: 4_000 }
+  'the small deployments': { configApplyMs: 2_000, contactMs: 3_000, followersMax: 6 },
+  'the grown deployments': { configApplyMs: 2_500, contactMs: 3_000, followersMax: 32 },
+  'the target size': { configApplyMs: 4_000, contactMs: 4_000, followersMax: 32 }
 }
 
 /** Steps of the slowest path while the store is sound. */
@@ -46,6 +51,10 @@
           expect(sumOf(stepsOf(budget))).to.be.below(bounds.contactMs)
         })
       }
+      it('guards against steps that together exceed the time to apply a configuration: a large one while a relay is cut off', () => {
+        const transferMs = bounds.followersMax * LARGE_CONFIGURATION_BYTES * 8 / SLOW_LINK_BITS_PER_MS
+        expect(sumOf([budget.relayAgeMaxMs, budget.relayResponseMs, transferMs])).to.be.below(bounds.configApplyMs)
+      })
       it('accepts the age of a relay that reads the store without failures', () => {
         expect(budget.storeWaitMs + budget.storePauseMs + SOUND_RESPONSE_MS).to.be.below(budget.relayAgeMaxMs)
       })
--- a/packages/gateway/src/deployment/propagationBudget.ts
+++ b/packages/gateway/src/deployment/propagationBudget.ts
@@ -62,7 +62,7 @@
   const boundMs = Math.min(configApplyMs, contactMs * CONTACT_SHARE)
   const share = (fraction: number): number => Math.round(boundMs * fraction)
   return {
-    storeWaitMs: share(0.5),
+    storeWaitMs: share(0.46),
     storePauseMs: share(0.1),
     storeResponseMs: share(0.2),
     storeSlowResponseMs: share(0.38),
@@ -72,7 +72,7 @@
     relayWaitMs: share(0.25),
     relayResponseMs: share(0.12),
     relayPauseMs: share(0.1),
-    relayAgeMaxMs: share(0.65),
+    relayAgeMaxMs: share(0.6),
     relayHopMs: share(0.1),
     transferMs: share(0.5),
     ownReadIntervalMs: share(0.6),
--- a/packages/membership/src/transport/peerBody.ts
+++ b/packages/membership/src/transport/peerBody.ts
@@ -2,8 +2,8 @@
 
 /** Smaller bodies fit into a few packets and are not compressed. */
 const COMPRESSED_SIZE_MIN_BYTES = 4_096
-/** Fastest level: the records of a deployment are repetitive. */
-const GZIP_LEVEL = 1
+/** Level with the smallest size at about the processor time of the fastest one, for repetitive records. */
+const GZIP_LEVEL = 3
 
 /** Body of a response with the headers that describe it. @public */
 export interface PeerBody {
