Send a refused request again over another connection only

What callers could see: 'not run, try again' for a request that a target was running, or a second run of it: a caller repeats a refused request with its id, and the target writes the earlier refusal once more on the kept connection, where its id matches.

Cause: the id alone tells a refusal written once more from a new one only if each attempt has an id of its own. The platform's callers do that; carobpitchd's callers mark a repeat with carobpitch-retry and may keep the id.

Evidence: wholeAnswers.test.ts (carobpitchd) and troubledTargets.test.ts (front) on raw sockets: all repeats used the same connection.

Change: the pool records the ids refused over a connection and gives a repeat another one. After 100 refusals a connection is closed, which bounds the memory. RawTarget skips bodies with a content length, which it had taken for a part of the next request head.

--- a/packages/daemon/src/front/troubledTargets.test.ts
+++ b/packages/daemon/src/front/troubledTargets.test.ts
@@ -91,6 +91,13 @@
       })
     }
 
+    it('guards against a promise that a request has not run: the same request, which the caller sends again, gets another connection', async () => {
+      await start(request => { if (!answerProbe(request)) request.socket.write(refusal(headerOf(request.head, ID_HEADER))) })
+      for (let sent = 0; sent < 3; sent += 1) expect(await harness.call(front, { ...BOOKING, requestId: 'first' })).to.include({ status: 503 })
+      const connections = target.requests.filter(({ head }) => head.startsWith('POST')).map(({ connection }) => connection)
+      expect(new Set(connections).size).to.equal(connections.length)
+    })
+
     it('guards against losing a refusal that names its request: it is sent again', async () => {
       let refusals = 1
       await start(request => {
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -139,7 +139,7 @@
     this.running = undefined
     const { target } = running.grant
     const elapsedMs = performance.now() - running.startedAtMs
-    target.connections.release(running.client, result.isReusable)
+    target.connections.release(running.client, { isReusable: result.isReusable, refusedRequestId: result.verdict === 'not-run' ? this.requestId : undefined })
     const kind = evaluateAttempt(running, result, this.context.onMisplaced)
     running.grant.release(kind, elapsedMs)
     this.addVerdict(result.verdict)
@@ -234,7 +234,7 @@
     const { targetProtocol, isEligible, metrics } = this.context
     const { target } = grant
     const { targetId } = target.record
-    const client = target.connections.acquire()
+    const client = target.connections.acquire(this.requestId)
     this.attempts += 1
     this.triedTargets.add(targetId)
     const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId }))
--- a/packages/gateway/src/targets/LoadProber.ts
+++ b/packages/gateway/src/targets/LoadProber.ts
@@ -56,7 +56,7 @@
   private async probe (target: GatewayTarget): Promise<boolean> {
     const { protocol, timer } = this.options
     return await new Promise(resolve => {
-      const client = target.connections.acquire()
+      const client = target.connections.acquire(PROBE_REQUEST_ID)
       let head: ResponseHead | undefined
       const expiring: Expirable = { expire: () => attempt.cancel('deadline-exceeded', 'timed-out') }
       const attempt = createAttempt(target, client, protocol, {
@@ -77,7 +77,7 @@
           onAttemptEnd: (_attempt: Attempt, result: AttemptResult) => {
             timer.remove(expiring, timerKey)
             // A refusal may be an earlier one that was sent once more, and the response to this probe may follow it.
-            target.connections.release(client, result.isReusable && result.verdict === 'answered')
+            target.connections.release(client, { isReusable: result.isReusable && result.verdict === 'answered' })
             resolve(this.handleResult(target, head, result))
           }
         }
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -214,7 +214,7 @@
     const startedAtMs = performance.now()
     const isResend = this.attempts > 0
     const connections = pools.poolOf(target)
-    const client = connections.acquire()
+    const client = connections.acquire(this.requestId)
     const attempt = new Attempt({
       method,
       path,
@@ -246,7 +246,7 @@
     return this.context.maySend(target) ? undefined : 'target-withdrawn'
   }
 
-  private release (attempt: Attempt, { reason, kind, isReusable }: AttemptResult): void {
+  private release (attempt: Attempt, { verdict, reason, kind, isReusable }: AttemptResult): void {
     const running = this.running as RunningAttempt
     this.running = undefined
     this.lastReason = reason
@@ -259,7 +259,7 @@
     if (head?.reportedLoad !== undefined) outcome.reportedLoad = head.reportedLoad
     // undici requests `connection: close` with HEAD, so that the target's `close` does not mean that it is draining.
     if (head?.closesConnection === true && this.request.method !== 'HEAD') outcome.draining = true
-    running.connections.release(running.client, isReusable)
+    running.connections.release(running.client, { isReusable, refusedRequestId: verdict === 'not-run' ? this.requestId : undefined })
     running.grant.release(outcome)
     this.excluded ??= new Set()
     this.excluded.add(running.grant.target.targetId)
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -10,6 +10,8 @@
 const KEEP_ALIVE_MARGIN_MS = 1_000
 /** Largest response head that is accepted from a target. */
 const RESPONSE_HEAD_MAX_BYTES = 32_768
+/** A connection with this many refused requests is closed, so that the memory for their ids is bounded. */
+const REFUSED_REQUESTS_MAX = 100
 
 /**
  * Options of `TargetConnectionPool`.
@@ -24,6 +26,17 @@
   timer: DeadlineTimer
 }
 
+/**
+ * Options of `TargetConnectionPool.release`.
+ * @public
+ */
+export interface ReleaseOptions {
+  /** Whether the response is complete and the target keeps the connection open. */
+  isReusable: boolean
+  /** Id of the request if the target has refused it. */
+  refusedRequestId?: string | undefined
+}
+
 interface SpareConnection extends Expirable {
   socket: Socket
   key: number
@@ -44,6 +57,8 @@
   private readonly sockets = new WeakMap<Client, Socket>()
   /** Connections that have carried an exchange. */
   private readonly reused = new WeakSet<Client>()
+  /** Ids of the requests that the target has refused over a connection. */
+  private readonly refusedRequestIds = new WeakMap<Client, Set<string>>()
   private isClosed = false
 
   constructor (options: TargetConnectionPoolOptions) {
@@ -52,18 +67,23 @@
     this.address = { host: hostname.replace(/^\[|\]$/g, ''), port: Number(port === '' ? 80 : port) }
   }
 
-  /** Returns a connection for one request: the most recently used one, because it is the least likely to be closed by the target. */
-  acquire (): Client {
-    const client = this.idle.pop() ?? this.createClient()
+  /**
+   * Returns a connection for one request: the most recently used one, because it is the least likely to be closed by the target. A
+   * request that is sent again after a refusal gets another connection, since the target may write that refusal once more.
+   */
+  acquire (requestId: string): Client {
+    const index = this.idle.findLastIndex(client => this.refusedRequestIds.get(client)?.has(requestId) !== true)
+    const client = this.idle.splice(index, index < 0 ? 0 : 1)[0] ?? this.createClient()
     this.busy.add(client)
     return client
   }
 
   /** Returns a connection to the pool. A connection whose request failed or was cancelled must not be reused. */
-  release (client: Client, isReusable: boolean): void {
+  release (client: Client, { isReusable, refusedRequestId }: ReleaseOptions): void {
     this.busy.delete(client)
     this.reused.add(client)
-    if (isReusable && !this.isClosed) this.idle.push(client)
+    const hasRoom = refusedRequestId === undefined || this.recordRefusal(client, refusedRequestId)
+    if (isReusable && hasRoom && !this.isClosed) this.idle.push(client)
     else client.destroy().catch(() => {})
   }
 
@@ -112,6 +132,13 @@
     await Promise.all([...this.busy].map(client => client.destroy()))
   }
 
+  /** Returns whether the connection may carry further requests. */
+  private recordRefusal (client: Client, requestId: string): boolean {
+    const requestIds = this.refusedRequestIds.get(client) ?? new Set()
+    this.refusedRequestIds.set(client, requestIds.add(requestId))
+    return requestIds.size < REFUSED_REQUESTS_MAX
+  }
+
   private createClient (): Client {
     const client: Client = new Client(this.options.url, {
       pipelining: 1,
--- a/packages/proxy/src/responseEnd.test.ts
+++ b/packages/proxy/src/responseEnd.test.ts
@@ -23,7 +23,7 @@
   const timer = new DeadlineTimer()
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
   const connections = new TargetConnectionPool({ url, connectionsMax: 1, connectTimeoutMs: 1_000, timer })
-  const client = connections.acquire()
+  const client = connections.acquire('request-1')
   const result = await new Promise<AttemptResult>(resolve => {
     const attempt = new Attempt({
       method: 'GET',
--- a/packages/proxy/src/testing/RawTarget.ts
+++ b/packages/proxy/src/testing/RawTarget.ts
@@ -18,7 +18,7 @@
 
 /**
  * A target that sends raw bytes over TCP, so that a test controls every byte of a response. Calls its behaviour
- * for each request head; bodies are collected but not parsed.
+ * for each request head; bodies are collected but not parsed, and those with a content length are skipped.
  * @internal
  */
 export class RawTarget extends EventEmitter {
@@ -79,7 +79,7 @@
       this.received[connection] = text
       for (let end = text.indexOf('\r\n\r\n', parsedLength); end >= 0; end = text.indexOf('\r\n\r\n', parsedLength)) {
         const head = text.slice(parsedLength, end)
-        parsedLength = end + 4
+        parsedLength = end + 4 + Number(headerOf(head, 'content-length') ?? 0)
         if (!/ HTTP\/1\.1\r\n/.test(head)) continue
         const request = { head, connection, socket }
         this.requests.push(request)
--- a/packages/proxy/src/wholeAnswers.test.ts
+++ b/packages/proxy/src/wholeAnswers.test.ts
@@ -106,6 +106,15 @@
       })
     }
 
+    it('guards against an earlier refusal that is written once more for the same request, which the caller has sent again', async () => {
+      await start(({ socket }) => {
+        socket.write(rawResponse('', ['carobpitch-request-id: order-1'], '503 Service Unavailable'))
+      }, { notRunStatuses: [503] })
+      const headers = { 'carobpitch-request-id': 'order-1' }
+      for (let sent = 0; sent < 3; sent += 1) expect((await rig.call({ headers })).headers['carobpitch-verdict']).to.equal('not-run')
+      expect(target.requests.map(({ connection }) => connection)).to.deep.equal([0, 1, 2])
+    })
+
     it('closes the connection after surplus bytes, guarding against their use as the next response', async () => {
       await start(({ socket, head }) => {
         const id = headerOf(head, 'carobpitch-request-id') ?? ''
