Reject requests with invalid header names in the programs themselves

What callers saw: carobpitchd forwarded a request with a space in a header name to a target, where the caller should get 400; a front process answered it with 503 after 16 s of attempts in the test.

Cause: both listeners relied on Node's parser.

Change: parseCallerRequest and FrontExchange check the names and close the connection after the 400.

--- a/packages/daemon/src/front/requests.test.ts
+++ b/packages/daemon/src/front/requests.test.ts
@@ -1,3 +1,5 @@
+import { connect } from 'node:net'
+import { text } from 'node:stream/consumers'
 import { expect } from 'chai'
 import { SEAL_HEADER, wireConfiguration, wireRoute } from '@carobpitch/platform'
 import { FrontTestHarness, waitUntil } from './testing/FrontTestHarness.js'
@@ -5,6 +7,8 @@
 const BOOKING = { method: 'POST', path: '/book/1', body: 'an order' }
 /** Age at which the load report of a target is outdated and is requested again. */
 const REPORT_OUTDATED_MS = 400
+/** Time within which a request reaches a target. */
+const SETTLE_MS = 200
 const CONFIGURATION = wireConfiguration({
   routes: {
     stock: wireRoute(),
@@ -18,6 +22,19 @@
   beforeEach(async () => { harness = await FrontTestHarness.start(CONFIGURATION) })
   afterEach(async () => { await harness.stop() })
 
+  describe('malformed', () => {
+    it('guards against a header name with a space that reaches a target: 400, and the connection is closed', async () => {
+      const target = await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const front = await harness.addFront()
+      const socket = connect(front.kernel.get('front').port(), '127.0.0.1')
+      socket.write('GET /stock/1 HTTP/1.1\r\nhost: shop.example\r\nna me: x\r\n\r\n')
+      const received = await text(socket)
+      expect(received.match(/^HTTP\/1.1 \d+/gm)).to.deep.equal(['HTTP/1.1 400'])
+      await new Promise(resolve => setTimeout(resolve, SETTLE_MS))
+      expect(target.receivedRequests).to.deep.equal([])
+    })
+  })
+
   describe('served', () => {
     it('delivers the whole response with the seal of the target, unchanged', async () => {
       await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import type { EventLog } from '@carobpitch/kernel'
-import { abortResponse, endToEndHeaders, readBody, type Attempt, type AttemptResult, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
@@ -86,6 +86,10 @@
   start (): void {
     const { requestId, deadlineMs = DEADLINE_DEFAULT_MS } = this.context.callerProtocol.readFacts(this.request.headers)
     this.requestId = requestId ?? randomUUID()
+    if (!haveValidNames(this.request.rawHeaders)) {
+      this.finish('malformed-request')
+      return
+    }
     const state = this.context.routing()
     if (state === undefined) this.awaitConfiguration(deadlineMs)
     else this.route(state, deadlineMs)
@@ -316,7 +320,7 @@
     this.recordEnd(reason, status)
     if (this.response.destroyed) return
     const { headers, body } = localReply(reason, status, this.context.callerProtocol.retryAfterHeader)
-    this.pushConnectionHeader(headers, !this.request.complete)
+    this.pushConnectionHeader(headers, reason === 'malformed-request' || !this.request.complete)
     this.response.writeHead(status, headers)
     this.response.end(body)
     if (!this.request.complete) this.request.resume()
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -97,6 +97,7 @@
     const { request } = this
     const parsed = parseCallerRequest(request, configuration.current(), bodySizeMaxBytes)
     if (parsed.isErr) {
+      this.mustClose = parsed.error === 'malformed-request'
       this.finish(parsed.error)
       return
     }
--- a/packages/proxy/src/badInput.test.ts
+++ b/packages/proxy/src/badInput.test.ts
@@ -51,6 +51,7 @@
     ['another protocol', 400, 'malformed-request', '\x16\x03\x01\x02\x00\x01\x00\x01'],
     ['an invalid HTTP version', 400, 'malformed-request', `GET / HTTP/9.x\r\n${COMMON_HEADERS}\r\n`],
     ['an invalid header name', 400, 'malformed-request', `GET / HTTP/1.1\r\n${COMMON_HEADERS}na me: x\r\n\r\n`],
+    ['a space before the colon of a header', 400, 'malformed-request', `POST / HTTP/1.1\r\n${COMMON_HEADERS}content-length : 5\r\n\r\nabcde`],
     ['length and chunked framing', 400, 'malformed-request', `POST / HTTP/1.1\r\n${COMMON_HEADERS}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`],
     ['two lengths', 400, 'malformed-request', `POST / HTTP/1.1\r\n${COMMON_HEADERS}content-length: 5\r\ncontent-length: 6\r\n\r\nabcde`],
     ['a length that is not a number', 400, 'malformed-request', `POST / HTTP/1.1\r\n${COMMON_HEADERS}content-length: five\r\n\r\nabcde`],
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -6,6 +6,7 @@
 export { TargetConnectionPool, type TargetConnectionPoolOptions } from './TargetConnectionPool.js'
 export { DeadlineTimer, type Expirable } from './DeadlineTimer.js'
 export { readBody } from './readBody.js'
+export { haveValidNames } from './haveValidNames.js'
 export { endToEndHeaders } from './requestHeaders.js'
 export { readResponseHead, type ReadOwnHeader, type ResponseHead, type TargetOccupancy } from './responseHead.js'
 export { parserErrorReason, type ParserError } from './parserError.js'
--- a/packages/proxy/src/parseCallerRequest.ts
+++ b/packages/proxy/src/parseCallerRequest.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { Result } from 'true-myth'
 import { requestClassSchema, type Configuration, type RequestClass, type ServiceConfiguration, type ServiceName, type TenantId } from '@carobpitch/schema'
+import { haveValidNames } from './haveValidNames.js'
 import { CLASS_HEADER, DEADLINE_HEADER, REQUEST_ID_HEADER, RETRY_HEADER, SERVICE_HEADER, TENANT_HEADER } from './headers.js'
 import type { Reason } from './Reason.js'
 
@@ -54,6 +55,7 @@
 export function parseCallerRequest (head: RequestHead, configuration: Configuration, bodySizeMaxBytes: number): Result<CallerRequest, Reason> {
   const { headers } = head
   const method = head.method ?? ''
+  if (!haveValidNames(head.rawHeaders)) return Result.err('malformed-request')
   if (method === 'CONNECT' || method === 'TRACE') return Result.err('method-not-forwarded')
   if (!hasValidHost(head)) return Result.err('invalid-host')
   const path = originFormOf(head.url ?? '')
