Count the request line in the size of a head

What callers saw: 502 instead of 431 for a head above the limit of the configuration because of a long path, after attempts at targets.

Cause: a front process counted only the header lines. The 431 that callers got before came from the target's own parser.

Change: headSizeBytes includes the request line, so that the front rejects the request before any attempt.

--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -173,7 +173,7 @@
       return
     }
     this.matchedRoute = route
-    if (headSizeBytes(this.request.rawHeaders) > table.callerLimits.headSizeMaxBytes) {
+    if (headSizeBytes(this.request) > table.callerLimits.headSizeMaxBytes) {
       this.finish('head-too-large')
       return
     }
