Test departures in the simulated fleet

A departed target is gone from all caches within contact after the store drops its history. The record is missing in the complete read, so it takes another path than a changed configuration.

--- a/packages/gateway/src/deployment/propagation.test.ts
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -50,6 +50,23 @@
       expect(delayMs).to.be.below(CONTACT_MS)
     })
 
+    it('guards against a departed target that is still known later than contact after the store drops its history', async () => {
+      for (const seed of SEEDS) {
+        const fleet = new SimulatedFleet({ seed })
+        await fleet.start()
+        await clock.tickAsync(4_000 + 170 * seed)
+        fleet.store.areWatchesSilent = true
+        await clock.tickAsync(200)
+        fleet.removeTarget(0)
+        await clock.tickAsync(1_000)
+        fleet.store.compact()
+        expect(fleet.instancesWithTarget(0)).to.have.length(fleet.instances.length)
+        await clock.tickAsync(CONTACT_MS)
+        expect(fleet.instancesWithTarget(0)).to.have.length(0)
+        await fleet.stop()
+      }
+    })
+
     for (const behaviour of ['busy', 'silent'] as const) {
       it(`guards against adoption later than contact after the store was ${behaviour} to all`, async () => {
         const delayMs = await worstDelayMs(async ({ store, confirmConfiguration }) => {
--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -88,6 +88,16 @@
     this.store.put(CONFIGURATION_KEY, JSON.stringify({ version, routes: routesOfSize(sizeBytes) }))
   }
 
+  /** Deletes the record of a target. */
+  removeTarget (index: number): void {
+    this.store.remove(`${TARGET_PREFIX}${index}`)
+  }
+
+  /** Instances that may still send requests to a target. */
+  instancesWithTarget (index: number): SimulatedInstance[] {
+    return this.instances.filter(({ cache }) => cache.targets().some(({ targetId }) => targetId === `i-${index}`))
+  }
+
   /** Time of the last adoption of a version; `Infinity` while an instance lacks it. */
   lastAdoptionAtMs (version: number, instances: readonly SimulatedInstance[] = this.instances): number {
     return Math.max(...instances.map(({ adoptedAtMs }) => Math.min(...[...adoptedAtMs].filter(([adopted]) => adopted >= version).map(([, atMs]) => atMs))))
