Reject bounds of propagation close to 0

What operators could see: a settings file with bounds.config-apply=0ms made an instance call the store and its relays without pause, because every wait is a share of the bounds.

Change: both bounds are at least 500 ms; a shorter one is a violation with its path. Reading the bounds and their defaults had no test.

Measured: platform tests pass; the new test failed before.

--- a/packages/platform/src/readSettings.test.ts
+++ b/packages/platform/src/readSettings.test.ts
@@ -27,6 +27,22 @@
     expect(readSettings(lines.join('\n')).unwrapOr(undefined)?.seedPeerUrls).to.deep.equal([])
   })
 
+  describe('the bounds of propagation', () => {
+    const boundsOf = (lines: readonly string[]): unknown => readSettings([...LINES, ...lines].join('\n')).match<unknown>({ Ok: ({ propagationBounds }) => propagationBounds, Err: error => error.map(({ path }) => path) })
+
+    it('are those of the settings file', () => {
+      expect(boundsOf(['bounds.config-apply=2.5s', 'bounds.contact=3500ms'])).to.deep.equal({ configApplyMs: 2_500, contactMs: 3_500 })
+    })
+
+    it('have defaults', () => {
+      expect(boundsOf([])).to.deep.equal({ configApplyMs: 2_000, contactMs: 3_000 })
+    })
+
+    it('guards against calls to the store without pause: bounds close to 0 are rejected', () => {
+      expect(boundsOf(['bounds.config-apply=0ms', 'bounds.contact=100ms'])).to.have.members(['bounds.config-apply', 'bounds.contact'])
+    })
+  })
+
   it('guards against a start with invalid settings: every violation is reported', () => {
     const lines = LINES.filter(line => !line.startsWith('zone=')).map(line => line.replace('6s', '6 minutes').replace('10.200.1.7:8541', 'store'))
     const violations = readSettings(lines.join('\n')).match({ Ok: () => [], Err: error => error })
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -11,6 +11,8 @@
 /** Bounds of a settings file that names none. */
 const DEFAULT_CONFIG_APPLY_MS = 2_000
 const DEFAULT_CONTACT_MS = 3_000
+/** Shorter bounds leave a call to the store less time than its response may take. */
+const PROPAGATION_BOUND_MIN_MS = 500
 
 const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
 
@@ -24,6 +26,8 @@
 const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(','))
   .pipe(z.array(z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>')))
 
+const propagationBoundSchema = durationSchema.refine(boundMs => boundMs >= PROPAGATION_BOUND_MIN_MS, `must be at least ${PROPAGATION_BOUND_MIN_MS}ms`)
+
 const settingsSchema = z.object({
   'node-name': instanceIdSchema,
   zone: failureDomainIdSchema,
@@ -36,8 +40,8 @@
   'platform.address': z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>'),
   'platform.ttl-min': durationSchema,
   'bounds.grace-period': durationSchema,
-  'bounds.config-apply': durationSchema.default(DEFAULT_CONFIG_APPLY_MS),
-  'bounds.contact': durationSchema.default(DEFAULT_CONTACT_MS),
+  'bounds.config-apply': propagationBoundSchema.default(DEFAULT_CONFIG_APPLY_MS),
+  'bounds.contact': propagationBoundSchema.default(DEFAULT_CONTACT_MS),
   'bounds.ttl_max': durationSchema,
   'bounds.probes-per-s': numberSchema,
   'bounds.retry-budget-ratio': numberSchema,
