Record a backlog of large configurations as a known failing test

Evidence: the simulated fleet. Five versions of 335 KB, 0.3 s apart, are in force after 3.13 s of 2.5 s. A store reader gets every version from the store, 0.5 s each over 7 Mbit/s.

--- a/packages/gateway/src/deployment/propagation.test.ts
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -86,6 +86,17 @@
       expect(delayMs).to.be.below(CONFIG_APPLY_MS)
     })
 
+    it('guards against a backlog of outdated versions while large configurations follow each other', async () => {
+      const delayMs = await worstDelayMs(async fleet => {
+        for (let version = VERSION - 4; version < VERSION; version += 1) {
+          fleet.confirmConfiguration(version, LARGE_CONFIGURATION_BYTES)
+          await clock.tickAsync(300)
+        }
+        fleet.confirmConfiguration(VERSION, LARGE_CONFIGURATION_BYTES)
+      })
+      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
+    })
+
     it('guards against waiting for frozen relays one after the other', async () => {
       const delayMs = await worstDelayMs(fleet => {
         const frozen = fleet.readersOf('zone-1').slice(0, 3)
