Skip outdated versions when a store reader has fallen behind

What callers saw: with large configurations in quick succession, requests were handled by an old version for as long as the versions came, and longer.

Cause: a read of changes returns every version since the last read. Over a link of 7 Mbit/s each version of 335 KB takes 0.5 s, so that the next response has more versions. Above 1.7 MB the response exceeded its timeout of 2 s, and the reader requested the same backlog again until the store dropped its history. Followers got each of the versions as well. The timeout was in no sum of steps.

Change: a reader abandons a response that is larger than all records together (and than 512 KiB) and reads these, so that the size of a read does not depend on the number of versions. A relay's history keeps the last change of each key. The body of a store's response has a share of the bounds.

--- a/packages/gateway/src/deployment/ChangeStore.ts
+++ b/packages/gateway/src/deployment/ChangeStore.ts
@@ -23,10 +23,10 @@
 }
 
 /**
- * Why changes could not be read. `history-lost` requires a complete read.
+ * Why changes could not be read. `history-lost` and `too-large` require a complete read.
  * @public
  */
-export type ChangesFailure = { kind: 'history-lost' } | { kind: 'unavailable', reason: string }
+export type ChangesFailure = { kind: 'history-lost' } | { kind: 'too-large' } | { kind: 'unavailable', reason: string }
 
 /**
  * Options of a read.
@@ -35,6 +35,17 @@
 export interface ReadOptions {
   /** Time for the head of the response, beyond a wait that is part of the call. */
   responseTimeoutMs?: number
+  /** Time for the body of the response after its head. */
+  transferTimeoutMs?: number
+}
+
+/**
+ * Options for reading changes.
+ * @public
+ */
+export interface ChangesOptions extends ReadOptions {
+  /** Total size of the values above which the response is abandoned. */
+  sizeMaxBytes?: number
 }
 
 /**
@@ -56,7 +67,7 @@
   /** Reads the records whose keys begin with the prefix. */
   listPage(prefix: string, options?: ListOptions): Promise<Result<RecordPage, StoreFailure>>
   /** Waits up to `waitMs` for changes below the prefix. */
-  changesAfter(prefix: string, revision: number, waitMs: number, options?: ReadOptions): Promise<Result<ChangeBatch, ChangesFailure>>
+  changesAfter(prefix: string, revision: number, waitMs: number, options?: ChangesOptions): Promise<Result<ChangeBatch, ChangesFailure>>
   /** Writes a key under a lease. The error `lease-ended` means that nothing was written. */
   put(key: string, value: string, leaseId: string): Promise<Result<void, StoreFailure>>
   grantLease(ttlMs: number): Promise<Result<Lease, StoreFailure>>
--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -72,6 +72,20 @@
       expect(cache.changesAfter(3)).to.deep.equal({ events: [put('t2', 'ready', 5)], revision: 6 })
       expect(cache.changesAfter(2)).to.equal(undefined)
     })
+
+    it('guards against a backlog of outdated versions: only the last change of each key is returned', () => {
+      cache.apply(3, { events: [put('configuration', '8', 4), put('t2', 'ready', 5), put('configuration', '9', 6)], revision: 6 }, 'store')
+      cache.apply(6, { events: [{ kind: 'delete', key: 't2', modRevision: 7 }], revision: 7 }, 'store')
+      expect(cache.changesAfter(3)?.events).to.deep.equal([put('configuration', '9', 6), { kind: 'delete', key: 't2', modRevision: 7 }])
+      expect(cache.changesAfter(6)?.events).to.deep.equal([{ kind: 'delete', key: 't2', modRevision: 7 }])
+    })
+
+    it('guards against missing changes after the oldest ones are dropped: the history no longer reaches back to them', () => {
+      const events = Array.from({ length: 2_001 }, (_, index) => put(`many-${index}`, 'ready', 4 + index))
+      cache.apply(3, { events, revision: 2_004 }, 'store')
+      expect(cache.changesAfter(3)).to.equal(undefined)
+      expect(cache.changesAfter(4)?.events).to.have.length(2_000)
+    })
   })
 
   describe('a complete read of a cache in use', () => {
@@ -97,6 +111,7 @@
     it('guards against the removal of a record that was written again after the deletion', () => {
       cache.apply(8, { events: [put('t1', 'ready', 10), { kind: 'delete', key: 't1', modRevision: 9 }], revision: 10 }, 'peer')
       expect(targetIds()).to.include('t1')
+      expect(cache.changesAfter(8)?.events).to.deep.equal([put('t1', 'ready', 10)])
     })
   })
 
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -9,8 +9,8 @@
 
 /** Time within which targets whose records lapsed during an outage of the store register again; the platform specifies about 2 s. */
 const LAPSE_GRACE_MS = 2_000
-/** Number of changes kept for other instances; enough for a few bursts of configuration changes. */
-const HISTORY_MAX_EVENTS = 1_000
+/** Number of keys whose last change is kept for other instances; a deployment of 300 instances and 900 targets has 1,200. */
+const HISTORY_MAX_KEYS = 2_000
 
 /**
  * Options of `DeploymentCache`.
@@ -45,8 +45,9 @@
   /** Targets whose records disappeared while the store was unavailable, by key. */
   private readonly lapsed = new Map<string, { target: TargetRecord, untilMs: number }>()
   private readonly listeners = new Set<() => void>()
-  private history: WatchEvent[] = []
-  /** Revision before the oldest change in the history. */
+  /** Last change of each key, oldest first. Earlier changes are superseded, and a large configuration is costly to pass on. */
+  private readonly history = new Map<string, WatchEvent>()
+  /** Revision after which the history is complete. */
   private historyStartRevision = 0
   private currentRevision = 0
   private table: RoutingTable | undefined
@@ -146,10 +147,17 @@
     return true
   }
 
-  /** Returns the changes after a revision, or `undefined` if the history no longer reaches back to it. */
+  /** Returns the last change of each key after a revision, or `undefined` if the history no longer reaches back to it. */
   changesAfter (revision: number): ChangeBatch | undefined {
     if (revision < this.historyStartRevision) return undefined
-    return { events: this.history.filter(event => revisionOf(event) > revision), revision: this.currentRevision }
+    return { events: [...this.history.values()].filter(event => revisionOf(event) > revision), revision: this.currentRevision }
+  }
+
+  /** Total size of the records' values. */
+  sizeBytes (): number {
+    let sizeBytes = 0
+    for (const { raw } of this.records.values()) sizeBytes += Buffer.byteLength(raw.value)
+    return sizeBytes
   }
 
   /** Returns all records. */
@@ -220,11 +228,19 @@
   }
 
   private appendHistory (events: readonly WatchEvent[]): void {
-    this.history.push(...events)
-    const excess = this.history.length - HISTORY_MAX_EVENTS
-    if (excess <= 0) return
-    const dropped = this.history.splice(0, excess).at(-1)
-    if (dropped !== undefined) this.historyStartRevision = revisionOf(dropped)
+    for (const event of events) {
+      const key = keyOf(event)
+      const existing = this.history.get(key)
+      if (existing !== undefined && revisionOf(existing) > revisionOf(event)) continue
+      // Moves the key to the end, because a map keeps the order of first insertion.
+      this.history.delete(key)
+      this.history.set(key, event)
+    }
+    for (const [key, event] of this.history) {
+      if (this.history.size <= HISTORY_MAX_KEYS) break
+      this.history.delete(key)
+      this.historyStartRevision = Math.max(this.historyStartRevision, revisionOf(event))
+    }
   }
 
   private advance (revision: number): void {
--- a/packages/gateway/src/deployment/StoreReader.ts
+++ b/packages/gateway/src/deployment/StoreReader.ts
@@ -5,6 +5,9 @@
 import type { PropagationBudget } from './propagationBudget.js'
 import type { PropagationWaits } from './PropagationWaits.js'
 
+/** Total size of values up to which changes are always read, so that a first large configuration needs no second call. */
+const CHANGES_SIZE_MIN_BYTES = 512 * 1024
+
 /**
  * Options of `StoreReader`.
  * @internal
@@ -67,8 +70,10 @@
       // After a failure, whether the store responds matters more than a change that it may have to wait for.
       const waitMs = mayWait && this.failures === 0 ? this.options.budget.storeWaitMs : 0
       const outcome = await this.readChanges(isAfterOutage, waitMs)
-      if (outcome !== 'history-lost') return this.recordOutcome(outcome)
-      this.options.log.warn('store.history-lost', { revision: this.options.deploymentCache.revision() })
+      if (outcome === 'confirmed' || outcome === 'failed') return this.recordOutcome(outcome)
+      const { log, deploymentCache } = this.options
+      if (outcome === 'history-lost') log.warn('store.history-lost', { revision: deploymentCache.revision() })
+      else log.info('store.history-skipped', { revision: deploymentCache.revision(), sizeMaxBytes: this.changesSizeMaxBytes() })
       this.mustReadAll = true
     }
     return this.recordOutcome(await this.readAll(isAfterOutage))
@@ -108,12 +113,12 @@
 
   /** Reads all records. The first read may be seconds old, which costs the store less, because the changes after it are read next. */
   private async readAll (isAfterOutage: boolean): Promise<StoreReadOutcome> {
-    const { store, deploymentCache, waits } = this.options
+    const { store, deploymentCache, waits, budget: { storeTransferMs: transferTimeoutMs } } = this.options
     const isStaleAllowed = this.isFirst
     const records: StoredValue[] = []
     let revision = Infinity
     for (let after: string | undefined, hasMore = true; hasMore;) {
-      const page = await waits.measure('store-list', store.listPage('', { after, isStaleAllowed, responseTimeoutMs: this.responseTimeoutMs() }))
+      const page = await waits.measure('store-list', store.listPage('', { after, isStaleAllowed, responseTimeoutMs: this.responseTimeoutMs(), transferTimeoutMs }))
       if (page.isErr) return this.fail(page.error.reason)
       records.push(...page.value.records)
       // Each page may have another revision; changes after the oldest one are read again.
@@ -125,12 +130,21 @@
     return isStaleAllowed ? 'unconfirmed' : 'confirmed'
   }
 
-  private async readChanges (isAfterOutage: boolean, waitMs: number): Promise<'confirmed' | 'failed' | 'history-lost'> {
-    const { store, deploymentCache, waits } = this.options
+  /** Reads the changes, unless all records together are smaller than these, as after several large configurations. */
+  private async readChanges (isAfterOutage: boolean, waitMs: number): Promise<'confirmed' | 'failed' | 'history-lost' | 'too-large'> {
+    const { store, deploymentCache, waits, budget: { storeTransferMs: transferTimeoutMs } } = this.options
     const revision = deploymentCache.revision()
-    const batch = await waits.measure('store-watch', store.changesAfter('', revision, waitMs, { responseTimeoutMs: this.responseTimeoutMs() }))
-    if (batch.isErr) return batch.error.kind === 'history-lost' ? 'history-lost' : this.fail(batch.error.reason)
-    return deploymentCache.apply(revision, batch.value, 'store', isAfterOutage) ? 'confirmed' : 'history-lost'
+    const batch = await waits.measure('store-watch', store.changesAfter('', revision, waitMs, {
+      responseTimeoutMs: this.responseTimeoutMs(),
+      transferTimeoutMs,
+      sizeMaxBytes: this.changesSizeMaxBytes()
+    }))
+    if (batch.isOk) return deploymentCache.apply(revision, batch.value, 'store', isAfterOutage) ? 'confirmed' : 'history-lost'
+    return batch.error.kind === 'unavailable' ? this.fail(batch.error.reason) : batch.error.kind
+  }
+
+  private changesSizeMaxBytes (): number {
+    return Math.max(CHANGES_SIZE_MIN_BYTES, this.options.deploymentCache.sizeBytes())
   }
 
   private fail (reason: string): 'failed' {
--- a/packages/gateway/src/deployment/propagation.test.ts
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
-import { SimulatedFleet } from './testing/SimulatedFleet.js'
+import { SimulatedFleet, type SimulatedFleetOptions } from './testing/SimulatedFleet.js'
 
 /** Bounds of the grown deployments. */
 const CONFIG_APPLY_MS = 2_500
@@ -8,7 +8,7 @@
 /** Configuration with 1,900 routes. */
 const LARGE_CONFIGURATION_BYTES = 335_000
 
-const VERSION = 7
+const VERSION = 17
 /** Each seed starts the instances' loops at other moments. */
 const SEEDS = [1, 2, 3, 4, 5]
 
@@ -23,10 +23,10 @@
   afterEach(() => clock.uninstall())
 
   /** Returns the longest time from the end of the disturbance to the last adoption in several fleets. */
-  async function worstDelayMs (disturb: (fleet: SimulatedFleet) => Promise<void> | void): Promise<number> {
+  async function worstDelayMs (disturb: (fleet: SimulatedFleet) => Promise<void> | void, options: SimulatedFleetOptions = {}): Promise<number> {
     const delaysMs = []
     for (const seed of SEEDS) {
-      const fleet = new SimulatedFleet({ seed })
+      const fleet = new SimulatedFleet({ ...options, seed })
       await fleet.start()
       await clock.tickAsync(4_000 + 170 * seed)
       await disturb(fleet)
@@ -86,14 +86,22 @@
       expect(delayMs).to.be.below(CONFIG_APPLY_MS)
     })
 
+    /** Confirms large configurations in quick succession. */
+    async function confirmVersions (fleet: SimulatedFleet, versions: number): Promise<void> {
+      for (let version = VERSION - versions + 1; version < VERSION; version += 1) {
+        fleet.confirmConfiguration(version, LARGE_CONFIGURATION_BYTES)
+        await clock.tickAsync(300)
+      }
+      fleet.confirmConfiguration(VERSION, LARGE_CONFIGURATION_BYTES)
+    }
+
     it('guards against a backlog of outdated versions while large configurations follow each other', async () => {
-      const delayMs = await worstDelayMs(async fleet => {
-        for (let version = VERSION - 4; version < VERSION; version += 1) {
-          fleet.confirmConfiguration(version, LARGE_CONFIGURATION_BYTES)
-          await clock.tickAsync(300)
-        }
-        fleet.confirmConfiguration(VERSION, LARGE_CONFIGURATION_BYTES)
-      })
+      const delayMs = await worstDelayMs(async fleet => await confirmVersions(fleet, 5))
+      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
+    })
+
+    it('guards against a backlog that never reaches a store reader in time, because all links are slow', async () => {
+      const delayMs = await worstDelayMs(async fleet => await confirmVersions(fleet, 10), { fastInstancesPerDomain: 0 })
       expect(delayMs).to.be.below(CONFIG_APPLY_MS)
     })
 
--- a/packages/gateway/src/deployment/propagationBudget.ts
+++ b/packages/gateway/src/deployment/propagationBudget.ts
@@ -23,6 +23,8 @@
   storeResponseMs: number
   /** The same after a failure, because the store may be slow instead of unavailable. */
   storeSlowResponseMs: number
+  /** Time for the body of a response of the store after its head. */
+  storeTransferMs: number
   /** Delay before the call after a first failure, before jitter of up to 25% in either direction. */
   storeRetryMs: number
   /** Longest delay before a call after several failures, before jitter. */
@@ -66,6 +68,7 @@
     storePauseMs: share(0.1),
     storeResponseMs: share(0.2),
     storeSlowResponseMs: share(0.38),
+    storeTransferMs: share(0.8),
     storeRetryMs: share(0.08),
     storeRetryMaxMs: share(0.25),
     firstReadRetryMaxMs: share(0.5),
--- a/packages/gateway/src/deployment/testing/SimulatedLink.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedLink.ts
@@ -18,6 +18,18 @@
     await this.occupy(sizeBytes * 8 / this.bitsPerMs)
   }
 
+  /** Resolves with whether the bytes have passed in time. The transfer is aborted otherwise. */
+  async transferWithin (sizeBytes: number, timeoutMs: number): Promise<boolean> {
+    const nowMs = performance.now()
+    const isInTime = Math.max(nowMs, this.busyUntilMs) + sizeBytes * 8 / this.bitsPerMs <= nowMs + timeoutMs
+    if (isInTime) await this.transfer(sizeBytes)
+    else {
+      this.busyUntilMs = Math.max(this.busyUntilMs, nowMs + timeoutMs)
+      await sleep(timeoutMs)
+    }
+    return isInTime
+  }
+
   /** Resolves after everything before it and then the given time. */
   async occupy (durationMs: number): Promise<void> {
     const nowMs = performance.now()
--- a/packages/gateway/src/deployment/testing/SimulatedStore.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedStore.ts
@@ -1,10 +1,11 @@
 import { Result } from 'true-myth'
 import type { StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
-import type { ChangeBatch, ChangesFailure, ChangeStore, ListOptions, RecordPage } from '../ChangeStore.js'
+import type { ChangeBatch, ChangesFailure, ChangesOptions, ChangeStore, ListOptions, RecordPage } from '../ChangeStore.js'
 import { type SimulatedLink, sleep } from './SimulatedLink.js'
 
 const RESPONSE_MS = 4
 const RESPONSE_TIMEOUT_MS = 1_000
+const TRANSFER_TIMEOUT_MS = 2_000
 const PAGE_SIZE = 50
 /** Base64 and the names of the fields add about this much to a value. */
 const WIRE_SIZE_FACTOR = 1.4
@@ -63,7 +64,7 @@
   clientOf (caller: StoreCaller): Pick<ChangeStore, 'listPage' | 'changesAfter'> {
     return {
       listPage: async (_prefix, options) => await this.listPage(caller, options ?? {}),
-      changesAfter: async (_prefix, revision, waitMs, options) => await this.changesAfter(caller, revision, waitMs, options?.responseTimeoutMs)
+      changesAfter: async (_prefix, revision, waitMs, options) => await this.changesAfter(caller, revision, waitMs, options ?? {})
     }
   }
 
@@ -72,17 +73,18 @@
     if (!this.areWatchesSilent) for (const { wake } of [...this.watches]) wake()
   }
 
-  private async listPage (caller: StoreCaller, { after = '', responseTimeoutMs = RESPONSE_TIMEOUT_MS }: ListOptions): Promise<Result<RecordPage, StoreFailure>> {
+  private async listPage (caller: StoreCaller, { after = '', responseTimeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs = TRANSFER_TIMEOUT_MS }: ListOptions): Promise<Result<RecordPage, StoreFailure>> {
     const refusal = await this.receive(caller, responseTimeoutMs)
     if (refusal !== undefined) return Result.err({ effect: 'none', reason: refusal })
     const keys = [...this.records.keys()].filter(key => key > after).sort()
     const records = keys.slice(0, PAGE_SIZE).map(key => this.records.get(key) as StoredValue)
     const { revision } = this
-    await caller.link.transfer(sizeOf(records.map(({ value }) => value)))
+    const isInTime = await caller.link.transferWithin(wireSizeOf(records.map(({ value }) => value)), transferTimeoutMs)
+    if (!isInTime) return Result.err({ effect: 'none', reason: 'no complete response' })
     return Result.ok({ records, revision, hasMore: keys.length > PAGE_SIZE })
   }
 
-  private async changesAfter (caller: StoreCaller, revision: number, waitMs: number, responseTimeoutMs = RESPONSE_TIMEOUT_MS): Promise<Result<ChangeBatch, ChangesFailure>> {
+  private async changesAfter (caller: StoreCaller, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs = TRANSFER_TIMEOUT_MS, sizeMaxBytes = Infinity }: ChangesOptions): Promise<Result<ChangeBatch, ChangesFailure>> {
     const refusal = await this.receive(caller, waitMs + responseTimeoutMs)
     if (refusal !== undefined) return Result.err({ kind: 'unavailable', reason: refusal })
     if (revision < this.historyStart) return Result.err({ kind: 'history-lost' })
@@ -91,8 +93,10 @@
     if (end === 'timeout') return Result.err({ kind: 'unavailable', reason: 'no response' })
     const events = this.events.filter(event => (event.kind === 'put' ? event.value.modRevision : event.modRevision) > revision)
     const batch = { events, revision: this.revision }
-    await caller.link.transfer(sizeOf(events.map(event => event.kind === 'put' ? event.value.value : '')))
-    return Result.ok(batch)
+    const values = events.map(event => event.kind === 'put' ? event.value.value : '')
+    if (values.join('').length > sizeMaxBytes) return Result.err({ kind: 'too-large' })
+    const isInTime = await caller.link.transferWithin(wireSizeOf(values), transferTimeoutMs)
+    return isInTime ? Result.ok(batch) : Result.err({ kind: 'unavailable', reason: 'no complete response' })
   }
 
   /** Returns the reason if the call gets no regular response. */
@@ -126,6 +130,6 @@
   }
 }
 
-function sizeOf (values: readonly string[]): number {
+function wireSizeOf (values: readonly string[]): number {
   return 200 + values.reduce((sizeBytes, value) => sizeBytes + value.length * WIRE_SIZE_FACTOR, 0)
 }
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -51,6 +51,17 @@
     expect(changes.isErr && changes.error.kind).to.equal('history-lost')
   })
 
+  it('guards against a backlog that never arrives in time: changes above the size limit are abandoned', async () => {
+    const { revision } = (await store.listPage('')).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+    for (let version = 0; version < 5; version += 1) standIn.put('op/config', String(version).repeat(300_000))
+    const changes = await store.changesAfter('', revision, 0, { sizeMaxBytes: 1_000_000 })
+    expect(changes.isErr && changes.error.kind).to.equal('too-large')
+    const page = (await store.listPage('')).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+    expect(page.records.map(({ value }) => value.length)).to.deep.equal([300_000])
+    const last = (await store.changesAfter('', page.revision - 1, 0, { sizeMaxBytes: 1_000_000 })).unwrapOrElse(({ kind }) => { throw new Error(kind) })
+    expect(last.events).to.have.length(1)
+  })
+
   it('ties an entry to its lease, and detects that the lease has ended', async () => {
     const lease = (await store.grantLease(1_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
     expect((await store.put('carobpitch/members/a', 'entry', lease.leaseId)).isOk).to.equal(true)
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth'
-import { Pool } from 'undici'
+import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
-import type { ChangeBatch, ChangesFailure, ChangeStore, ListOptions, ReadOptions, RecordPage } from '@carobpitch/gateway'
+import type { ChangeBatch, ChangesFailure, ChangesOptions, ChangeStore, ListOptions, RecordPage } from '@carobpitch/gateway'
 import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
 import { durationSchema, formatDuration } from './durations.js'
 import { STORE_PATHS } from './wire.js'
@@ -11,7 +11,9 @@
 /** Timeout of the head of a response. The store usually responds in 4 ms, but may be a hundred times slower. */
 const RESPONSE_TIMEOUT_MS = 1_000
 /** Timeout of the body after the head. A large configuration takes long over a slow link. */
-const BODY_TIMEOUT_MS = 2_000
+const TRANSFER_TIMEOUT_MS = 2_000
+/** Factor by which values grow when they are encoded as base64. */
+const BASE64_FACTOR = 4 / 3
 
 const itemSchema = z.object({
   key: z.string(),
@@ -53,6 +55,7 @@
 
 interface StoreResponse {
   status: number
+  /** `undefined` if the body exceeded the size limit of the call. */
   body: unknown
 }
 
@@ -62,6 +65,9 @@
   path: string
   body?: unknown
   timeoutMs?: number | undefined
+  transferTimeoutMs?: number | undefined
+  /** Size of the response's body above which it is abandoned. */
+  bodySizeMaxBytes?: number | undefined
 }
 
 /**
@@ -77,9 +83,9 @@
     this.pool = new Pool(options.url, { connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
   }
 
-  async listPage (prefix: string, { after, isStaleAllowed = false, responseTimeoutMs }: ListOptions = {}): Promise<Result<RecordPage, StoreFailure>> {
+  async listPage (prefix: string, { after, isStaleAllowed = false, responseTimeoutMs, transferTimeoutMs }: ListOptions = {}): Promise<Result<RecordPage, StoreFailure>> {
     const query = new URLSearchParams({ prefix, ...(after === undefined ? {} : { after }), ...(isStaleAllowed ? { 'allow-stale': '1' } : {}) })
-    const response = await this.call({ name: 'list', method: 'GET', path: `${STORE_PATHS.list}?${query}`, timeoutMs: responseTimeoutMs })
+    const response = await this.call({ name: 'list', method: 'GET', path: `${STORE_PATHS.list}?${query}`, timeoutMs: responseTimeoutMs, transferTimeoutMs })
     if (response.isErr) return Result.err(response.error)
     const page = pageSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !page.success) return Result.err(unexpectedResponse(response.value))
@@ -90,11 +96,19 @@
     })
   }
 
-  async changesAfter (prefix: string, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS }: ReadOptions = {}): Promise<Result<ChangeBatch, ChangesFailure>> {
+  async changesAfter (prefix: string, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs, sizeMaxBytes = Infinity }: ChangesOptions = {}): Promise<Result<ChangeBatch, ChangesFailure>> {
     const query = new URLSearchParams({ prefix, after: String(revision), 'wait-ms': String(waitMs) })
-    const response = await this.call({ name: 'changes', method: 'GET', path: `${STORE_PATHS.changes}?${query}`, timeoutMs: waitMs + responseTimeoutMs })
+    const response = await this.call({
+      name: 'changes',
+      method: 'GET',
+      path: `${STORE_PATHS.changes}?${query}`,
+      timeoutMs: waitMs + responseTimeoutMs,
+      transferTimeoutMs,
+      bodySizeMaxBytes: sizeMaxBytes * BASE64_FACTOR
+    })
     if (response.isErr) return Result.err({ kind: 'unavailable', reason: response.error.reason })
     if (response.value.status === 410) return Result.err({ kind: 'history-lost' })
+    if (response.value.status === 200 && response.value.body === undefined) return Result.err({ kind: 'too-large' })
     const batch = batchSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !batch.success) return Result.err({ kind: 'unavailable', reason: unexpectedResponse(response.value).reason })
     return Result.ok({ events: batch.data.events.map(toEvent), revision: batch.data['current-rev'] })
@@ -136,7 +150,7 @@
   }
 
   /** Sends a call. A call without a response may have been executed, or may be executed later. */
-  private async call ({ name, method, path, body, timeoutMs = RESPONSE_TIMEOUT_MS }: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
+  private async call ({ name, method, path, body, timeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs = TRANSFER_TIMEOUT_MS, bodySizeMaxBytes = Infinity }: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
     const controller = new AbortController()
     // Closes the connection as well, because a connection that has lost a response returns no further one.
     const abortAfter = (durationMs: number, what: string): NodeJS.Timeout => setTimeout(() => controller.abort(new Error(`no ${what} within ${durationMs} ms`)), durationMs)
@@ -150,10 +164,10 @@
         signal: controller.signal
       })
       clearTimeout(timer)
-      timer = abortAfter(BODY_TIMEOUT_MS, 'complete response')
-      const bodyText = await response.body.text()
+      timer = abortAfter(transferTimeoutMs, 'complete response')
+      const bodyText = await readBody(response, bodySizeMaxBytes)
       this.options.countCall?.(name, String(response.statusCode))
-      return Result.ok({ status: response.statusCode, body: parseBody(bodyText) })
+      return Result.ok({ status: response.statusCode, body: bodyText === undefined ? undefined : parseBody(bodyText) })
     } catch (error) {
       this.options.countCall?.(name, 'no-answer')
       return Result.err({ effect: 'unknown', reason: (error as Error).message })
@@ -163,6 +177,19 @@
   }
 }
 
+/** Reads a body. Returns `undefined` and closes the connection as soon as the body is known to exceed the limit. */
+async function readBody ({ headers, body }: Pick<Dispatcher.ResponseData, 'headers' | 'body'>, sizeMaxBytes: number): Promise<string | undefined> {
+  const announcedBytes = Number(headers['content-length'] ?? 0)
+  const chunks: Buffer[] = []
+  let sizeBytes = 0
+  for await (const chunk of body) {
+    chunks.push(chunk as Buffer)
+    sizeBytes += (chunk as Buffer).length
+    if (Math.max(announcedBytes, sizeBytes) > sizeMaxBytes) return undefined
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
 /** Returns a body that is not JSON as text; the status then indicates the result of the call. */
 function parseBody (text: string): unknown {
   try {
