Select the instances with the fastest machines as store readers

What callers saw: in deployments where a few instances have fast links and most have slow ones, large configurations took effect late, because a slow instance read them from the store and passed them on.

Cause: readers were ranked by a hash alone. A reader with a link of 7 Mbit/s needs 0.5 s to receive 335 KB of routes and 0.6 s to send them to 31 followers.

Change: instances publish link and processor of their settings in a record of their own, in the call that writes the member record. Readers and substitutes are those that serve a follower fastest; equal machines are ordered by hash as before.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -48,8 +48,8 @@
   decodeRecord: (key: string, value: string) => Result<DeploymentRecord, string>
   callerProtocol: CallerProtocol
   targetProtocol: TargetProtocol
-  /** Key of this instance's record in the store. */
-  memberKey: string
+  /** Keys of this instance's records in the store. */
+  keys: { member: string, capacity: string }
   registry: Registry
 }
 
@@ -66,7 +66,7 @@
 
   constructor (options: FrontDaemonOptions) {
     this.options = options
-    const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, memberKey, registry } = options
+    const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, keys, registry } = options
     const { kernel } = this
     const timer = new DeadlineTimer()
     const budget = propagationBudget(settings.propagationBounds)
@@ -85,7 +85,15 @@
       renewalIntervalMsOf: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS) / RENEWALS_PER_LEASE,
       retryMaxMs: budget.leaseRetryMaxMs
     })
-    const registration = new Registration({ store, lease, deploymentCache: cache, key: memberKey, record: () => this.ownRecord(), log })
+    const registration = new Registration({
+      store,
+      lease,
+      deploymentCache: cache,
+      key: keys.member,
+      record: () => this.ownRecord(),
+      capacity: settings.capacity === undefined ? undefined : { key: keys.capacity, value: settings.capacity },
+      log
+    })
     const targets = new TargetRegistry({ deploymentCache: cache, timer, log })
 
     const metrics = new FrontMetrics(registry, {
@@ -151,7 +159,12 @@
       queryPeer: createPeerFeedClient(peerLinks, budget),
       budget,
       peerUrls: () => this.peerUrls(),
-      relays: createRelaySelector({ members: () => cache.members(), instanceId: settings.instanceId, failureDomain: settings.failureDomain }),
+      relays: createRelaySelector({
+        members: () => cache.members(),
+        capacities: () => cache.capacities(),
+        instanceId: settings.instanceId,
+        failureDomain: settings.failureDomain
+      }),
       log,
       onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -8,7 +8,7 @@
 import { Result } from 'true-myth'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { RateLimitedOutput, EventLog } from '@carobpitch/kernel'
-import { callerProtocol, decodeRecord, STORE_KEYS, PlatformStore, readSettings, SETTINGS_VARIABLE, targetProtocol } from '@carobpitch/platform'
+import { callerProtocol, decodeRecord, PlatformStore, readSettings, recordKeysOf, SETTINGS_VARIABLE, targetProtocol } from '@carobpitch/platform'
 import type { Violation } from '@carobpitch/schema'
 import { codeCacheState } from './codeCacheState.js'
 import { FrontDaemon } from './FrontDaemon.js'
@@ -32,7 +32,7 @@
   decodeRecord,
   callerProtocol,
   targetProtocol,
-  memberKey: `${STORE_KEYS.memberPrefix}${settings.instanceId}`,
+  keys: recordKeysOf(settings.instanceId),
   registry
 })
 
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -2,7 +2,7 @@
 import { Registry } from 'prom-client'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { EventLog } from '@carobpitch/kernel'
-import { callerHeaders, callerProtocol, decodeRecord, STORE_KEYS, PlatformStore, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
+import { callerHeaders, callerProtocol, decodeRecord, PlatformStore, recordKeysOf, STORE_KEYS, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
 import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
 import { FrontDaemon } from '../FrontDaemon.js'
 
@@ -78,7 +78,7 @@
       decodeRecord,
       callerProtocol,
       targetProtocol,
-      memberKey: `${STORE_KEYS.memberPrefix}${ownSettings.instanceId}`,
+      keys: recordKeysOf(ownSettings.instanceId),
       registry: new Registry()
     })
     this.storeClients.push(store)
@@ -137,6 +137,7 @@
   return {
     instanceId: instanceId as InstanceId,
     failureDomain: 'zone-a' as FailureDomainId,
+    capacity: { linkMbps: 100, cores: 1 },
     callerListen: listen,
     readinessListen: listen,
     directoryListen: listen,
--- a/packages/gateway/src/deployment/ChangeStore.ts
+++ b/packages/gateway/src/deployment/ChangeStore.ts
@@ -59,6 +59,15 @@
   isStaleAllowed?: boolean
 }
 
+/**
+ * A key and its new value.
+ * @public
+ */
+export interface StoreEntry {
+  key: string
+  value: string
+}
+
 /**
  * A key-value store whose changes are read by revision.
  * @public
@@ -68,8 +77,8 @@
   listPage(prefix: string, options?: ListOptions): Promise<Result<RecordPage, StoreFailure>>
   /** Waits up to `waitMs` for changes below the prefix. */
   changesAfter(prefix: string, revision: number, waitMs: number, options?: ChangesOptions): Promise<Result<ChangeBatch, ChangesFailure>>
-  /** Writes a key under a lease. The error `lease-ended` means that nothing was written. */
-  put(key: string, value: string, leaseId: string): Promise<Result<void, StoreFailure>>
+  /** Writes all or none of the entries under a lease. */
+  put(entries: readonly StoreEntry[], leaseId: string): Promise<Result<void, StoreFailure>>
   grantLease(ttlMs: number): Promise<Result<Lease, StoreFailure>>
   /** Extends a lease. A time to live of 0 means that it has ended. */
   renewLease(leaseId: string): Promise<Result<Lease, StoreFailure>>
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -3,6 +3,7 @@
 import type { FailureDomainId, InstanceId, MemberRecord, TargetId } from '@carobpitch/schema'
 import type { StoredValue, WatchEvent } from '@carobpitch/store'
 import type { DeploymentRecord } from '../model/DeploymentRecord.js'
+import type { InstanceCapacity } from '../model/InstanceCapacity.js'
 import type { RoutingTable } from '../model/Route.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
 import type { ChangeBatch } from './ChangeStore.js'
@@ -53,6 +54,8 @@
   private table: RoutingTable | undefined
   /** Registered instances, kept until a record changes because every probe reads them. */
   private memberList: readonly MemberRecord[] | undefined
+  /** Capacities of the instances, kept as long as `memberList`. */
+  private capacityMap: ReadonlyMap<InstanceId, InstanceCapacity> | undefined
   private lapseTimer: NodeJS.Timeout | undefined
 
   constructor (options: DeploymentCacheOptions) {
@@ -102,6 +105,12 @@
     return this.members().find(member => member.instanceId === instanceId)
   }
 
+  /** Capacities of the registered instances that have published them. */
+  capacities (): ReadonlyMap<InstanceId, InstanceCapacity> {
+    this.capacityMap ??= new Map([...this.records.values()].flatMap(({ decoded }) => decoded.kind === 'capacity' ? [[decoded.instanceId, decoded.capacity]] : []))
+    return this.capacityMap
+  }
+
   /** Calls the listener after each change; returns a function that unsubscribes. */
   onChange (listener: () => void): () => void {
     this.listeners.add(listener)
@@ -190,7 +199,7 @@
   private storeRecord (raw: StoredValue, source: ChangeSource): void {
     const existing = this.records.get(raw.key)
     if (existing !== undefined && existing.raw.modRevision >= raw.modRevision) return
-    this.memberList = undefined
+    this.forgetInstances()
     const decoded = this.options.decode(raw.key, raw.value)
     if (decoded.isErr) {
       this.options.log.warn('knowledge.unreadable', { key: raw.key, revision: raw.modRevision, reason: decoded.error })
@@ -212,7 +221,7 @@
 
   private removeRecord (key: string, isAfterOutage: boolean): void {
     const existing = this.records.get(key)
-    this.memberList = undefined
+    this.forgetInstances()
     this.records.delete(key)
     if (existing?.decoded.kind !== 'target' || !isAfterOutage || existing.decoded.target.isDraining) return
     this.lapsed.set(key, { target: existing.decoded.target, untilMs: performance.now() + LAPSE_GRACE_MS })
@@ -222,6 +231,11 @@
     this.lapseTimer.unref()
   }
 
+  private forgetInstances (): void {
+    this.memberList = undefined
+    this.capacityMap = undefined
+  }
+
   private dropLapsed (): void {
     this.lapsed.clear()
     this.notify()
--- a/packages/gateway/src/deployment/Registration.ts
+++ b/packages/gateway/src/deployment/Registration.ts
@@ -1,7 +1,8 @@
 import type { EventLog, Service } from '@carobpitch/kernel'
 import type { LeaseKeeper } from '@carobpitch/membership'
 import type { InstanceId, MemberRecord } from '@carobpitch/schema'
-import type { ChangeStore } from './ChangeStore.js'
+import type { InstanceCapacity } from '../model/InstanceCapacity.js'
+import type { ChangeStore, StoreEntry } from './ChangeStore.js'
 import type { DeploymentCache } from './DeploymentCache.js'
 
 /** Retry delay after a failed write. */
@@ -21,6 +22,8 @@
   key: string
   /** Current record of this instance. */
   record: () => MemberRecord
+  /** Capacity of this instance, and the key under which it is published. */
+  capacity?: { key: string, value: InstanceCapacity } | undefined
   log: EventLog
 }
 
@@ -75,7 +78,7 @@
     if (!this.isRunning || this.isWriting || currentLease === undefined) return
     this.isWriting = true
     const { state } = record()
-    const written = await store.put(key, JSON.stringify(record()), currentLease.leaseId)
+    const written = await store.put(this.entries(), currentLease.leaseId)
     this.isWriting = false
     if (written.isOk) {
       this.writtenAtMs = performance.now()
@@ -86,6 +89,12 @@
     this.schedule()
   }
 
+  private entries (): StoreEntry[] {
+    const { key, record, capacity } = this.options
+    const member = { key, value: JSON.stringify(record()) }
+    return capacity === undefined ? [member] : [member, { key: capacity.key, value: JSON.stringify(capacity.value) }]
+  }
+
   private schedule (): void {
     clearTimeout(this.timer)
     this.timer = setTimeout(() => { this.write() }, RETRY_MS)
--- a/packages/gateway/src/deployment/propagation.test.ts
+++ b/packages/gateway/src/deployment/propagation.test.ts
@@ -7,6 +7,8 @@
 const CONTACT_MS = 3_000
 /** Configuration with 1,900 routes. */
 const LARGE_CONFIGURATION_BYTES = 335_000
+/** Largest value that the store accepts. */
+const VALUE_MAX_BYTES = 1_048_576
 
 const VERSION = 17
 /** Each seed starts the instances' loops at other moments. */
@@ -86,6 +88,11 @@
       expect(delayMs).to.be.below(CONFIG_APPLY_MS)
     })
 
+    it('guards against store readers with slow links beside instances with fast ones: a configuration near the limit of the store', async () => {
+      const delayMs = await worstDelayMs(fleet => fleet.confirmConfiguration(VERSION, VALUE_MAX_BYTES))
+      expect(delayMs).to.be.below(CONFIG_APPLY_MS)
+    })
+
     /** Confirms large configurations in quick succession. */
     async function confirmVersions (fleet: SimulatedFleet, versions: number): Promise<void> {
       for (let version = VERSION - versions + 1; version < VERSION; version += 1) {
--- a/packages/gateway/src/deployment/selectRelays.test.ts
+++ b/packages/gateway/src/deployment/selectRelays.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
+import type { InstanceCapacity } from '../model/InstanceCapacity.js'
 import { selectRelays, type Relays } from './selectRelays.js'
 
 /** Followers of one reader for which the slowest path of a large configuration stays within its bound, see propagationBudget.test.ts. */
@@ -43,6 +44,31 @@
     })
   }
 
+  describe('among unequal instances', () => {
+    const SLOW: InstanceCapacity = { linkMbps: 10, cores: 0.27 }
+    const FAST: InstanceCapacity = { linkMbps: 200, cores: 1.35 }
+    const FAST_IDS = ['front-5', 'front-17'] as InstanceId[]
+    const members = membersOf(1, 29)
+    const capacities = new Map(members.map(({ instanceId }) => [instanceId, FAST_IDS.includes(instanceId) ? FAST : SLOW]))
+    const relaysOf = (instanceId: string, options: { capacities?: ReadonlyMap<InstanceId, InstanceCapacity> } = {}): Relays =>
+      selectRelays({ members, capacities, instanceId: instanceId as InstanceId, failureDomain: 'zone-0' as FailureDomainId, ...options })
+
+    it('guards against store readers with slow links: the fastest instances come first', () => {
+      expect(relaysOf('front-0').urls.slice(0, 2)).to.have.members(FAST_IDS.map(id => `http://${id}`))
+    })
+
+    it('guards against a store reader whose processor is slower than its link', () => {
+      const narrow = new Map(capacities).set('front-5' as InstanceId, { linkMbps: 1_000, cores: 0.05 })
+      expect(relaysOf('front-0', { capacities: narrow }).urls[0]).to.equal('http://front-17')
+    })
+
+    it('selects members without a capacity, as of earlier versions, after those with one', () => {
+      const known = new Map([['front-9' as InstanceId, SLOW]])
+      expect(relaysOf('front-0', { capacities: known }).urls[0]).to.equal('http://front-9')
+      expect(relaysOf('front-0', { capacities: new Map() }).urls).to.have.length(3)
+    })
+  })
+
   it('ignores members that do not serve', () => {
     const members = membersOf(1, 4).map((member, index): MemberRecord => ({ ...member, state: index < 3 ? 'leaving' : 'serving' }))
     expect(relaysOfAll(members).at(-1)).to.deep.equal({ urls: [], distantUrls: [], isSubstitute: false })
--- a/packages/gateway/src/deployment/selectRelays.ts
+++ b/packages/gateway/src/deployment/selectRelays.ts
@@ -1,5 +1,6 @@
 import { rankByRendezvous } from '@carobpitch/routing'
 import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
+import type { InstanceCapacity } from '../model/InstanceCapacity.js'
 
 /** Rendezvous hashing key by which the instances of a failure domain select their store readers. */
 const STORE_READER_KEY = 'store-reader'
@@ -9,6 +10,11 @@
 const SUBSTITUTES = 2
 /** Relays of an instance that is neither a store reader nor a substitute. */
 const RELAYS_MAX = 3
+/** Compressed size of a configuration with 1,900 routes, and the time to compress it on a whole core. */
+const LARGE_RESPONSE_BYTES = 17_000
+const LARGE_RESPONSE_CORE_MS = 2.4
+/** Bits per millisecond of 1 Mbit/s. */
+const BITS_PER_MS_AND_MBPS = 1_000
 /** Other failure domains whose readers are queried when those of the own one have failed. */
 const DISTANT_DOMAINS = 2
 
@@ -31,6 +37,8 @@
  */
 export interface SelectRelaysOptions {
   members: readonly MemberRecord[]
+  /** Machines of the members. Members without an entry are selected last. */
+  capacities?: ReadonlyMap<InstanceId, InstanceCapacity>
   instanceId: InstanceId
   failureDomain: FailureDomainId
 }
@@ -38,10 +46,10 @@
 /**
  * Selects the instances that read the store for this one. Each failure domain has one reader per `GROUP_SIZE` instances and two
  * substitutes; the other instances of the domain read from them, each preferring another one, so that no reader has more followers than
- * its link can serve in time.
+ * its link can serve in time. The machines that serve their followers fastest are selected first.
  * @public
  */
-export function selectRelays ({ members, instanceId, failureDomain }: SelectRelaysOptions): Relays {
+export function selectRelays ({ members, capacities = new Map(), instanceId, failureDomain }: SelectRelaysOptions): Relays {
   const byDomain = new Map<FailureDomainId, Map<InstanceId, string>>()
   for (const member of members) {
     if (member.state !== 'serving') continue
@@ -49,7 +57,7 @@
     byDomain.set(member.failureDomain, urls.set(member.instanceId, member.peerUrl))
   }
   const ownDomain = byDomain.get(failureDomain) ?? new Map<InstanceId, string>()
-  const { readers, substitutes } = rolesOf(ownDomain)
+  const { readers, substitutes } = rolesOf([...ownDomain.keys()], capacities)
   const ownRank = substitutes.indexOf(instanceId)
   // A substitute follows only those before it, so that no two follow each other while their reader is down.
   const candidates = [...balancedReaders({ readers, instanceId, instanceIds: [...ownDomain.keys()] }), ...(ownRank < 0 ? substitutes : substitutes.slice(0, ownRank))]
@@ -59,23 +67,34 @@
     urls: relays.map(id => ownDomain.get(id) as string),
     distantUrls: otherDomains.map(domain => {
       const urls = byDomain.get(domain) as Map<InstanceId, string>
-      return urls.get(rankByRendezvous(instanceId, rolesOf(urls).readers)[0] as InstanceId) as string
+      const [reader] = rankByRendezvous(instanceId, rolesOf([...urls.keys()], capacities).readers)
+      return urls.get(reader as InstanceId) as string
     }),
     isSubstitute: ownRank >= 0
   }
 }
 
+/**
+ * Options of `createRelaySelector`.
+ * @public
+ */
+export interface RelaySelectorOptions extends Pick<SelectRelaysOptions, 'instanceId' | 'failureDomain'> {
+  /** Members; another array after each change of a member or a capacity. */
+  members: () => readonly MemberRecord[]
+  capacities: () => ReadonlyMap<InstanceId, InstanceCapacity>
+}
+
 /**
  * Returns a function that selects the relays of an instance. It ranks the members again only after they have changed, because it is
  * called before each query.
  * @public
  */
-export function createRelaySelector ({ members, ...self }: Omit<SelectRelaysOptions, 'members'> & { members: () => readonly MemberRecord[] }): () => Relays {
+export function createRelaySelector ({ members, capacities, ...self }: RelaySelectorOptions): () => Relays {
   let selectedFrom: readonly MemberRecord[] | undefined
   let relays: Relays | undefined
   return () => {
     const current = members()
-    if (relays === undefined || current !== selectedFrom) relays = selectRelays({ members: current, ...self })
+    if (relays === undefined || current !== selectedFrom) relays = selectRelays({ members: current, capacities: capacities(), ...self })
     selectedFrom = current
     return relays
   }
@@ -88,8 +107,18 @@
   return [...readers.slice(firstIndex), ...readers.slice(0, firstIndex)]
 }
 
-function rolesOf (urls: ReadonlyMap<InstanceId, string>): { readers: InstanceId[], substitutes: InstanceId[] } {
-  const readerCount = Math.ceil(urls.size / GROUP_SIZE)
-  const ranked = rankByRendezvous(STORE_READER_KEY, [...urls.keys()])
+/** Selects the readers and substitutes among the members of a failure domain. Equal machines are ordered by rendezvous hashing. */
+function rolesOf (instanceIds: readonly InstanceId[], capacities: ReadonlyMap<InstanceId, InstanceCapacity>): { readers: InstanceId[], substitutes: InstanceId[] } {
+  const readerCount = Math.ceil(instanceIds.length / GROUP_SIZE)
+  const ranked = rankByRendezvous(STORE_READER_KEY, instanceIds)
+    .map(instanceId => ({ instanceId, costMs: responseCostMs(capacities.get(instanceId)) }))
+    .sort((first, second) => first.costMs === second.costMs ? 0 : first.costMs - second.costMs)
+    .map(({ instanceId }) => instanceId)
   return { readers: ranked.slice(0, readerCount), substitutes: ranked.slice(readerCount, readerCount + SUBSTITUTES) }
 }
+
+/** Time that a large response takes on the processor and the link of a machine. */
+function responseCostMs (capacity: InstanceCapacity | undefined): number {
+  if (capacity === undefined) return Infinity
+  return LARGE_RESPONSE_CORE_MS / capacity.cores + LARGE_RESPONSE_BYTES * 8 / (capacity.linkMbps * BITS_PER_MS_AND_MBPS)
+}
--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -3,6 +3,7 @@
 import { encodePeerBody } from '@carobpitch/membership'
 import { memberRecordSchema, type FailureDomainId, type InstanceId, type MemberRecord, type ServiceName, type TargetId } from '@carobpitch/schema'
 import type { DeploymentRecord } from '../../model/DeploymentRecord.js'
+import { instanceCapacitySchema, type InstanceCapacity } from '../../model/InstanceCapacity.js'
 import type { RoutingTable } from '../../model/Route.js'
 import type { TargetRecord } from '../../model/TargetRecord.js'
 import { DeploymentCache } from '../DeploymentCache.js'
@@ -17,6 +18,7 @@
 const CONFIGURATION_KEY = 'op/config'
 const TARGET_PREFIX = 'servers/i-'
 const MEMBER_PREFIX = 'carobpitch/members/'
+const CAPACITY_PREFIX = 'carobpitch/capacities/'
 const LATENCY_MS = 1
 const HEAD_SIZE_BYTES = 200
 /** Processor time of one message on a whole core, and of one kilobyte of it. */
@@ -39,13 +41,13 @@
 
 interface SimulatedInstance {
   record: MemberRecord
+  capacity: InstanceCapacity
   cache: DeploymentCache
   watcher: DeploymentWatcher
   feed: ReturnType<ReturnType<typeof createDeploymentFeedRouter>['createCaller']>
   uplink: SimulatedLink
   downlink: SimulatedLink
   processor: SimulatedLink
-  cpuShare: number
   isFrozen: boolean
   adoptedAtMs: Map<number, number>
 }
@@ -111,7 +113,9 @@
   }
 
   private relaysOf ({ instanceId, failureDomain }: MemberRecord): Relays {
-    return selectRelays({ members: this.instances.map(({ record }) => record), instanceId, failureDomain })
+    const members = this.instances.map(({ record }) => record)
+    const capacities = new Map(this.instances.map(({ record, capacity }) => [record.instanceId, capacity]))
+    return selectRelays({ members, capacities, instanceId, failureDomain })
   }
 
   private addInstance (index: number): void {
@@ -122,6 +126,7 @@
     const record: MemberRecord = { instanceId, incarnation: 1, failureDomain, callerUrl: peerUrl, peerUrl, state: 'serving', adoptedRevision: 0 }
     const isFast = index < failureDomains * fastInstancesPerDomain
     const linkMbps = isFast ? fastLinkMbps : slowLinkMbps
+    const capacity = { linkMbps, cores: isFast ? 1 : slowCpuShare }
     const downlink = new SimulatedLink(linkMbps)
     const log = new EventLog({ silent: true })
     const cache = new DeploymentCache({ decode, log })
@@ -130,18 +135,19 @@
       deploymentCache: cache,
       queryPeer: async (url, request) => await this.query(instance, url, request),
       peerUrls: () => cache.members().map(member => member.peerUrl).filter(url => url !== peerUrl),
-      relays: createRelaySelector({ members: () => cache.members(), instanceId, failureDomain }),
+      relays: createRelaySelector({ members: () => cache.members(), capacities: () => cache.capacities(), instanceId, failureDomain }),
       budget: propagationBudget(this.options.bounds),
       log,
       random: this.random
     })
     const feed = createDeploymentFeedRouter({ deploymentCache: cache, ageMs: () => watcher.ageMs(), log }).createCaller({})
-    const instance: SimulatedInstance = { record, cache, watcher, feed, uplink: new SimulatedLink(linkMbps), downlink, processor: new SimulatedLink(1), cpuShare: isFast ? 1 : slowCpuShare, isFrozen: false, adoptedAtMs: new Map() }
+    const instance: SimulatedInstance = { record, capacity, cache, watcher, feed, uplink: new SimulatedLink(linkMbps), downlink, processor: new SimulatedLink(1), isFrozen: false, adoptedAtMs: new Map() }
     cache.onChange(() => {
       const version = cache.routingTable()?.version ?? 0
       if (!instance.adoptedAtMs.has(version)) instance.adoptedAtMs.set(version, performance.now())
     })
     this.store.put(`${MEMBER_PREFIX}${instanceId}`, JSON.stringify(record))
+    this.store.put(`${CAPACITY_PREFIX}${instanceId}`, JSON.stringify(capacity))
     this.instances.push(instance)
     this.byUrl.set(peerUrl, instance)
   }
@@ -161,7 +167,7 @@
     if (sender.isFrozen || receiver.isFrozen) await new Promise(() => {})
     const response = await receiver.feed.changesAfter(request)
     if (receiver.isFrozen) await new Promise(() => {})
-    await receiver.processor.occupy(processorMs(sizeOf(response)) / receiver.cpuShare)
+    await receiver.processor.occupy(processorMs(sizeOf(response)) / receiver.capacity.cores)
     await receiver.uplink.transfer(HEAD_SIZE_BYTES)
     return response
   }
@@ -171,7 +177,7 @@
     await receiver.uplink.transfer(sizeBytes)
     await sleep(LATENCY_MS)
     await sender.downlink.transfer(sizeBytes)
-    await sender.processor.occupy(processorMs(sizeBytes) / sender.cpuShare)
+    await sender.processor.occupy(processorMs(sizeBytes) / sender.capacity.cores)
     return response
   }
 }
@@ -225,6 +231,9 @@
     const { version } = JSON.parse(value) as { version: number }
     return Result.ok({ kind: 'configuration', table: { version, routes: [], services: new Map() } as unknown as RoutingTable })
   }
+  if (key.startsWith(CAPACITY_PREFIX)) {
+    return Result.ok({ kind: 'capacity', instanceId: key.slice(CAPACITY_PREFIX.length) as InstanceId, capacity: instanceCapacitySchema.parse(JSON.parse(value)) })
+  }
   if (key.startsWith(MEMBER_PREFIX)) return Result.ok({ kind: 'member', member: memberRecordSchema.parse(JSON.parse(value)) })
   return Result.ok({ kind: 'target', target: JSON.parse(value) as TargetRecord })
 }
--- a/packages/gateway/src/model/DeploymentRecord.ts
+++ b/packages/gateway/src/model/DeploymentRecord.ts
@@ -1,4 +1,5 @@
-import type { FailureDomainId, MemberRecord } from '@carobpitch/schema'
+import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
+import type { InstanceCapacity } from './InstanceCapacity.js'
 import type { RoutingTable } from './Route.js'
 import type { TargetRecord } from './TargetRecord.js'
 
@@ -12,5 +13,7 @@
   /** While the record exists, the targets of the domain get no requests. */
   | { kind: 'evacuation', failureDomain: FailureDomainId }
   | { kind: 'member', member: MemberRecord }
+  /** Separate from the member record, whose validator rejects unknown fields in earlier versions. */
+  | { kind: 'capacity', instanceId: InstanceId, capacity: InstanceCapacity }
   /** A record of another application. */
   | { kind: 'foreign' }
--- a/packages/gateway/src/model/FrontSettings.ts
+++ b/packages/gateway/src/model/FrontSettings.ts
@@ -1,4 +1,5 @@
 import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
+import type { InstanceCapacity } from './InstanceCapacity.js'
 import type { PropagationBounds } from '../deployment/propagationBudget.js'
 
 /**
@@ -8,6 +9,8 @@
 export interface FrontSettings {
   instanceId: InstanceId
   failureDomain: FailureDomainId
+  /** Machine of this instance; `undefined` if the settings do not describe it. */
+  capacity: InstanceCapacity | undefined
   /** Listener for the requests of callers. */
   callerListen: ListenerSettings
   /** Listener for readiness checks. */
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -64,23 +64,24 @@
 
   it('ties an entry to its lease, and detects that the lease has ended', async () => {
     const lease = (await store.grantLease(1_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
-    expect((await store.put('carobpitch/members/a', 'entry', lease.leaseId)).isOk).to.equal(true)
+    expect((await store.put([{ key: 'carobpitch/members/a', value: 'entry' }, { key: 'carobpitch/capacities/a', value: 'other' }], lease.leaseId)).isOk).to.equal(true)
     expect(standIn.read('carobpitch/members/a')).to.equal('entry')
+    expect(standIn.read('carobpitch/capacities/a')).to.equal('other')
     expect((await store.renewLease(lease.leaseId)).unwrapOr(undefined)?.ttlMs).to.equal(1_000)
     await store.revokeLease(lease.leaseId)
     expect(standIn.read('carobpitch/members/a')).to.equal(undefined)
     expect((await store.renewLease(lease.leaseId)).unwrapOr(undefined)?.ttlMs).to.equal(0)
-    expect((await store.put('carobpitch/members/a', 'entry', lease.leaseId)).isErr).to.equal(true)
+    expect((await store.put([{ key: 'carobpitch/members/a', value: 'entry' }, { key: 'carobpitch/capacities/a', value: 'other' }], lease.leaseId)).isErr).to.equal(true)
   })
 
   for (const [behaviour, effect] of [['busy', 'none'], ['many', 'none'], ['reset', 'unknown'], ['silent', 'unknown'], ['lose-answer', 'unknown']] as Array<[CallBehaviour, string]>) {
     it(`returns a failure with the right effect when the store behaves as "${behaviour}"`, async () => {
       const lease = (await store.grantLease(5_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
       standIn.behaviourFor = () => behaviour
-      const written = await store.put('key', 'value', lease.leaseId)
+      const written = await store.put([{ key: 'key', value: 'value' }], lease.leaseId)
       expect(written.isErr && written.error.effect).to.equal(effect)
       standIn.behaviourFor = () => 'serve'
-      expect((await store.put('key', 'value', lease.leaseId)).isOk).to.equal(true)
+      expect((await store.put([{ key: 'key', value: 'value' }], lease.leaseId)).isOk).to.equal(true)
     })
   }
 
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth'
 import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
-import type { ChangeBatch, ChangesFailure, ChangesOptions, ChangeStore, ListOptions, RecordPage } from '@carobpitch/gateway'
+import type { ChangeBatch, ChangesFailure, ChangesOptions, ChangeStore, ListOptions, RecordPage, StoreEntry } from '@carobpitch/gateway'
 import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
 import { durationSchema, formatDuration } from './durations.js'
 import { STORE_PATHS } from './wire.js'
@@ -114,8 +114,9 @@
     return Result.ok({ events: batch.data.events.map(toEvent), revision: batch.data['current-rev'] })
   }
 
-  async put (key: string, value: string, leaseId: string): Promise<Result<void, StoreFailure>> {
-    const body = { puts: [{ key, value: Buffer.from(value).toString('base64'), lease: toWireLeaseId(leaseId) }] }
+  async put (entries: readonly StoreEntry[], leaseId: string): Promise<Result<void, StoreFailure>> {
+    const lease = toWireLeaseId(leaseId)
+    const body = { puts: entries.map(({ key, value }) => ({ key, value: Buffer.from(value).toString('base64'), lease })) }
     const response = await this.call({ name: 'write', method: 'POST', path: STORE_PATHS.write, body })
     if (response.isErr) return Result.err(response.error)
     return response.value.status === 200 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpectedResponse(response.value))
--- a/packages/platform/src/decodeRecord.test.ts
+++ b/packages/platform/src/decodeRecord.test.ts
@@ -79,6 +79,12 @@
     })
   })
 
+  it('decodes capacities, and rejects invalid ones', () => {
+    expect(decoded('carobpitch/capacities/front-1', '{"linkMbps":10,"cores":0.27,"later":1}')).to.deep.equal({ kind: 'capacity', instanceId: 'front-1', capacity: { linkMbps: 10, cores: 0.27 } })
+    expect(decoded('carobpitch/capacities/front-1', '{"linkMbps":0,"cores":1}')).to.match(/linkMbps/)
+    expect(decoded('carobpitch/capacities/', '{"linkMbps":10,"cores":1}')).to.match(/instance id/)
+  })
+
   it('decodes evacuations and marks unrelated keys as foreign', () => {
     expect(decoded('op/evacuate/fukuoka', '')).to.deep.equal({ kind: 'evacuation', failureDomain: 'fukuoka' })
     expect(decoded('status/x', 'anything')).to.deep.equal({ kind: 'foreign' })
--- a/packages/platform/src/decodeRecord.ts
+++ b/packages/platform/src/decodeRecord.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth'
 import * as z from 'zod'
-import type { DeploymentRecord, Route, RoutingTable, ServicePolicy, TargetRecord } from '@carobpitch/gateway'
-import { failureDomainIdSchema, memberRecordSchema, parseJsonWith, serviceNameSchema, targetIdSchema, type ServiceName, type Violation } from '@carobpitch/schema'
+import { instanceCapacitySchema, type DeploymentRecord, type Route, type RoutingTable, type ServicePolicy, type TargetRecord } from '@carobpitch/gateway'
+import { failureDomainIdSchema, instanceIdSchema, memberRecordSchema, parseJsonWith, serviceNameSchema, targetIdSchema, type ServiceName, type Violation } from '@carobpitch/schema'
 import { durationSchema } from './durations.js'
 import { STORE_KEYS } from './wire.js'
 
@@ -61,6 +61,7 @@
   if (key.startsWith(STORE_KEYS.memberPrefix)) {
     return parseJsonWith(memberRecordSchema, value).map((member): DeploymentRecord => ({ kind: 'member', member })).mapErr(formatViolations)
   }
+  if (key.startsWith(STORE_KEYS.capacityPrefix)) return decodeCapacity(key, value)
   return Result.ok({ kind: 'foreign' })
 }
 
@@ -118,6 +119,12 @@
   return Result.ok({ kind: 'evacuation', failureDomain: failureDomain.data })
 }
 
+function decodeCapacity (key: string, value: string): Result<DeploymentRecord, string> {
+  const instanceId = instanceIdSchema.safeParse(key.slice(STORE_KEYS.capacityPrefix.length))
+  if (!instanceId.success) return Result.err('key contains no valid instance id')
+  return parseJsonWith(instanceCapacitySchema, value).mapErr(formatViolations).map((capacity): DeploymentRecord => ({ kind: 'capacity', instanceId: instanceId.data, capacity }))
+}
+
 function decodeTarget (key: string, value: string): Result<DeploymentRecord, string> {
   const targetId = targetIdSchema.safeParse(key.slice(STORE_KEYS.targetPrefix.length))
   if (!targetId.success) return Result.err('key contains no valid target id')
--- a/packages/platform/src/readSettings.test.ts
+++ b/packages/platform/src/readSettings.test.ts
@@ -43,6 +43,22 @@
     })
   })
 
+  describe('the capacity of the machine', () => {
+    const capacityOf = (lines: readonly string[]): unknown => readSettings([...LINES, ...lines].join('\n')).match<unknown>({ Ok: ({ capacity }) => capacity, Err: error => error.map(({ path }) => path) })
+
+    it('is its link, and its share of a processor with several times the speed of a core', () => {
+      expect(capacityOf(['limits.link-mbps=140.0', 'limits.cpu-share=0.675', 'limits.cpu-cores=2'])).to.deep.equal({ linkMbps: 140, cores: 1.35 })
+    })
+
+    it('is unknown without limits', () => {
+      expect(capacityOf(['limits.link-mbps=140.0'])).to.equal(undefined)
+    })
+
+    it('guards against a machine without a link or a processor', () => {
+      expect(capacityOf(['limits.link-mbps=0', 'limits.cpu-share=0', 'limits.cpu-cores=0'])).to.have.members(['limits.link-mbps', 'limits.cpu-share', 'limits.cpu-cores'])
+    })
+  })
+
   it('guards against a start with invalid settings: every violation is reported', () => {
     const lines = LINES.filter(line => !line.startsWith('zone=')).map(line => line.replace('6s', '6 minutes').replace('10.200.1.7:8541', 'store'))
     const violations = readSettings(lines.join('\n')).match({ Ok: () => [], Err: error => error })
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth'
 import * as z from 'zod'
-import type { FrontSettings } from '@carobpitch/gateway'
+import type { FrontSettings, InstanceCapacity } from '@carobpitch/gateway'
 import { failureDomainIdSchema, instanceIdSchema, parseWith, type ListenerSettings, type Violation } from '@carobpitch/schema'
 import { durationSchema } from './durations.js'
 
@@ -23,6 +23,8 @@
 
 const numberSchema = z.string().regex(/^\d+(\.\d+)?$/, 'must be a number').transform(Number)
 
+const positiveNumberSchema = numberSchema.refine(value => value > 0, 'must be greater than 0')
+
 const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(','))
   .pipe(z.array(z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>')))
 
@@ -43,6 +45,10 @@
   'bounds.config-apply': propagationBoundSchema.default(DEFAULT_CONFIG_APPLY_MS),
   'bounds.contact': propagationBoundSchema.default(DEFAULT_CONTACT_MS),
   'bounds.ttl_max': durationSchema,
+  'limits.link-mbps': positiveNumberSchema.optional(),
+  'limits.cpu-share': positiveNumberSchema.optional(),
+  /** Speed of the processor as a multiple of one core, of which the process gets `cpu-share`. */
+  'limits.cpu-cores': positiveNumberSchema.default(1),
   'bounds.probes-per-s': numberSchema,
   'bounds.retry-budget-ratio': numberSchema,
   'bounds.retry-budget-slack': numberSchema,
@@ -56,6 +62,7 @@
   return parseWith(settingsSchema, parseLines(text)).map((fields): FrontSettings => ({
     instanceId: fields['node-name'],
     failureDomain: fields.zone,
+    capacity: capacityOf(fields),
     callerListen: fields['listen.front'],
     readinessListen: fields['listen.ready'],
     directoryListen: fields['listen.directory'],
@@ -76,6 +83,11 @@
   }))
 }
 
+function capacityOf (fields: Pick<z.infer<typeof settingsSchema>, 'limits.link-mbps' | 'limits.cpu-share' | 'limits.cpu-cores'>): InstanceCapacity | undefined {
+  const { 'limits.link-mbps': linkMbps, 'limits.cpu-share': share, 'limits.cpu-cores': speed } = fields
+  return linkMbps === undefined || share === undefined ? undefined : { linkMbps, cores: share * speed }
+}
+
 function parseLines (text: string): Record<string, string> {
   const fields: Record<string, string> = {}
   for (const line of text.split('\n')) {
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -1,4 +1,5 @@
 /** Names that the platform uses on the wire. */
+import type { InstanceId } from '@carobpitch/schema'
 
 /** Headers between callers, the gateway and targets, in lower case. */
 export const WIRE_HEADERS = {
@@ -40,5 +41,11 @@
   configuration: 'op/config',
   evacuationPrefix: 'op/evacuate/',
   targetPrefix: 'servers/',
-  memberPrefix: 'carobpitch/members/'
+  memberPrefix: 'carobpitch/members/',
+  capacityPrefix: 'carobpitch/capacities/'
 } as const
+
+/** Keys of the records that an instance publishes about itself. */
+export function recordKeysOf (instanceId: InstanceId): { member: string, capacity: string } {
+  return { member: `${STORE_KEYS.memberPrefix}${instanceId}`, capacity: `${STORE_KEYS.capacityPrefix}${instanceId}` }
+}
