Start with unknown capacity where a limit of the machine is missing or 0

What operators would have seen: since the capacity is read from the settings, a limit of 0 prevented the start, although it only serves to rank store readers. A limit that is not a number is reported as before.

--- a/packages/daemon/src/front/fleet.test.ts
+++ b/packages/daemon/src/front/fleet.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { STORE_KEYS, wireConfiguration, wireRoute } from '@carobpitch/platform'
-import type { FailureDomainId, MemberRecord } from '@carobpitch/schema'
+import { recordKeysOf, STORE_KEYS, STORE_PATHS, wireConfiguration, wireRoute } from '@carobpitch/platform'
+import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
 import { FrontTestHarness, waitUntil } from './testing/FrontTestHarness.js'
 
 const ZONE_A = 'zone-a' as FailureDomainId
@@ -63,6 +63,22 @@
       expect(await harness.call(second)).to.include({ status: 200 })
     })
 
+    it('publishes the capacity of its machine together with its member record, and deletes both in a planned stop', async () => {
+      const { member, capacity } = recordKeysOf('front-1' as InstanceId)
+      const front = await harness.addFront({ capacity: { linkMbps: 10, cores: 0.27 } })
+      await waitUntil(() => front.deploymentCache.capacities().size === 1)
+      expect(front.deploymentCache.capacities().get('front-1' as InstanceId)).to.deep.equal({ linkMbps: 10, cores: 0.27 })
+      expect(harness.store.calls.filter(path => path === STORE_PATHS.write)).to.have.length(1)
+      await front.stopGracefully()
+      expect([harness.store.read(member), harness.store.read(capacity)]).to.deep.equal([undefined, undefined])
+    })
+
+    it('guards against a missing member record where the settings do not describe the machine', async () => {
+      const front = await harness.addFront({ capacity: undefined })
+      await waitUntil(() => front.deploymentCache.members().length === 1)
+      expect(front.deploymentCache.capacities().size).to.equal(0)
+    })
+
     it('guards against a member record that the store has removed: the instance registers again', async () => {
       const front = await harness.addFront()
       const key = `${STORE_KEYS.memberPrefix}front-1`
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -23,8 +23,6 @@
 
 const numberSchema = z.string().regex(/^\d+(\.\d+)?$/, 'must be a number').transform(Number)
 
-const positiveNumberSchema = numberSchema.refine(value => value > 0, 'must be greater than 0')
-
 const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(','))
   .pipe(z.array(z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>')))
 
@@ -45,10 +43,10 @@
   'bounds.config-apply': propagationBoundSchema.default(DEFAULT_CONFIG_APPLY_MS),
   'bounds.contact': propagationBoundSchema.default(DEFAULT_CONTACT_MS),
   'bounds.ttl_max': durationSchema,
-  'limits.link-mbps': positiveNumberSchema.optional(),
-  'limits.cpu-share': positiveNumberSchema.optional(),
+  'limits.link-mbps': numberSchema.default(0),
+  'limits.cpu-share': numberSchema.default(0),
   /** Speed of the processor as a multiple of one core, of which the process gets `cpu-share`. */
-  'limits.cpu-cores': positiveNumberSchema.default(1),
+  'limits.cpu-cores': numberSchema.default(1),
   'bounds.probes-per-s': numberSchema,
   'bounds.retry-budget-ratio': numberSchema,
   'bounds.retry-budget-slack': numberSchema,
@@ -83,9 +81,11 @@
   }))
 }
 
+/** Returns the capacity of the machine, or `undefined` if a limit is missing or 0. */
 function capacityOf (fields: Pick<z.infer<typeof settingsSchema>, 'limits.link-mbps' | 'limits.cpu-share' | 'limits.cpu-cores'>): InstanceCapacity | undefined {
   const { 'limits.link-mbps': linkMbps, 'limits.cpu-share': share, 'limits.cpu-cores': speed } = fields
-  return linkMbps === undefined || share === undefined ? undefined : { linkMbps, cores: share * speed }
+  const cores = share * speed
+  return linkMbps > 0 && cores > 0 ? { linkMbps, cores } : undefined
 }
 
 function parseLines (text: string): Record<string, string> {
