--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -81,10 +81,10 @@
     })
 
     it('guards against missing changes after the oldest ones are dropped: the history no longer reaches back to them', () => {
-      const events = Array.from({ length: 2_001 }, (_, index) => put(`many-${index}`, 'ready', 4 + index))
-      cache.apply(3, { events, revision: 2_004 }, 'store')
+      const events = Array.from({ length: 4_001 }, (_, index) => put(`many-${index}`, 'ready', 4 + index))
+      cache.apply(3, { events, revision: 4_004 }, 'store')
       expect(cache.changesAfter(3)).to.equal(undefined)
-      expect(cache.changesAfter(4)?.events).to.have.length(2_000)
+      expect(cache.changesAfter(4)?.events).to.have.length(4_000)
     })
   })
 
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -10,8 +10,8 @@
 
 /** Time within which targets whose records lapsed during an outage of the store register again; the platform specifies about 2 s. */
 const LAPSE_GRACE_MS = 2_000
-/** Number of keys whose last change is kept for other instances; a deployment of 300 instances and 900 targets has 1,200. */
-const HISTORY_MAX_KEYS = 2_000
+/** Number of keys whose last change is kept for other instances; a deployment of 640 instances and 1,000 targets has 2,300. */
+const HISTORY_MAX_KEYS = 4_000
 
 /**
  * Options of `DeploymentCache`.
--- a/packages/gateway/src/deployment/propagationBudget.test.ts
+++ b/packages/gateway/src/deployment/propagationBudget.test.ts
@@ -31,6 +31,7 @@
 const CONTACT_PATHS: Record<string, (budget: PropagationBudget) => number[]> = {
   'watches that were cut and a history that was dropped': ({ storeRetryMs, relayHopMs }) => [storeRetryMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, COMPLETE_READ_MS, relayHopMs],
   'a connection that has fallen silent': ({ storeWaitMs, storeResponseMs, storeRetryMs, relayHopMs }) => [storeWaitMs, storeResponseMs, storeRetryMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, relayHopMs],
+  'a response of the store that stalls after its head': ({ storeTransferMs, storeRetryMs, relayHopMs }) => [storeTransferMs, storeRetryMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, COMPLETE_READ_MS, relayHopMs],
   'a store that returns after an outage': ({ storeSlowResponseMs, storeRetryMaxMs, relayHopMs }) => [storeSlowResponseMs, storeRetryMaxMs * JITTER_MAX_FACTOR, SOUND_RESPONSE_MS, COMPLETE_READ_MS, relayHopMs],
   'an instance that registers again after an outage': ({ storeResponseMs, leaseRetryMaxMs, relayHopMs }) => [storeResponseMs, leaseRetryMaxMs * JITTER_MAX_FACTOR, 3 * SOUND_RESPONSE_MS, relayHopMs],
   'the first read of an instance during an outage': ({ storeSlowResponseMs, firstReadRetryMaxMs, relayHopMs }) => [storeSlowResponseMs, firstReadRetryMaxMs * JITTER_MAX_FACTOR, COMPLETE_READ_MS, relayHopMs]
