--- a/packages/daemon/src/front/troubledTargets.test.ts
+++ b/packages/daemon/src/front/troubledTargets.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { headerOf, RawTarget, rawResponse, type RawRequest } from '@carobpitch/proxy'
+import { headerOf, RawTarget, rawResponse, sendWithoutEnd, type RawRequest } from '@carobpitch/proxy'
 import { STORE_KEYS, wireConfiguration, wireRoute } from '@carobpitch/platform'
 import type { FrontDaemon } from './FrontDaemon.js'
 import { FrontTestHarness, type ReceivedResponse } from './testing/FrontTestHarness.js'
@@ -11,7 +11,6 @@
 /** Time after the timeout of a route within which its requests end. */
 const END_MARGIN_MS = 500
 const ENDLESS_CHUNK_BYTES = 16_384
-const ENDLESS_INTERVAL_MS = 2
 /** More than the largest head, body buffer and socket buffers together. */
 const RECEIVED_MAX_BYTES = 8_388_608
 
@@ -37,10 +36,10 @@
   let harness: FrontTestHarness
   let target: RawTarget
   let front: FrontDaemon
-  let sentBytes: number
+  let sentBytes: () => number
 
   async function start (behaviour: (request: RawRequest) => void): Promise<void> {
-    sentBytes = 0
+    sentBytes = () => 0
     target = new RawTarget(behaviour)
     await target.start()
     harness = await FrontTestHarness.start(CONFIGURATION)
@@ -54,16 +53,6 @@
     await target.stop()
   })
 
-  /** Sends bytes until the connection closes. */
-  function sendForever ({ socket }: RawRequest, start: string, chunk: string): void {
-    socket.write(start)
-    const timer = setInterval(() => {
-      if (socket.destroyed) clearInterval(timer)
-      else if (!socket.writableNeedDrain && socket.write(chunk)) sentBytes += chunk.length
-    }, ENDLESS_INTERVAL_MS)
-    socket.once('close', () => clearInterval(timer))
-  }
-
   async function callOrFailure (request: Parameters<FrontTestHarness['call']>[1]): Promise<Pick<ReceivedResponse, 'status' | 'isComplete'>> {
     return await harness.call(front, request).catch(() => ({ status: 0, isComplete: false }))
   }
@@ -163,16 +152,17 @@
       'a body in chunks': [`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n${ID_HEADER}: endless\r\n\r\n`, `4000\r\n${filler}\r\n`],
       'a body without framing': [`HTTP/1.1 200 OK\r\n${ID_HEADER}: endless\r\n\r\n`, filler],
       'the extension of a chunk': [`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n${ID_HEADER}: endless\r\n\r\n4;`, filler],
+      trailers: [`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n${ID_HEADER}: endless\r\n\r\n0\r\n`, `x-filler: ${'x'.repeat(100)}\r\n`.repeat(50)],
       'the body of a refusal': [`HTTP/1.1 503 Busy\r\n${NOT_RUN_HEADER}: 1\r\n${ID_HEADER}: endless\r\ntransfer-encoding: chunked\r\n\r\n`, `4000\r\n${filler}\r\n`]
     }
     for (const [name, [head, chunk]] of Object.entries(forms)) {
       it(`guards against a request that is held beyond its timeout by ${name}`, async () => {
-        await start(request => { if (!answerProbe(request)) sendForever(request, head, chunk) })
+        await start(request => { if (!answerProbe(request)) sentBytes = sendWithoutEnd(request.socket, head, chunk) })
         const startedAtMs = performance.now()
         const response = await callOrFailure({ requestId: 'endless' })
         expect(response.status === 200 && response.isComplete).to.equal(false)
         expect(performance.now() - startedAtMs).to.be.below(ROUTE_TIMEOUT_MS + END_MARGIN_MS)
-        expect(sentBytes).to.be.below(RECEIVED_MAX_BYTES)
+        expect(sentBytes()).to.be.below(RECEIVED_MAX_BYTES)
         await Promise.all(target.sockets.map(async (_socket, index) => {
           if (target.requests.some(({ connection, head }) => connection === index && !head.startsWith('GET /healthz'))) await target.untilClosed(index)
         }))
@@ -181,7 +171,7 @@
       it(`guards against probes that never end, by ${name}`, async () => {
         const answer = rawResponse('stock', [`${ID_HEADER}: after`])
         await start(request => {
-          if (request.head.startsWith('GET /healthz')) sendForever(request, head, chunk)
+          if (request.head.startsWith('GET /healthz')) sendWithoutEnd(request.socket, head, chunk)
           else request.socket.write(answer)
         })
         expect(await harness.call(front, { requestId: 'after' })).to.include({ status: 200, body: 'stock' })
