Check waiting queries without a scan of the relay's history

Each waiting query checks ten times a second whether there are changes for it and scanned the whole history, up to 4,000 keys, for each of up to 31 followers. The lists of members and capacities were rebuilt after a change of any target. Found in a review; no caller saw it.

--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -52,7 +52,7 @@
   private historyStartRevision = 0
   private currentRevision = 0
   private table: RoutingTable | undefined
-  /** Registered instances, kept until a record changes because every probe reads them. */
+  /** Registered instances, kept until one of their records changes because every probe reads them. */
   private memberList: readonly MemberRecord[] | undefined
   /** Capacities of the instances, kept as long as `memberList`. */
   private capacityMap: ReadonlyMap<InstanceId, InstanceCapacity> | undefined
@@ -199,9 +199,9 @@
   private storeRecord (raw: StoredValue, source: ChangeSource): void {
     const existing = this.records.get(raw.key)
     if (existing !== undefined && existing.raw.modRevision >= raw.modRevision) return
-    this.forgetInstances()
     const decoded = this.options.decode(raw.key, raw.value)
     if (decoded.isErr) {
+      this.forgetInstances(existing)
       this.options.log.warn('knowledge.unreadable', { key: raw.key, revision: raw.modRevision, reason: decoded.error })
       // An unreadable record removes its target; an unreadable configuration leaves the last valid one in force.
       this.records.delete(raw.key)
@@ -209,7 +209,9 @@
     }
     if (decoded.value.kind === 'foreign') return
     this.lapsed.delete(raw.key)
-    this.records.set(raw.key, { raw, decoded: decoded.value })
+    const record = { raw, decoded: decoded.value }
+    this.records.set(raw.key, record)
+    this.forgetInstances(record)
     if (decoded.value.kind === 'configuration') this.adopt(decoded.value.table, { source, revision: raw.modRevision })
   }
 
@@ -221,7 +223,7 @@
 
   private removeRecord (key: string, isAfterOutage: boolean): void {
     const existing = this.records.get(key)
-    this.forgetInstances()
+    this.forgetInstances(existing)
     this.records.delete(key)
     if (existing?.decoded.kind !== 'target' || !isAfterOutage || existing.decoded.target.isDraining) return
     this.lapsed.set(key, { target: existing.decoded.target, untilMs: performance.now() + LAPSE_GRACE_MS })
@@ -231,7 +233,9 @@
     this.lapseTimer.unref()
   }
 
-  private forgetInstances (): void {
+  /** Drops the lists that are derived from the records of instances if one of these has changed. */
+  private forgetInstances (changed: CachedRecord | undefined): void {
+    if (changed?.decoded.kind !== 'member' && changed?.decoded.kind !== 'capacity') return
     this.memberList = undefined
     this.capacityMap = undefined
   }
--- a/packages/gateway/src/deployment/DeploymentFeed.ts
+++ b/packages/gateway/src/deployment/DeploymentFeed.ts
@@ -111,6 +111,8 @@
 }
 
 function hasChangesAfter (deploymentCache: DeploymentCache, revision: number): boolean {
+  // Waiting requests check this often, and most of them already have all changes.
+  if (deploymentCache.revision() <= revision) return false
   const batch = deploymentCache.changesAfter(revision)
   return batch === undefined || batch.events.length > 0
 }
