Serve the readable parts of a configuration, and bound the values of records

An entry of a target with a port out of range ended each process that read it, again at every start.

Cause: a configuration was decoded as one value, and a route without a service threw at its first request. Addresses, numbers and durations were checked by form only, so that an address reached the URL parser in the connection pool from inside a change listener.

Change: routes, services and limits are decoded one by one; what cannot be read is refused with 503 (never 404), logged and counted. Uploads are known as requests that run at most once, and so are requests of an unknown type. Addresses, ports, slots, weights and durations are bounded at decoding. A listener that fails keeps no other one from a change, and the loops that follow the store survive a failed step.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -99,7 +99,8 @@
     const metrics = new FrontMetrics(registry, {
       inFlight: () => kernel.get('front').inFlightCount(),
       cacheAgeMs: () => kernel.get('follower').ageMs(),
-      services: () => kernel.get('dispatcher').stats()
+      services: () => kernel.get('dispatcher').stats(),
+      routingTable: () => cache.routingTable()
     })
     const loadProber = new LoadProber({
       protocol: targetProtocol,
--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -12,7 +12,7 @@
 /** Decodes `configuration` keys as versions and all others as targets; the value `bad` cannot be decoded. */
 function decode (key: string, value: string): Result<DeploymentRecord, string> {
   if (value === 'bad') return Result.err('bad')
-  if (key === 'configuration') return Result.ok({ kind: 'configuration', table: { version: Number(value), routes: [], services: new Map() } as unknown as RoutingTable })
+  if (key === 'configuration') return Result.ok({ kind: 'configuration', table: { version: Number(value), routes: [], services: new Map(), faults: [] } as unknown as RoutingTable })
   const target: TargetRecord = {
     targetId: key as TargetId,
     service: 'menzaiko' as ServiceName,
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -12,6 +12,8 @@
 const LAPSE_GRACE_MS = 2_000
 /** Number of keys whose last change is kept for other instances; a deployment of 640 instances and 1,000 targets has 2,300. */
 const HISTORY_MAX_KEYS = 4_000
+/** Largest number of faults of one configuration that are logged. */
+const FAULTS_LOGGED_MAX = 20
 
 /**
  * Options of `DeploymentCache`.
@@ -217,10 +219,16 @@
 
   private adopt (table: RoutingTable, { source, revision }: { source: ChangeSource, revision: number }): void {
     if (this.table !== undefined && table.version <= this.table.version) return
+    this.logFaults(table)
     this.options.log.info('configuration.adopted', { version: table.version, previous: this.table?.version, routes: table.routes.length, services: table.services.size, source, revision })
     this.table = table
   }
 
+  private logFaults ({ version, faults }: RoutingTable): void {
+    for (const { path, message } of faults.slice(0, FAULTS_LOGGED_MAX)) this.options.log.warn('configuration.fault', { version, path, reason: message })
+    if (faults.length > FAULTS_LOGGED_MAX) this.options.log.warn('configuration.faults-omitted', { version, count: faults.length - FAULTS_LOGGED_MAX })
+  }
+
   private removeRecord (key: string, isAfterOutage: boolean): void {
     const existing = this.records.get(key)
     this.forgetInstances(existing)
@@ -265,8 +273,15 @@
     this.currentRevision = Math.max(this.currentRevision, revision)
   }
 
+  /** A listener that fails must not keep the others from the change, nor end the process. */
   private notify (): void {
-    for (const listener of this.listeners) listener()
+    for (const listener of this.listeners) {
+      try {
+        listener()
+      } catch (error) {
+        this.options.log.error('knowledge.listener-failed', { revision: this.currentRevision, reason: (error as Error).message, stack: (error as Error).stack })
+      }
+    }
   }
 }
 
--- a/packages/gateway/src/deployment/DeploymentWatcher.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.ts
@@ -73,8 +73,8 @@
   async start (): Promise<void> {
     this.isRunning = true
     this.startedAtMs = performance.now()
-    this.watchStore()
-    this.watchPeers()
+    this.repeat(async () => await this.watchStoreOnce())
+    this.repeat(async () => await this.watchPeersOnce())
   }
 
   /** Stops watching after the call in progress. */
@@ -101,13 +101,24 @@
     return this.unconfirmedMs() > this.options.budget.peerQueryAfterMs
   }
 
-  private async watchStore (): Promise<void> {
+  /** Repeats a step until the watcher stops. A step that fails unexpectedly must not end the process, nor keep it from later changes. */
+  private async repeat (step: () => Promise<void>): Promise<void> {
+    const { budget, log } = this.options
     while (this.isRunning) {
-      if (!this.storeReader.isEmpty() && await this.readRelays()) continue
-      await this.readStore()
+      try {
+        await step()
+      } catch (error) {
+        log.error('follower.step-failed', { reason: (error as Error).message, stack: (error as Error).stack })
+        await pause(budget.storeRetryMaxMs)
+      }
     }
   }
 
+  private async watchStoreOnce (): Promise<void> {
+    if (!this.storeReader.isEmpty() && await this.readRelays()) return
+    await this.readStore()
+  }
+
   private async readStore (): Promise<void> {
     const { budget } = this.options
     this.lastOwnReadAtMs = this.lastContactAtMs = performance.now()
@@ -187,13 +198,11 @@
     this.isStoreLost = true
   }
 
-  private async watchPeers (): Promise<void> {
+  private async watchPeersOnce (): Promise<void> {
     const { budget } = this.options
-    while (this.isRunning) {
-      const isNeeded = this.isStoreLost || this.unconfirmedMs() > budget.peerQueryAfterMs
-      const hasNewRevision = isNeeded && await this.queryOnePeer()
-      if (!hasNewRevision) await pause(budget.relayPauseMs)
-    }
+    const isNeeded = this.isStoreLost || this.unconfirmedMs() > budget.peerQueryAfterMs
+    const hasNewRevision = isNeeded && await this.queryOnePeer()
+    if (!hasNewRevision) await pause(budget.relayPauseMs)
   }
 
   private async queryOnePeer (): Promise<boolean> {
--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -229,7 +229,7 @@
 function decode (key: string, value: string): Result<DeploymentRecord, string> {
   if (key === CONFIGURATION_KEY) {
     const { version } = JSON.parse(value) as { version: number }
-    return Result.ok({ kind: 'configuration', table: { version, routes: [], services: new Map() } as unknown as RoutingTable })
+    return Result.ok({ kind: 'configuration', table: { version, routes: [], services: new Map(), faults: [] } as unknown as RoutingTable })
   }
   if (key.startsWith(CAPACITY_PREFIX)) {
     return Result.ok({ kind: 'capacity', instanceId: key.slice(CAPACITY_PREFIX.length) as InstanceId, capacity: instanceCapacitySchema.parse(JSON.parse(value)) })
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -169,10 +169,14 @@
     const route = index.find(this.request.headers.host ?? '', this.request.url ?? '')
     this.configurationVersion = table.version
     if (route === undefined) {
-      this.finish('unknown-route')
+      this.finish(table.hasUnmatchableRoutes ? 'unreadable-route' : 'unknown-route')
       return
     }
     this.matchedRoute = route
+    if (route.shares.length === 0) {
+      this.finish('unreadable-route')
+      return
+    }
     if (headSizeBytes(this.request) > table.callerLimits.headSizeMaxBytes) {
       this.finish('head-too-large')
       return
--- a/packages/gateway/src/edge/FrontMetrics.test.ts
+++ b/packages/gateway/src/edge/FrontMetrics.test.ts
@@ -12,7 +12,8 @@
     const metrics = new FrontMetrics(registry, {
       inFlight: () => 7,
       cacheAgeMs: () => 1_500,
-      services: () => [{ service: STOCK, waiting, retriesLeft: 2 }]
+      services: () => [{ service: STOCK, waiting, retriesLeft: 2 }],
+      routingTable: () => undefined
     })
     metrics.recordColdRequest(STOCK)
     const first = await registry.metrics()
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -2,6 +2,7 @@
 import type { ServiceName, Verdict } from '@carobpitch/schema'
 import type { PropagationStep } from '../deployment/PropagationWaits.js'
 import type { ServiceStats } from '../dispatch/Dispatcher.js'
+import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
@@ -15,6 +16,8 @@
   /** Time since the store last confirmed the deployment cache. */
   cacheAgeMs: () => number
   services: () => readonly ServiceStats[]
+  /** The configuration in force, if any. */
+  routingTable: () => RoutingTable | undefined
 }
 
 /**
@@ -30,7 +33,7 @@
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
 
-  constructor (registry: Registry, { inFlight, cacheAgeMs, services }: FrontMetricsSources) {
+  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
     this.latency = new Histogram({ name: 'carobpitch_front_request_seconds', help: 'Time from the arrival of a request to its response.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
@@ -53,6 +56,8 @@
       registers,
       collect: () => { for (const figures of services()) retries.set({ service: figures.service }, figures.retriesLeft) }
     })
+    const version: Gauge = new Gauge({ name: 'carobpitch_configuration_version', help: 'Version of the configuration in force; 0 without one.', registers, collect: () => version.set(routingTable()?.version ?? 0) })
+    const faults: Gauge = new Gauge({ name: 'carobpitch_configuration_faults', help: 'Parts of the configuration in force that could not be read.', registers, collect: () => faults.set(routingTable()?.faults.length ?? 0) })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
--- a/packages/gateway/src/model/Route.ts
+++ b/packages/gateway/src/model/Route.ts
@@ -1,4 +1,4 @@
-import type { ServiceName } from '@carobpitch/schema'
+import type { ServiceName, Violation } from '@carobpitch/schema'
 
 /**
  * Share of a route's requests that goes to one service.
@@ -21,6 +21,7 @@
   pathPrefix: string
   /** Whether a request may run more than once. */
   isIdempotent: boolean
+  /** Empty if the route's record could not be read; its requests are refused. */
   shares: readonly RouteShare[]
   /** Longest time until the caller gets its response; `undefined` sets no limit besides the caller's deadline. */
   timeoutMs: number | undefined
@@ -65,6 +66,10 @@
 export interface RoutingTable {
   version: number
   routes: readonly Route[]
+  /** Whether some routes could not be read so far that it is unknown which requests belong to them. */
+  hasUnmatchableRoutes: boolean
   services: ReadonlyMap<ServiceName, ServicePolicy>
   callerLimits: CallerLimits
+  /** Parts of the operators' document that could not be read or are not known. */
+  faults: readonly Violation[]
 }
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -1,3 +1,4 @@
+import { inspect } from 'node:util'
 import { Result } from 'true-myth'
 import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
@@ -202,7 +203,7 @@
 
 function unexpectedResponse ({ status, body }: StoreResponse): StoreFailure {
   const isRefused = status >= 400
-  return { effect: isRefused ? 'none' : 'unknown', reason: isRefused ? `status ${status}` : `unreadable response: ${JSON.stringify(body).slice(0, 200)}` }
+  return { effect: isRefused ? 'none' : 'unknown', reason: isRefused ? `status ${status}` : `unreadable response: ${inspect(body, { depth: 2, breakLength: Infinity }).slice(0, 200)}` }
 }
 
 function toStoredValue ({ key, value, revision }: z.infer<typeof itemSchema>): StoredValue {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,6 @@
 export { readSettings, SETTINGS_VARIABLE } from './readSettings.js'
-export { validateConfiguration, decodeRecord } from './decodeRecord.js'
+export { validateConfiguration } from './decodeConfiguration.js'
+export { decodeRecord } from './decodeRecord.js'
 export { PlatformStore, type PlatformStoreOptions, type CountCall } from './PlatformStore.js'
 export { callerProtocol } from './callerProtocol.js'
 export { targetProtocol } from './targetProtocol.js'
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod'
 import type { FrontSettings, InstanceCapacity } from '@carobpitch/gateway'
 import { failureDomainIdSchema, instanceIdSchema, parseWith, type ListenerSettings, type Violation } from '@carobpitch/schema'
+import { addressSchema, formatAddress } from './addresses.js'
 import { durationSchema } from './durations.js'
 
 /** Environment variable that holds the path of the settings file. */
@@ -14,17 +15,9 @@
 /** Shorter bounds leave a call to the store less time than its response may take. */
 const PROPAGATION_BOUND_MIN_MS = 500
 
-const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
-
-const addressSchema = z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>').transform((text): ListenerSettings => {
-  const [, host, port] = ADDRESS_PATTERN.exec(text) as RegExpExecArray
-  return { host: host as string, port: Number(port) }
-})
-
 const numberSchema = z.string().regex(/^\d+(\.\d+)?$/, 'must be a number').transform(Number)
 
-const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(','))
-  .pipe(z.array(z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>')))
+const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(',')).pipe(z.array(addressSchema))
 
 const propagationBoundSchema = durationSchema.refine(boundMs => boundMs >= PROPAGATION_BOUND_MIN_MS, `must be at least ${PROPAGATION_BOUND_MIN_MS}ms`)
 
@@ -37,7 +30,7 @@
   'listen.directory': addressSchema,
   'listen.control': addressSchema,
   seeds: addressListSchema,
-  'platform.address': z.string().regex(ADDRESS_PATTERN, 'must be <IP address>:<port>'),
+  'platform.address': addressSchema,
   'platform.ttl-min': durationSchema,
   'bounds.grace-period': durationSchema,
   'bounds.config-apply': propagationBoundSchema.default(DEFAULT_CONFIG_APPLY_MS),
@@ -66,8 +59,8 @@
     directoryListen: fields['listen.directory'],
     peerListen: fields['listen.control'],
     metricsListen: { host: fields.ip, port: fields['metrics.port'] },
-    seedPeerUrls: fields.seeds.map(address => `http://${address}`),
-    storeUrl: `http://${fields['platform.address']}`,
+    seedPeerUrls: fields.seeds.map(urlOf),
+    storeUrl: urlOf(fields['platform.address']),
     propagationBounds: { configApplyMs: fields['bounds.config-apply'], contactMs: fields['bounds.contact'] },
     leaseMinMs: fields['platform.ttl-min'],
     stopGraceMs: fields['bounds.grace-period'],
@@ -81,6 +74,10 @@
   }))
 }
 
+function urlOf (address: ListenerSettings): string {
+  return `http://${formatAddress(address)}`
+}
+
 /** Returns the capacity of the machine, or `undefined` if a limit is missing or 0. */
 function capacityOf (fields: Pick<z.infer<typeof settingsSchema>, 'limits.link-mbps' | 'limits.cpu-share' | 'limits.cpu-cores'>): InstanceCapacity | undefined {
   const { 'limits.link-mbps': linkMbps, 'limits.cpu-share': share, 'limits.cpu-cores': speed } = fields
--- a/packages/platform/src/testing/configurations.ts
+++ b/packages/platform/src/testing/configurations.ts
@@ -2,7 +2,7 @@
 export interface WireRoute {
   host: string
   prefix: string
-  'route-type': 'safe' | 'unsafe'
+  'route-type': 'safe' | 'unsafe' | 'upload'
   timeout?: string
   'target-latency': string
   priority: number
--- a/packages/schema/src/MemberRecord.ts
+++ b/packages/schema/src/MemberRecord.ts
@@ -1,14 +1,16 @@
 import * as z from 'zod'
 import { failureDomainIdSchema, instanceIdSchema } from './ids.js'
 
+const urlSchema = z.string().refine(text => URL.canParse(text), 'must be a URL')
+
 /** Validator of member records. @public */
 export const memberRecordSchema = z.strictObject({
   instanceId: instanceIdSchema,
   /** Increases whenever the instance restarts or refutes a suspicion. */
   incarnation: z.int().min(0),
   failureDomain: failureDomainIdSchema,
-  callerUrl: z.string(),
-  peerUrl: z.string(),
+  callerUrl: urlSchema,
+  peerUrl: urlSchema,
   /** Callers receive only `serving` members: `joining` ones have no configuration yet, `leaving` ones finish their requests in flight. */
   state: z.enum(['joining', 'serving', 'leaving']),
   adoptedRevision: z.int().min(0)
