Follow what targets say in their responses, and redirect requests that reached none

Cause: an attempt whose connection failed used up one of the route's attempts and a retry, although no target had received anything. A status of the target was forwarded whatever it promises to callers.

Change: a request that was not written to any connection goes to another target without a retry, as long as its body is whole. A target that reports in a response that it is leaving gets no more requests from this instance until its next process registers, also when its record lapses and returns; one that asks for a pause gets neither requests nor probes for so long, and if all targets do, requests are refused at once with the time that is left. Statuses that guarantee that a request has not run are forwarded for idempotent requests only.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -2,7 +2,7 @@
 import {
   ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
   DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
-  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type TargetProtocol
+  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
@@ -95,6 +95,7 @@
       log
     })
     const targets = new TargetRegistry({ deploymentCache: cache, timer, log })
+    const observer: ResponseObserver = { onMisplaced: target => targets.markMisplaced(target), onLeaving: target => targets.markLeaving(target) }
 
     const metrics = new FrontMetrics(registry, {
       inFlight: () => kernel.get('front').inFlightCount(),
@@ -111,7 +112,7 @@
         targetCount: () => targets.count()
       }),
       onProbe: (_target, outcome) => metrics.recordProbe(outcome),
-      onMisplaced: target => targets.markMisplaced(target)
+      ...observer
     })
     const coldRequestLimiter = new ColdRequestLimiter({
       instanceId: settings.instanceId,
@@ -142,7 +143,7 @@
       roundRobin: routing.roundRobin,
       dispatcher,
       isEligible: target => targets.isEligible(target),
-      onMisplaced: target => targets.markMisplaced(target),
+      observer,
       callerProtocol,
       targetProtocol,
       timer,
--- a/packages/gateway/src/dispatch/DispatchRequest.ts
+++ b/packages/gateway/src/dispatch/DispatchRequest.ts
@@ -21,7 +21,17 @@
 }
 
 /** Why a request got no target. It has not run. @public */
-export type DispatchRefusal = 'no-target' | 'no-room' | 'deadline-unreachable' | 'cancelled'
+export type DispatchRefusalReason = 'no-target' | 'no-room' | 'deadline-unreachable' | 'cancelled'
+
+/**
+ * A request that got no target.
+ * @public
+ */
+export interface DispatchRefusal {
+  reason: DispatchRefusalReason
+  /** Time until the request could be served, if it is known. */
+  retryAfterMs?: number
+}
 
 /**
  * Permit to send one request to a target. Must be released exactly once.
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -5,7 +5,7 @@
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { LoadProber } from '../targets/LoadProber.js'
 import type { TargetRegistry } from '../targets/TargetRegistry.js'
-import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
+import type { DispatchGrant, DispatchRefusal, DispatchRefusalReason, DispatchRequest } from './DispatchRequest.js'
 import { expectedLatencyFactor } from './expectedLatencyFactor.js'
 import { ServiceTimeEstimator } from './ServiceTimeEstimator.js'
 
@@ -77,7 +77,7 @@
   /** Waits for a target. */
   async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
     return await new Promise(resolve => {
-      const onAbort = (): void => this.remove(waiter, 'cancelled')
+      const onAbort = (): void => this.remove(waiter, { reason: 'cancelled' })
       const waiter: Waiter = {
         request,
         settle: outcome => {
@@ -164,7 +164,7 @@
     const targets = registry.ofService(service)
     const ranked: Candidate[] = []
     targets.forEach(target => {
-      if (probed.has(target) || target.failures.isBackingOff()) return
+      if (probed.has(target) || target.failures.isBackingOff() || target.restsForMs() > 0) return
       const domainFactor = target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_RANK_FACTOR
       ranked.push({ target, factor: this.factorOf(target) * (1 + this.rankOf(targets, target)) * domainFactor })
     })
@@ -223,7 +223,7 @@
 
   private choose (request: DispatchRequest): Result<Candidate, DispatchRefusal | 'wait'> {
     const nowMs = performance.now()
-    if (nowMs >= request.deadlineAtMs) return Result.err('deadline-unreachable')
+    if (nowMs >= request.deadlineAtMs) return Result.err({ reason: 'deadline-unreachable' })
     const waitedMs = nowMs - request.arrivedAtMs
     const serviceTimeMs = this.serviceTime.expectedMs(request.objectiveMs)
     const objectiveAtMs = request.arrivedAtMs + request.objectiveMs
@@ -232,24 +232,33 @@
     const best = this.best(request)
     const isWorthWaiting = best !== undefined && best.factor >= LATE_FACTOR && waitedMs < request.objectiveMs * SEARCH_SHARE_OF_OBJECTIVE
     if (best !== undefined && !isWorthWaiting && nowMs + serviceTimeMs * best.factor <= objectiveAtMs) return Result.ok(best)
-    if (best !== undefined || waitedMs < request.objectiveMs * WAIT_SHARE_OF_OBJECTIVE) return Result.err('wait')
-    return Result.err(this.refusalReason())
+    const waitsUntilMs = request.arrivedAtMs + request.objectiveMs * WAIT_SHARE_OF_OBJECTIVE
+    const canWait = nowMs < waitsUntilMs && nowMs + this.restsForMs() < waitsUntilMs
+    return best !== undefined || canWait ? Result.err('wait') : Result.err(this.refusal())
   }
 
   /** A request that can only be late takes capacity that requests in time do not need: slow targets, and those with spare slots. */
   private chooseLate (request: DispatchRequest): Result<Candidate, DispatchRefusal> {
     const best = this.best(request, ({ target, factor }) => factor >= LATE_FACTOR || target.freeSlots() >= SPARE_SLOTS)
-    return best === undefined ? Result.err(this.refusalReason()) : Result.ok(best)
+    return best === undefined ? Result.err(this.refusal()) : Result.ok(best)
   }
 
-  private refusalReason (): DispatchRefusal {
-    return this.options.registry.ofService(this.options.service).length === 0 ? 'no-target' : 'no-room'
+  private refusal (): DispatchRefusal {
+    const reason: DispatchRefusalReason = this.options.registry.ofService(this.options.service).length === 0 ? 'no-target' : 'no-room'
+    const restsForMs = this.restsForMs()
+    return restsForMs > 0 ? { reason, retryAfterMs: restsForMs } : { reason }
+  }
+
+  /** Time until the first target accepts requests of this instance again; 0 if one does already, or if there is none. */
+  private restsForMs (): number {
+    const targets = this.options.registry.ofService(this.options.service)
+    return targets.length === 0 ? 0 : Math.min(...targets.map(target => target.restsForMs()))
   }
 
   /** Returns the target with a free slot that is expected to respond first: by fresh reports, else by old ones, else by this instance's own request counts. */
   private best (request: DispatchRequest, isSuitable: (candidate: Candidate) => boolean = () => true): Candidate | undefined {
     const usable = this.options.registry.ofService(this.options.service)
-      .filter(target => !request.exclude.has(target.record.targetId) && target.freeSlots() > 0 && this.mayReceive(target))
+      .filter(target => !request.exclude.has(target.record.targetId) && target.restsForMs() === 0 && target.freeSlots() > 0 && this.mayReceive(target))
     const notBackingOff = usable.filter(target => !target.failures.isBackingOff())
     const pool = notBackingOff.length > 0 ? notBackingOff : usable
     const fresh = pool.filter(target => target.reportAgeMs() <= REPORT_FRESH_MS + REPORT_WAIT_MS)
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -10,6 +10,7 @@
 import type { WeightedRoundRobin } from '../model/WeightedRoundRobin.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import { createAttempt } from '../targets/createAttempt.js'
+import type { ResponseObserver } from '../targets/observeResponse.js'
 import type { TargetProtocol } from '../targets/TargetProtocol.js'
 import type { CallerProtocol } from './CallerProtocol.js'
 import { BufferedResponse } from './BufferedResponse.js'
@@ -25,6 +26,8 @@
 const CONFIGURATION_WAIT_SHARE = 0.15
 /** Deadline of a request whose caller sets none. */
 const DEADLINE_DEFAULT_MS = 10_000
+/** Statuses that guarantee to callers that a request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** A retry with less time than this left cannot get a response. */
 const ATTEMPT_MIN_MS = 20
 
@@ -39,7 +42,7 @@
   roundRobin: WeightedRoundRobin
   dispatcher: Dispatcher
   isEligible: (target: GatewayTarget) => boolean
-  onMisplaced: (target: GatewayTarget) => void
+  observer: ResponseObserver
   callerProtocol: CallerProtocol
   targetProtocol: TargetProtocol
   timer: DeadlineTimer
@@ -72,6 +75,8 @@
   private body: Buffer | Readable | undefined
   private running: RunningAttempt | undefined
   private attempts = 0
+  /** Attempts that may have reached their targets. */
+  private sends = 0
   private verdict: Verdict = 'not-run'
   private isStreaming = false
   private hasEnded = false
@@ -122,6 +127,8 @@
   takeHead (head: ResponseHead, verdict: Verdict): boolean {
     const { running } = this
     if (running === undefined || this.hasEnded || verdict === 'not-run') return false
+    // The caller would conclude from the status that the request has not run, which the target does not say.
+    if (NOT_RUN_STATUSES.has(head.status) && this.matchedRoute?.isIdempotent !== true) return false
     running.buffered = new BufferedResponse(head)
     return true
   }
@@ -144,15 +151,18 @@
     const { target } = running.grant
     const elapsedMs = performance.now() - running.startedAtMs
     target.connections.release(running.client, { isReusable: result.isReusable, refusedRequestId: result.verdict === 'not-run' ? this.requestId : undefined })
-    const kind = evaluateAttempt(running, result, this.context.onMisplaced)
+    const kind = evaluateAttempt(running, result, this.context.observer)
     running.grant.release(kind, elapsedMs)
     this.addVerdict(result.verdict)
+    const wasSent = running.attempt.headWrittenAtMs !== undefined
+    if (wasSent) this.sends += 1
     this.context.metrics.recordAttempt(target.record.service, result.reason ?? 'answered', elapsedMs)
     if (!isSuccessfulAttempt(running.attempt, result)) logFailedAttempt(this.context.log, this.logFields(), target.record.targetId, running.attempt, result, elapsedMs)
     if (this.hasEnded) return
     const { buffered } = running
     if (result.verdict === 'answered' && buffered !== undefined) this.respond(running, buffered)
     else if (this.isStreaming) this.abortStream(result.reason ?? 'target-failed')
+    else if (!wasSent && this.mayRedirect(result)) this.dispatch()
     else this.retryOrFinish(result.reason ?? 'target-failed')
   }
 
@@ -233,7 +243,7 @@
       exclude: this.triedTargets,
       signal: this.abortController.signal
     })
-    if (granted.isErr) this.finish(granted.error)
+    if (granted.isErr) this.finish(granted.error.reason, granted.error.retryAfterMs)
     else if (this.hasEnded) granted.value.release('cancelled', 0)
     else this.send(granted.value)
   }
@@ -254,7 +264,7 @@
       requestId: this.requestId,
       missingRequestId: targetProtocol.missingRequestId,
       sink: this,
-      checkBeforeSend: () => isEligible(target) ? undefined : 'target-withdrawn'
+      checkBeforeSend: () => isEligible(target) && target.restsForMs() === 0 ? undefined : 'target-withdrawn'
     })
     this.running = { attempt, grant, client, startedAtMs: performance.now(), buffered: undefined }
     logSend(this.context.log, this.logFields(), grant)
@@ -301,20 +311,33 @@
     else this.finish(reason)
   }
 
+  /** Whether a request that has not reached a target may go to another one. It uses up no attempt, because no target has received it. */
+  private mayRedirect ({ reason }: AttemptResult): boolean {
+    return reason !== 'invalid-request' && this.isBodyIntact() && this.hasTimeForAttempt()
+  }
+
   private mayRetry (): boolean {
-    const { matchedRoute: route, service, deadlineAtMs, body, verdict } = this
+    const { matchedRoute: route, service, verdict } = this
     if (route === undefined || service === undefined) return false
     const mayRunAgain = route.isIdempotent || verdict === 'not-run'
-    const isBodyBuffered = body === undefined || Buffer.isBuffer(body)
-    const hasTime = deadlineAtMs - performance.now() > ATTEMPT_MIN_MS
-    return mayRunAgain && isBodyBuffered && hasTime && this.attempts < route.attemptsMax && this.context.dispatcher.tryTakeRetry(service)
+    return mayRunAgain && this.isBodyIntact() && this.hasTimeForAttempt() && this.sends < route.attemptsMax && this.context.dispatcher.tryTakeRetry(service)
+  }
+
+  private hasTimeForAttempt (): boolean {
+    return this.deadlineAtMs - performance.now() > ATTEMPT_MIN_MS
+  }
+
+  /** Whether the whole body can still be sent. */
+  private isBodyIntact (): boolean {
+    const { body } = this
+    return body === undefined || Buffer.isBuffer(body) || (!body.destroyed && !body.readableDidRead)
   }
 
   private addVerdict (verdict: Verdict): void {
     this.verdict = combineVerdicts(this.verdict, verdict)
   }
 
-  private finish (reason: FrontReason): void {
+  private finish (reason: FrontReason, retryAfterMs?: number): void {
     if (this.hasEnded) return
     if (this.isStreaming) {
       this.abortStream(reason)
@@ -323,7 +346,7 @@
     const status = frontStatusOf(reason, this.verdict !== 'not-run')
     this.recordEnd(reason, status)
     if (this.response.destroyed) return
-    const { headers, body } = localReply(reason, status, this.context.callerProtocol.retryAfterHeader)
+    const { headers, body } = localReply({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
     this.pushConnectionHeader(headers, reason === 'malformed-request' || !this.request.complete)
     this.response.writeHead(status, headers)
     this.response.end(body)
--- a/packages/gateway/src/edge/FrontListener.ts
+++ b/packages/gateway/src/edge/FrontListener.ts
@@ -109,7 +109,7 @@
 /** Responds to a message that the server has not turned into a request, and closes its connection. */
 function refuseOnSocket (socket: Duplex, reason: FrontReason, retryAfterHeader: string): void {
   const status = frontStatusOf(reason, false)
-  const { headers, body } = localReply(reason, status, retryAfterHeader)
+  const { headers, body } = localReply({ reason, status, retryAfterHeader })
   headers.push('connection', 'close')
   const lines = headers.map((part, index) => index % 2 === 0 ? `${part}: ` : `${part}\r\n`).join('')
   socket.on('error', () => {})
--- a/packages/gateway/src/edge/evaluateAttempt.ts
+++ b/packages/gateway/src/edge/evaluateAttempt.ts
@@ -1,7 +1,7 @@
 import type { Client } from 'undici'
 import type { Attempt, AttemptResult } from '@carobpitch/proxy'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
-import type { GatewayTarget } from '../targets/GatewayTarget.js'
+import { observeResponse, type ResponseObserver } from '../targets/observeResponse.js'
 import type { BufferedResponse } from './BufferedResponse.js'
 
 /** Lowest status with which a target reports its own failure. @internal */
@@ -27,10 +27,10 @@
 }
 
 /** Updates the target's load report and backoff after an attempt, and returns the outcome for the dispatcher. @internal */
-export function evaluateAttempt ({ grant: { target }, attempt }: RunningAttempt, result: AttemptResult, onMisplaced: (target: GatewayTarget) => void): AttemptResult['kind'] {
+export function evaluateAttempt ({ grant: { target }, attempt }: RunningAttempt, result: AttemptResult, observer: ResponseObserver): AttemptResult['kind'] {
   const { head } = attempt
   if (head?.occupancy !== undefined) target.recordReport(head.occupancy)
-  if (head?.targetId !== undefined && head.targetId !== target.record.targetId) onMisplaced(target)
+  if (head !== undefined) observeResponse(target, head, observer)
   if (result.kind === 'cancelled') return 'cancelled'
   const isSuccessful = isSuccessfulAttempt(attempt, result)
   if (isSuccessful) target.failures.recordSuccess()
--- a/packages/gateway/src/edge/localReply.ts
+++ b/packages/gateway/src/edge/localReply.ts
@@ -15,10 +15,24 @@
   body: string
 }
 
+/**
+ * Options of `localReply`.
+ * @internal
+ */
+export interface LocalReplyOptions {
+  reason: FrontReason
+  status: number
+  retryAfterHeader: string
+  /** Time until the request could be served, if it is known. */
+  retryAfterMs?: number | undefined
+}
+
 /** Returns the reply for a reason. A reply which guarantees that the request has not run states a retry delay. @internal */
-export function localReply (reason: FrontReason, status: number, retryAfterHeader: string): LocalReply {
+export function localReply ({ reason, status, retryAfterHeader, retryAfterMs }: LocalReplyOptions): LocalReply {
   const body = `${JSON.stringify({ reason })}\n`
   const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
-  if (status === 503 || status === 429) headers.push(retryAfterHeader, String(reason === 'no-room' ? RETRY_AFTER_NO_ROOM_S : RETRY_AFTER_S))
+  const usualS = reason === 'no-room' ? RETRY_AFTER_NO_ROOM_S : RETRY_AFTER_S
+  const retryAfterS = retryAfterMs === undefined ? usualS : Math.ceil(retryAfterMs / 10) / 100
+  if (status === 503 || status === 429) headers.push(retryAfterHeader, String(retryAfterS))
   return { headers, body }
 }
--- a/packages/gateway/src/targets/GatewayTarget.ts
+++ b/packages/gateway/src/targets/GatewayTarget.ts
@@ -31,11 +31,14 @@
   inFlight = 0
   /** Whether another target responds at the address. */
   isMisplaced = false
+  /** Whether the target has reported in a response that it is about to stop. */
+  isLeaving = false
   readonly failures = new FailureBackoff()
   readonly connections: TargetConnectionPool
   private lastReport: TargetReport | undefined
   private sentSinceReport = 0
   private coldUntilMs = 0
+  private restsUntilMs = 0
 
   constructor ({ record, policy, timer }: GatewayTargetOptions) {
     this.record = record
@@ -83,6 +86,16 @@
     return performance.now() < this.coldUntilMs
   }
 
+  /** Sends the target nothing for a time, as it has asked this instance to. */
+  restFor (restMs: number): void {
+    this.restsUntilMs = Math.max(this.restsUntilMs, performance.now() + restMs)
+  }
+
+  /** Time for which the target is still to get nothing from this instance. */
+  restsForMs (): number {
+    return Math.max(0, this.restsUntilMs - performance.now())
+  }
+
   /** Clears the last report of a target that may have restarted or turned cold unnoticed. */
   clearReport (): void {
     this.lastReport = undefined
@@ -112,11 +125,13 @@
   }
 
   dump (): unknown {
-    const { record, inFlight, isMisplaced, lastReport } = this
+    const { record, inFlight, isMisplaced, isLeaving, lastReport } = this
     return {
       ...record,
       inFlight,
       isMisplaced,
+      isLeaving,
+      restsForMs: this.restsForMs(),
       coldForMs: Math.max(0, this.coldUntilMs - performance.now()),
       report: lastReport,
       reportAgeMs: lastReport === undefined ? undefined : this.reportAgeMs(),
--- a/packages/gateway/src/targets/LoadProber.ts
+++ b/packages/gateway/src/targets/LoadProber.ts
@@ -2,6 +2,7 @@
 import { createAttempt } from './createAttempt.js'
 import type { GatewayTarget } from './GatewayTarget.js'
 import type { ProbeRateLimiter } from './ProbeRateLimiter.js'
+import { observeResponse, type ResponseObserver } from './observeResponse.js'
 import type { TargetProtocol } from './TargetProtocol.js'
 
 /** Timeout of a probe, after which its connection is closed. */
@@ -16,13 +17,11 @@
  * Options of `LoadProber`.
  * @public
  */
-export interface LoadProberOptions {
+export interface LoadProberOptions extends ResponseObserver {
   protocol: TargetProtocol
   timer: DeadlineTimer
   limiter: ProbeRateLimiter
   onProbe?: (target: GatewayTarget, outcome: ProbeOutcome) => void
-  /** Called when another target has responded at the target's address. */
-  onMisplaced: (target: GatewayTarget) => void
 }
 
 /**
@@ -88,17 +87,13 @@
   }
 
   private handleResult (target: GatewayTarget, head: ResponseHead | undefined, result: AttemptResult): boolean {
-    const { onProbe, onMisplaced } = this.options
+    const { onProbe } = this.options
     if (head === undefined || !result.isComplete) {
       target.clearReport()
       onProbe?.(target, 'failed')
       return false
     }
-    if (head.targetId !== undefined && head.targetId !== target.record.targetId) {
-      onMisplaced(target)
-      return false
-    }
-    if (head.coldForMs !== undefined) target.setColdFor(head.coldForMs)
+    if (!observeResponse(target, head, this.options)) return false
     onProbe?.(target, head.status === 200 ? 'answered' : 'refused')
     if (head.occupancy === undefined) return false
     target.recordReport(head.occupancy, head.status === 200)
--- a/packages/gateway/src/targets/TargetRegistry.ts
+++ b/packages/gateway/src/targets/TargetRegistry.ts
@@ -5,6 +5,9 @@
 import { isSameIncarnation, type TargetRecord } from '../model/TargetRecord.js'
 import { GatewayTarget } from './GatewayTarget.js'
 
+/** Number of departed targets that are remembered. */
+const DEPARTED_MAX = 1_000
+
 /**
  * Options of `TargetRegistry`.
  * @public
@@ -23,6 +26,8 @@
   private readonly options: TargetRegistryOptions
   private readonly targets = new Map<TargetId, GatewayTarget>()
   private byService = new Map<ServiceName, GatewayTarget[]>()
+  /** Targets that reported that they were about to stop and are no longer registered. */
+  private readonly departed = new Map<TargetId, TargetRecord>()
   private evacuated: ReadonlySet<FailureDomainId> = new Set()
 
   constructor (options: TargetRegistryOptions) {
@@ -44,7 +49,7 @@
   /** Whether a target may still get requests; checked right before one is sent. */
   isEligible (target: GatewayTarget): boolean {
     const { targetId, failureDomain, isDraining } = target.record
-    return this.targets.get(targetId) === target && !isDraining && !target.isMisplaced && !this.evacuated.has(failureDomain)
+    return this.targets.get(targetId) === target && !isDraining && !target.isMisplaced && !target.isLeaving && !this.evacuated.has(failureDomain)
   }
 
   /** Marks a target at whose address another target responds. It gets no requests until it registers again. */
@@ -55,6 +60,14 @@
     this.logTarget('target.misplaced', target.record)
   }
 
+  /** Marks a target that has reported that it is about to stop. Its process gets no more requests, whatever its record says. */
+  markLeaving (target: GatewayTarget): void {
+    if (target.isLeaving) return
+    target.isLeaving = true
+    this.groupByService()
+    this.logTarget('target.leaving', target.record)
+  }
+
   async stop (): Promise<void> {
     for (const target of this.targets.values()) target.retire()
   }
@@ -85,16 +98,28 @@
       return
     }
     if (existing !== undefined) this.drop(existing, 'replaced')
-    this.targets.set(record.targetId, new GatewayTarget({ record, policy, timer: this.options.timer }))
-    this.logTarget('target.found', record)
+    const target = new GatewayTarget({ record, policy, timer: this.options.timer })
+    const departed = this.departed.get(record.targetId)
+    target.isLeaving = departed !== undefined && isSameIncarnation(departed, record)
+    this.departed.delete(record.targetId)
+    this.targets.set(record.targetId, target)
+    this.logTarget('target.found', record, target.isLeaving ? 'leaving' : undefined)
   }
 
   private drop (target: GatewayTarget, reason: string): void {
     this.targets.delete(target.record.targetId)
     target.retire()
+    if (target.isLeaving) this.rememberDeparture(target.record)
     this.logTarget('target.left', target.record, reason)
   }
 
+  /** The record of a leaving target may lapse and return while the store is away. */
+  private rememberDeparture (record: TargetRecord): void {
+    this.departed.set(record.targetId, record)
+    const [oldest] = this.departed.keys()
+    if (this.departed.size > DEPARTED_MAX && oldest !== undefined) this.departed.delete(oldest)
+  }
+
   /** Targets that return from an evacuation may be cold without having reported it yet. */
   private applyEvacuations (evacuated: Set<FailureDomainId>): void {
     for (const failureDomain of evacuated) {
--- a/packages/platform/src/targetProtocol.ts
+++ b/packages/platform/src/targetProtocol.ts
@@ -5,6 +5,9 @@
 
 /** Status by which a target reports that a request was meant for another target and did not run. */
 const MISDIRECTED_STATUS = 421
+const UNAVAILABLE_STATUS = 503
+/** Longest rest that a target may ask for, so that one odd header does not take it out of service for good. */
+const RETRY_AFTER_MAX_MS = 60_000
 
 /** Protocol between the gateway and the platform's targets. */
 export const targetProtocol: TargetProtocol = {
@@ -32,6 +35,12 @@
       case WIRE_HEADERS.coldForMs:
         readColdForMs(head, value)
         return true
+      case WIRE_HEADERS.targetLeaving:
+        if (value === '1') head.reportsLeaving = true
+        return true
+      case WIRE_HEADERS.retryAfterS:
+        readRetryAfter(head, value)
+        return true
       default:
         return true
     }
@@ -51,6 +60,12 @@
   if (isReadable) head.occupancy = occupancy
 }
 
+/** A target rests only if it has refused a request; the header has other meanings with other statuses. */
+function readRetryAfter (head: ResponseHead, value: string): void {
+  const seconds = Number(value)
+  if (head.status === UNAVAILABLE_STATUS && seconds > 0) head.retryAfterMs = Math.min(seconds * 1_000, RETRY_AFTER_MAX_MS)
+}
+
 function readColdForMs (head: ResponseHead, value: string): void {
   const coldForMs = Number(value)
   if (Number.isFinite(coldForMs) && coldForMs >= 0) head.coldForMs = coldForMs
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -17,6 +17,8 @@
   notRun: 'x-carobpitch-not-executed',
   /** Time until the target is warm, in milliseconds. */
   coldForMs: 'x-carobpitch-warmup-ms',
+  /** `1` in all responses of a target that is about to stop. */
+  targetLeaving: 'server-leaving',
   retryAfterS: 'retry-after'
 } as const
 
--- a/packages/proxy/src/responseHead.ts
+++ b/packages/proxy/src/responseHead.ts
@@ -37,6 +37,10 @@
   occupancy?: TargetOccupancy
   /** Time until the target is warm, if it reports one. */
   coldForMs?: number
+  /** Whether the target reports that it is about to stop. */
+  reportsLeaving?: boolean
+  /** Time for which the target asks this sender for no further requests. */
+  retryAfterMs?: number
 }
 
 /**
