Wake up only for the next deadline, change or loss of the store

Each process woke up 200 times a second from its first request on, because the deadline timer ran at a fixed interval while any deadline, also one of an ended request, was pending. A relay woke up ten times a second for each follower, and each process five times a second to see whether it had to query peers. The timer is now set for the earliest pending deadline, a relay for the time at which its cache becomes too old, and the peer loop until the store is lost or its last confirmation is too old.

--- a/packages/gateway/src/deployment/DeploymentFeed.ts
+++ b/packages/gateway/src/deployment/DeploymentFeed.ts
@@ -9,14 +9,15 @@
 export const DEPLOYMENT_FEED_ROUTER = 'knowledge'
 /** Longest wait that a peer may request. */
 const WAIT_MAX_MS = 10_000
-
-/** Interval at which a waiting request checks the age of the cache. */
-const AGE_CHECK_MS = 100
 /**
  * Time for which a request waits until the store confirms a cache that is too old: a read of the store that has just begun takes a few milliseconds.
  * @internal
  */
 export const CONFIRMATION_WAIT_MS = 200
+/** Interval at which a waiting request checks whether the store has confirmed the cache. */
+const CONFIRMATION_CHECK_MS = 50
+/** Excess over the largest accepted age at which a cache is checked, so that a timer that fires early is not set again. */
+const AGE_EXCEEDED_MS = 2
 
 /** Response to another instance: the changes after a revision, or all records if the history no longer reaches back to it. @public */
 export type FeedResponse = {
@@ -86,27 +87,28 @@
 
 /** Waits until there are changes after a revision, the cache has become too old, or the time has passed. */
 async function waitForChanges (deploymentCache: DeploymentCache, { revision, waitMs, ageMaxMs = Infinity }: FeedRequest, ageMs: () => number): Promise<void> {
+  const startedAtMs = performance.now()
+  const leftMs = (): number => waitMs - (performance.now() - startedAtMs)
   const isTooOld = (): boolean => ageMs() > ageMaxMs
-  if (isTooOld()) await waitUntil(deploymentCache, () => !isTooOld(), Math.min(waitMs, CONFIRMATION_WAIT_MS))
-  if (!isTooOld()) await waitUntil(deploymentCache, () => isTooOld() || hasChangesAfter(deploymentCache, revision), waitMs)
+  while (isTooOld() && performance.now() - startedAtMs < Math.min(waitMs, CONFIRMATION_WAIT_MS)) await pause(CONFIRMATION_CHECK_MS)
+  // The cache ages until the store confirms it again, so it cannot become too old before this time.
+  while (!isTooOld() && !hasChangesAfter(deploymentCache, revision) && leftMs() > 0) {
+    const ageLeftMs = Math.max(0, ageMaxMs - ageMs()) + AGE_EXCEEDED_MS
+    await waitForChange(deploymentCache, revision, Math.min(leftMs(), ageLeftMs))
+  }
 }
 
-/** Waits until a condition holds, which is checked after each change and at an interval. */
-async function waitUntil (deploymentCache: DeploymentCache, condition: () => boolean, waitMs: number): Promise<void> {
-  if (waitMs === 0 || condition()) return
+/** Waits until there are changes after a revision, or the time has passed. */
+async function waitForChange (deploymentCache: DeploymentCache, revision: number, waitMs: number): Promise<void> {
   await new Promise<void>(resolve => {
     const finish = (): void => {
       clearTimeout(timer)
-      clearInterval(ageCheck)
       unsubscribe()
       resolve()
     }
-    const check = (): void => { if (condition()) finish() }
-    const unsubscribe = deploymentCache.onChange(check)
+    const unsubscribe = deploymentCache.onChange(() => { if (hasChangesAfter(deploymentCache, revision)) finish() })
     const timer = setTimeout(finish, waitMs)
-    const ageCheck = setInterval(check, AGE_CHECK_MS)
     timer.unref()
-    ageCheck.unref()
   })
 }
 
@@ -116,3 +118,7 @@
   const batch = deploymentCache.changesAfter(revision)
   return batch === undefined || batch.events.length > 0
 }
+
+async function pause (durationMs: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, durationMs).unref())
+}
--- a/packages/gateway/src/deployment/DeploymentWatcher.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.ts
@@ -51,6 +51,7 @@
   /** Time of the last read attempt at the store or of the last recent response of a relay. */
   private lastContactAtMs = -Infinity
   private isStoreLost = false
+  private onStoreLost: (() => void) | undefined
   /** Whether a relay has been recent enough since the last own read. */
   private hasFollowedRelay = false
   private peerQueries = 0
@@ -196,13 +197,26 @@
   private recordStoreLost (): void {
     if (!this.isStoreLost) this.options.log.warn('store.lost', { reason: this.storeReader.lastFailure(), revision: this.options.deploymentCache.revision() })
     this.isStoreLost = true
+    this.onStoreLost?.()
   }
 
   private async watchPeersOnce (): Promise<void> {
     const { budget } = this.options
-    const isNeeded = this.isStoreLost || this.unconfirmedMs() > budget.peerQueryAfterMs
-    const hasNewRevision = isNeeded && await this.queryOnePeer()
-    if (!hasNewRevision) await pause(budget.relayPauseMs)
+    const unneededForMs = this.isStoreLost ? 0 : budget.peerQueryAfterMs - this.unconfirmedMs()
+    if (unneededForMs > 0) await this.pauseUnlessStoreLost(Math.max(unneededForMs, budget.relayPauseMs))
+    else if (!await this.queryOnePeer()) await pause(budget.relayPauseMs)
+  }
+
+  /** Pauses, but not longer than until the store is lost. */
+  private async pauseUnlessStoreLost (durationMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, durationMs).unref()
+      this.onStoreLost = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+    this.onStoreLost = undefined
   }
 
   private async queryOnePeer (): Promise<boolean> {
--- a/packages/proxy/src/DeadlineTimer.ts
+++ b/packages/proxy/src/DeadlineTimer.ts
@@ -1,4 +1,4 @@
-/** Timer interval. Items expire at most two ticks late, because the phase of the timer is arbitrary. */
+/** Resolution of the deadlines. Those within the same step share one wake-up of the process. */
 const TICK_MS = 5
 
 /**
@@ -11,14 +11,14 @@
 }
 
 /**
- * Tracks the deadlines of all requests with one timer, because a timer for each request costs more than the request's bookkeeping.
- * Never fires early. The timer runs only while deadlines are pending.
+ * Tracks the deadlines of all requests with one timer, which is set for the earliest of them: a timer for each request costs more than the
+ * request's bookkeeping, and so does waking up at every step. Never fires early, and at most two steps late on an idle machine.
  * @public
  */
 export class DeadlineTimer {
   private readonly buckets = new Map<number, Set<Expirable>>()
   private timer: NodeJS.Timeout | undefined
-  private nextTick = 0
+  private scheduledTick = Infinity
 
   /** Adds an item with its deadline on the monotonic clock. Returns the key that `remove` needs. */
   add (item: Expirable, deadlineAtMs: number): number {
@@ -29,37 +29,47 @@
       this.buckets.set(tick, items)
     }
     items.add(item)
-    if (this.timer === undefined) this.startTimer()
+    if (tick < this.scheduledTick) this.schedule(tick)
     return tick
   }
 
   /** Removes an item before its deadline. */
   remove (item: Expirable, key: number): void {
-    this.buckets.get(key)?.delete(item)
+    const items = this.buckets.get(key)
+    items?.delete(item)
+    if (items?.size === 0) this.buckets.delete(key)
   }
 
   /** Removes all items and stops the timer. */
   stop (): void {
-    clearInterval(this.timer)
-    this.timer = undefined
+    clearTimeout(this.timer)
+    this.scheduledTick = Infinity
     this.buckets.clear()
   }
 
-  private startTimer (): void {
-    this.nextTick = currentTick()
-    this.timer = setInterval(() => this.advance(), TICK_MS)
+  private schedule (tick: number): void {
+    clearTimeout(this.timer)
+    this.scheduledTick = tick
+    this.timer = setTimeout(() => this.advance(), Math.max(1, tick * TICK_MS - performance.now()))
     this.timer.unref()
   }
 
   private advance (): void {
     const dueTick = currentTick()
-    while (this.nextTick <= dueTick) {
-      const items = this.buckets.get(this.nextTick)
-      this.buckets.delete(this.nextTick)
-      this.nextTick += 1
-      if (items !== undefined) for (const item of items) item.expire()
+    const dueTicks = [...this.buckets.keys()].filter(tick => tick <= dueTick).sort((first, second) => first - second)
+    for (const tick of dueTicks) this.expireBucket(tick)
+    this.scheduledTick = Infinity
+    let nextTick = Infinity
+    for (const tick of this.buckets.keys()) nextTick = Math.min(nextTick, tick)
+    if (nextTick < Infinity) this.schedule(nextTick)
+  }
+
+  private expireBucket (tick: number): void {
+    const items = this.buckets.get(tick) ?? []
+    for (const item of items) {
+      this.remove(item, tick)
+      item.expire()
     }
-    if (this.buckets.size === 0) this.stop()
   }
 }
 
