--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,6 +1,6 @@
 import type { Registry } from 'prom-client'
 import {
-  ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
   DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
 } from '@carobpitch/gateway'
@@ -147,6 +147,7 @@
       callerProtocol,
       targetProtocol,
       timer,
+      bodyMemory: new BodyMemory({ limitBytes: settings.bodyMemoryBytes }),
       metrics,
       log,
       mustCloseConnections: () => this.shutdown.hasBegun(),
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -138,6 +138,7 @@
     instanceId: instanceId as InstanceId,
     failureDomain: 'zone-a' as FailureDomainId,
     capacity: { linkMbps: 100, cores: 1 },
+    bodyMemoryBytes: 33_554_432,
     callerListen: listen,
     readinessListen: listen,
     directoryListen: listen,
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -13,6 +13,7 @@
 import type { ResponseObserver } from '../targets/observeResponse.js'
 import type { TargetProtocol } from '../targets/TargetProtocol.js'
 import type { CallerProtocol } from './CallerProtocol.js'
+import type { BodyMemory } from './BodyMemory.js'
 import { BufferedResponse } from './BufferedResponse.js'
 import type { FrontMetrics } from './FrontMetrics.js'
 import { logEnd, logFailedAttempt, logSend, type LoggedRequest } from './exchangeLog.js'
@@ -46,6 +47,7 @@
   callerProtocol: CallerProtocol
   targetProtocol: TargetProtocol
   timer: DeadlineTimer
+  bodyMemory: BodyMemory
   metrics: FrontMetrics
   log: EventLog
   /** Whether responses tell callers to close their connections. */
@@ -80,6 +82,7 @@
   private verdict: Verdict = 'not-run'
   private isStreaming = false
   private hasEnded = false
+  private releaseBodyMemory: (() => void) | undefined
 
   constructor (context: FrontExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.context = context
@@ -213,6 +216,11 @@
       this.finish('body-too-large')
       return
     }
+    this.releaseBodyMemory = this.context.bodyMemory.tryReserve(lengthBytes)
+    if (this.releaseBodyMemory === undefined) {
+      this.finish('no-memory')
+      return
+    }
     readBody({
       request,
       lengthBytes,
@@ -366,6 +374,7 @@
     const { timer, metrics, log } = this.context
     this.hasEnded = true
     this.abortController.abort()
+    this.releaseBodyMemory?.()
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
     metrics.recordRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
--- a/packages/gateway/src/edge/FrontListener.ts
+++ b/packages/gateway/src/edge/FrontListener.ts
@@ -84,7 +84,7 @@
   }
 
   dump (): unknown {
-    return { inFlight: this.exchanges.size }
+    return { inFlight: this.exchanges.size, bodyBytes: this.options.bodyMemory.reservedBytes() }
   }
 
   private openExchange (request: IncomingMessage, response: ServerResponse): FrontExchange {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 export * from './dispatch/DispatchRequest.js'
 export { Dispatcher, type DispatcherOptions, type ServiceStats } from './dispatch/Dispatcher.js'
 export * from './edge/CallerProtocol.js'
+export { BodyMemory, type BodyMemoryOptions } from './edge/BodyMemory.js'
 export { FrontMetrics, type FrontMetricsSources } from './edge/FrontMetrics.js'
 export { FrontListener, type FrontListenerOptions } from './edge/FrontListener.js'
 export { frontStatusOf, type FrontReason } from './edge/FrontReason.js'
--- a/packages/gateway/src/model/FrontSettings.ts
+++ b/packages/gateway/src/model/FrontSettings.ts
@@ -11,6 +11,8 @@
   failureDomain: FailureDomainId
   /** Machine of this instance; `undefined` if the settings do not describe it. */
   capacity: InstanceCapacity | undefined
+  /** Memory for the bodies of all requests together. */
+  bodyMemoryBytes: number
   /** Listener for the requests of callers. */
   callerListen: ListenerSettings
   /** Listener for readiness checks. */
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -19,6 +19,11 @@
 
 const addressListSchema = z.string().default('').transform(text => text === '' ? [] : text.split(',')).pipe(z.array(addressSchema))
 
+const DEFAULT_MEMORY_MB = 250
+const BYTES_PER_MB = 1_000_000
+/** Share of the memory limit for the bodies of requests; the program itself takes about a third of the smallest machines. */
+const BODY_MEMORY_SHARE = 0.2
+
 const propagationBoundSchema = durationSchema.refine(boundMs => boundMs >= PROPAGATION_BOUND_MIN_MS, `must be at least ${PROPAGATION_BOUND_MIN_MS}ms`)
 
 const settingsSchema = z.object({
@@ -40,6 +45,7 @@
   'limits.cpu-share': numberSchema.default(0),
   /** Speed of the processor as a multiple of one core, of which the process gets `cpu-share`. */
   'limits.cpu-cores': numberSchema.default(1),
+  'limits.memory-mb': numberSchema.default(DEFAULT_MEMORY_MB),
   'bounds.probes-per-s': numberSchema,
   'bounds.retry-budget-ratio': numberSchema,
   'bounds.retry-budget-slack': numberSchema,
@@ -54,6 +60,7 @@
     instanceId: fields['node-name'],
     failureDomain: fields.zone,
     capacity: capacityOf(fields),
+    bodyMemoryBytes: Math.round(fields['limits.memory-mb'] * BYTES_PER_MB * BODY_MEMORY_SHARE),
     callerListen: fields['listen.front'],
     readinessListen: fields['listen.ready'],
     directoryListen: fields['listen.directory'],
