Let the instances of a starting fleet find their relays before they read changes

When a whole fleet starts, no instance knows a relay, so each reads the changes from the store itself, once for every batch in which the others register. An instance that knows no registered one now waits for 0.2 of the propagation bound, with jitter, and repeats the first read, which may be stale and costs a tenth. It serves from its first read meanwhile.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -161,6 +161,7 @@
       deploymentCache: cache,
       queryPeer: createPeerFeedClient(peerLinks, budget),
       budget,
+      isFleetKnown: () => cache.members().length > 0,
       peerUrls: () => this.peerUrls(),
       relays: createRelaySelector({
         members: () => cache.members(),
--- a/packages/gateway/src/deployment/DeploymentWatcher.test.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.test.ts
@@ -55,6 +55,7 @@
   let relayAgeMs: number
   let queriedUrls: string[]
   let isRelayFrozen: boolean
+  let isFleetKnown: () => boolean
 
   beforeEach(() => {
     clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }) as never
@@ -63,6 +64,7 @@
     relayAgeMs = 0
     queriedUrls = []
     isRelayFrozen = false
+    isFleetKnown = () => true
     const log = new EventLog({ silent: true })
     cache = new DeploymentCache({ decode: () => Result.ok(FOREIGN), log })
     follower = new DeploymentWatcher({
@@ -79,6 +81,7 @@
       },
       peerUrls: () => ['http://peer'],
       relays: () => relays,
+      isFleetKnown: () => isFleetKnown(),
       budget: BUDGET,
       log,
       random: () => 0.5
@@ -98,6 +101,27 @@
     expect(store.waits).to.be.within(6, 9)
   })
 
+  it('guards against a call for changes by every instance when a fleet starts: it waits for its relays to register', async () => {
+    isFleetKnown = () => store.staleLists > 1
+    const { listPage } = store
+    store.listPage = async (prefix, options) => {
+      const page = await listPage.call(store, prefix, options)
+      if (store.staleLists > 1) relays = { urls: ['http://relay'], distantUrls: [], isSubstitute: false }
+      return page
+    }
+    await follower.start()
+    await clock.tickAsync(10_000)
+    expect(store).to.include({ staleLists: 2, lists: 0, waits: 0 })
+    expect(follower.ageMs()).to.be.below(CONFIGURATION_APPLY_MS)
+  })
+
+  it('guards against an instance without a fleet that waits for one: it reads the changes itself', async () => {
+    isFleetKnown = () => false
+    await follower.start()
+    await clock.tickAsync(2 * BUDGET.fleetStartMs)
+    expect(store).to.include({ staleLists: 2, waits: 1 })
+  })
+
   it('guards against changes missed in a dropped history: it reads all records again', async () => {
     await follower.start()
     await clock.tickAsync(2_000)
--- a/packages/gateway/src/deployment/DeploymentWatcher.ts
+++ b/packages/gateway/src/deployment/DeploymentWatcher.ts
@@ -26,6 +26,8 @@
   peerUrls: () => readonly string[]
   /** Peers whose caches are followed instead of the store. */
   relays: () => Relays
+  /** Whether any instance is known to be registered; by default one is. */
+  isFleetKnown?: () => boolean
   /** Times of the steps by which a change reaches this instance. */
   budget: PropagationBudget
   log: EventLog
@@ -57,7 +59,7 @@
   private peerQueries = 0
 
   constructor (options: DeploymentWatcherOptions) {
-    this.options = { random: Math.random, onWait: () => {}, ...options }
+    this.options = { random: Math.random, onWait: () => {}, isFleetKnown: () => true, ...options }
     const { deploymentCache, queryPeer, budget, log } = this.options
     this.waits = new PropagationWaits({ onWait: this.options.onWait })
     this.storeReader = new StoreReader({ ...this.options, waits: this.waits })
@@ -133,6 +135,7 @@
       }
       case 'unconfirmed': {
         this.recordStoreFound()
+        if (!this.options.isFleetKnown()) await this.awaitFleet()
         break
       }
       case 'failed': {
@@ -142,6 +145,16 @@
     }
   }
 
+  /**
+   * Reads the records once more when the other instances had time to register. When a whole fleet starts, its instances thus find their
+   * relays at a tenth of the price of reading the changes, which arrive one by one, themselves.
+   */
+  private async awaitFleet (): Promise<void> {
+    const { budget, random } = this.options
+    await this.waits.measure('fleet-start', pause(budget.fleetStartMs * (0.75 + random() / 2)))
+    await this.storeReader.readAgain()
+  }
+
   /** Reads changes from the relays. Returns `false` if this instance has to read the store itself. */
   private async readRelays (): Promise<boolean> {
     const { budget } = this.options
--- a/packages/gateway/src/deployment/PropagationWaits.ts
+++ b/packages/gateway/src/deployment/PropagationWaits.ts
@@ -1,5 +1,5 @@
 /** Steps on which the confirmation of the deployment cache can wait. @public */
-export type PropagationStep = 'store-watch' | 'store-list' | 'store-pause' | 'store-retry' | 'relay' | 'relay-pause' | 'peer'
+export type PropagationStep = 'store-watch' | 'store-list' | 'store-pause' | 'store-retry' | 'fleet-start' | 'relay' | 'relay-pause' | 'peer'
 
 /**
  * Options of `PropagationWaits`.
--- a/packages/gateway/src/deployment/StoreReader.ts
+++ b/packages/gateway/src/deployment/StoreReader.ts
@@ -79,6 +79,11 @@
     return this.recordOutcome(await this.readAll(isAfterOutage))
   }
 
+  /** Reads all records once more, at the price of a read that may be seconds old. */
+  async readAgain (): Promise<StoreReadOutcome> {
+    return this.recordOutcome(await this.readAll(false, true))
+  }
+
   /**
    * Delay before the next call after a failure. It does not depend on the number of instances, since few of them read the store; only
    * instances without any records do so all together.
@@ -112,9 +117,8 @@
   }
 
   /** Reads all records. The first read may be seconds old, which costs the store less, because the changes after it are read next. */
-  private async readAll (isAfterOutage: boolean): Promise<StoreReadOutcome> {
+  private async readAll (isAfterOutage: boolean, isStaleAllowed = this.isFirst): Promise<StoreReadOutcome> {
     const { store, deploymentCache, waits, budget: { storeTransferMs: transferTimeoutMs } } = this.options
-    const isStaleAllowed = this.isFirst
     const records: StoredValue[] = []
     let revision = Infinity
     for (let after: string | undefined, hasMore = true; hasMore;) {
--- a/packages/gateway/src/deployment/propagationBudget.ts
+++ b/packages/gateway/src/deployment/propagationBudget.ts
@@ -31,6 +31,8 @@
   storeRetryMaxMs: number
   /** The same while no records are known, when each instance reads the store itself. */
   firstReadRetryMaxMs: number
+  /** Time that an instance gives the others to register when it knows none, before jitter of up to 25% in either direction. */
+  fleetStartMs: number
   /** Longest wait of a query to a relay. */
   relayWaitMs: number
   /** Time for the head of a relay's response beyond the requested wait. */
@@ -72,6 +74,7 @@
     storeRetryMs: share(0.08),
     storeRetryMaxMs: share(0.25),
     firstReadRetryMaxMs: share(0.5),
+    fleetStartMs: share(0.2),
     relayWaitMs: share(0.25),
     relayResponseMs: share(0.12),
     relayPauseMs: share(0.1),
