Replace FormData in the bundle instead of leaving it undefined

Cause: trpc tests its inputs with instanceof FormData, which throws if the name is undefined. The tests run the packages, not the bundle.

Change: the bundle gets a class of its own in place of the global. A test runs three processes of the bundle and fails if followers read the store or a relay refuses them; it fails with the fault (relay.refused in the log).

--- a/packages/daemon/src/front/bundle.test.ts
+++ b/packages/daemon/src/front/bundle.test.ts
@@ -1,7 +1,11 @@
-import { execFile } from 'node:child_process'
+import { execFile, spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
 import { readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
 import { promisify } from 'node:util'
 import { expect } from 'chai'
+import { STORE_KEYS, StandInPlatformStore, STORE_PATHS, wireConfiguration } from '@carobpitch/platform'
+import { waitUntil } from './testing/FrontTestHarness.js'
 
 const run = promisify(execFile)
 const SETTINGS_FILE = 'target/bundle-test.conf'
@@ -23,13 +27,72 @@
   'bounds.budget-window': '10s'
 }
 
+/** Time for which the processes run, in which each of them alone would read the store several times. */
+const RUN_MS = 4_000
+const INSTANCES = 3
+/** Time after which all instances know each other. */
+const SETTLE_MS = 1_500
+
+const nodeArguments = /^run = "node (.+)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))?.[1]?.split(' ') ?? []
+
+function writeSettings (file: string, settings: Record<string, string>): void {
+  writeFileSync(file, Object.entries(settings).map(([name, value]) => `${name}=${value}\n`).join(''))
+}
+
+async function findFreePort (): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  return port
+}
+
 describe('bundle of the front program', () => {
+  before(async () => { await run(process.execPath, ['scripts/bundle-front.mjs']) })
+
   it('loads with its code cache under the flags of the deploy file, as V8 rejects a cache that other flags wrote', async () => {
-    await run(process.execPath, ['scripts/bundle-front.mjs'])
-    const nodeArguments = /^run = "node (.+)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))?.[1]?.split(' ') ?? []
-    writeFileSync(SETTINGS_FILE, Object.entries(SETTINGS).map(([name, value]) => `${name}=${value}\n`).join(''))
+    writeSettings(SETTINGS_FILE, SETTINGS)
     const { stdout } = await run(process.execPath, [...nodeArguments, '--check'], { env: { ...process.env, CAROBPITCH_SETTINGS: SETTINGS_FILE } })
     rmSync(SETTINGS_FILE)
     expect(stdout).to.contain('code cache used')
   })
+
+  describe('as several processes', () => {
+    const store = new StandInPlatformStore()
+    const files: string[] = []
+    const processes: ChildProcess[] = []
+    let log = ''
+
+    before(async () => {
+      const storeAddress = new URL(await store.start()).host
+      store.put(STORE_KEYS.configuration, wireConfiguration())
+      for (let index = 0; index < INSTANCES; index += 1) {
+        const file = `target/bundle-test-${index}.conf`
+        const listeners = await Promise.all(['front', 'ready', 'directory', 'control'].map(async name => [`listen.${name}`, `127.0.0.1:${await findFreePort()}`]))
+        writeSettings(file, { ...SETTINGS, ...Object.fromEntries(listeners) as Record<string, string>, 'node-name': `front-${index}`, 'platform.address': storeAddress, 'metrics.port': String(await findFreePort()) })
+        files.push(file)
+        const child = spawn(process.execPath, nodeArguments, { env: { ...process.env, CAROBPITCH_SETTINGS: file }, stdio: ['ignore', 'pipe', 'ignore'] })
+        child.stdout.setEncoding('utf8').on('data', (text: string) => { log += text })
+        processes.push(child)
+      }
+    })
+
+    after(async () => {
+      for (const child of processes) child.kill('SIGKILL')
+      for (const file of files) rmSync(file)
+      await store.stop()
+    })
+
+    it('guards against parts that the bundle leaves out but the feed between processes needs: followers read from their relay, not from the store', async () => {
+      await waitUntil(() => log.split('event=member.entered').length > INSTANCES)
+      await new Promise(resolve => setTimeout(resolve, SETTLE_MS))
+      const countReads = (): number => store.calls.filter(path => path.startsWith(STORE_PATHS.changes)).length
+      const readsBefore = countReads()
+      log = ''
+      await new Promise(resolve => setTimeout(resolve, RUN_MS))
+      expect(log.split('\n').filter(line => /relay\.refused|process\.failed/.test(line))).to.deep.equal([])
+      // One reader waits for 0.46 of the bound of 2 s and pauses for 0.1 of it.
+      expect(countReads() - readsBefore).to.be.within(2, RUN_MS / 1_000 * 1.25)
+    })
+  })
 })
--- a/scripts/bundle-front.mjs
+++ b/scripts/bundle-front.mjs
@@ -73,9 +73,9 @@
   }
 }
 
-// trpc asks whether its inputs are FormData, which makes Node load its own copy of undici.
-const define = { FormData: 'undefined' }
-const commonOptions = { bundle: true, platform: 'node', target: 'node20', format: 'cjs', minifySyntax: true, minifyWhitespace: true, logLevel: 'warning', define, plugins: [ownPackages, withoutUnusedParts] }
+/** Modules whose exports replace globals. trpc asks whether its inputs are FormData. */
+const inject = ['scripts/form-data-stub.mjs']
+const commonOptions = { bundle: true, platform: 'node', target: 'node20', format: 'cjs', minifySyntax: true, minifyWhitespace: true, logLevel: 'warning', inject, plugins: [ownPackages, withoutUnusedParts] }
 await build({ ...commonOptions, entryPoints: ['packages/daemon/src/front/main.ts'], outfile: PROGRAM })
 await build({ ...commonOptions, entryPoints: ['packages/daemon/src/front/load.ts'], outfile: LOADER })
 await build({ ...commonOptions, entryPoints: ['scripts/warm-up-deployment.mjs'], outfile: DEPLOYMENT, format: 'esm', plugins: [ownPackages], external: ['polka', 'undici', 'zod', 'true-myth'] })
