Apply changed settings while running, and show which instances run which

What operators saw: after a change of a settings file the machines did not show it together, and nobody could see which machine ran which settings; SIGHUP only checked the file.

Change: a changed file is validated as a whole and adopted at one moment, on SIGHUP or within 5 s without it, for all settings that are read at each use; the others are named as waiting for a restart. Metrics and the state dump show a digest of what all instances share, when it was adopted and what needs a restart. carobpitch settings lists a fleet by it and exits with 10 if it differs.

--- a/packages/cli/src/exitCodes.ts
+++ b/packages/cli/src/exitCodes.ts
@@ -22,7 +22,7 @@
   unauthorised: 8,
   /** No plan or change has this id. */
   notFound: 9,
-  /** `diff` found differences. */
+  /** `diff` or `settings` found differences. */
   different: 10,
   /** The change is not accepted; its plan can still be confirmed. */
   pending: 11,
@@ -46,7 +46,7 @@
    7  accepted, not yet in force everywhere
    8  missing or unknown credential
    9  no plan or change has this id
-  10  diff found differences
+  10  diff or settings found differences
   11  status: not accepted, the plan can still be confirmed
   12  apply --yes: not confirmed, because the plan carries warnings
 
--- a/packages/cli/src/inspectCommands.ts
+++ b/packages/cli/src/inspectCommands.ts
@@ -4,6 +4,7 @@
 import { declarationSchema, parseWith, settingsSchema, type Violation } from '@carobpitch/schema'
 import { CommandError } from './CommandError.js'
 import { EXIT } from './exitCodes.js'
+import { diffSettings, findInstance, formatFleetSettings, isUniform, readFleetSettings } from './fleetSettings.js'
 import { explainRequest } from './explainRequest.js'
 import { formatInstances, formatViolations } from './formatOutput.js'
 import { readJsonFile, readTextFile } from './readFiles.js'
@@ -37,6 +38,18 @@
       if (lines.length === 0) throw new CommandError(EXIT.notFound, `no line of the given files belongs to request ${requestId}`)
       context.report(lines, lines.join('\n'))
     })
+  program.command('settings')
+    .description('list the front processes of a fleet by the settings and the configuration they run; needs the metrics listener of one of them')
+    .argument('<url>', 'metrics listener of any instance, http://<host>:<port>')
+    .option('--diff <instances...>', 'print the settings in which two instances differ')
+    .action(async (url: string, { diff }: { diff?: string[] }) => {
+      const instances = await readFleetSettings(url)
+      if (diff === undefined) return context.report(instances, formatFleetSettings(instances), isUniform(instances) ? EXIT.ok : EXIT.different)
+      const [first, second] = diff
+      if (first === undefined || second === undefined || diff.length > 2) throw new CommandError(EXIT.invalid, '--diff needs the ids of two instances')
+      const differences = diffSettings(findInstance(instances, first), findInstance(instances, second))
+      context.report(differences, differences.length === 0 ? 'The settings are equal.' : differences.join('\n'), differences.length === 0 ? EXIT.ok : EXIT.different)
+    })
   program.command('dump')
     .description('print the state of an instance as JSON, without credentials')
     .action(async () => {
--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -9,10 +9,12 @@
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { MemberRecord } from '@carobpitch/schema'
 import type { Result } from 'true-myth'
+import { LiveSettings } from './LiveSettings.js'
 import { MetricsListener } from './MetricsListener.js'
 
 declare module '@carobpitch/kernel' {
   interface ServiceMap {
+    settings: LiveSettings
     knowledge: { dump(): unknown }
     follower: DeploymentWatcher
     'member-lease': LeaseKeeper
@@ -60,6 +62,7 @@
 export class FrontDaemon {
   readonly kernel = new Kernel()
   private readonly options: FrontDaemonOptions
+  private readonly liveSettings: LiveSettings
   readonly deploymentCache: DeploymentCache
   private readonly shutdown: FrontShutdown
   private readonly incarnation = Date.now()
@@ -68,6 +71,9 @@
     this.options = options
     const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, keys, registry } = options
     const { kernel } = this
+    const live = new LiveSettings({ initial: settings })
+    this.liveSettings = live
+    kernel.register('settings', live)
     const timer = new DeadlineTimer()
     const budget = propagationBudget(settings.propagationBounds)
     const cache = new DeploymentCache({ decode: decodeRecord, log })
@@ -81,8 +87,8 @@
       store,
       memberCount: () => this.instanceCount(),
       log,
-      ttlMsOf: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS),
-      renewalIntervalMsOf: () => Math.max(settings.leaseMinMs, MEMBER_LEASE_MS) / RENEWALS_PER_LEASE,
+      ttlMsOf: () => Math.max(live.current().leaseMinMs, MEMBER_LEASE_MS),
+      renewalIntervalMsOf: () => Math.max(live.current().leaseMinMs, MEMBER_LEASE_MS) / RENEWALS_PER_LEASE,
       retryMaxMs: budget.leaseRetryMaxMs
     })
     const registration = new Registration({
@@ -101,13 +107,14 @@
       inFlight: () => kernel.get('front').inFlightCount(),
       cacheAgeMs: () => kernel.get('follower').ageMs(),
       services: () => kernel.get('dispatcher').stats(),
-      routingTable: () => cache.routingTable()
+      routingTable: () => cache.routingTable(),
+      settings: () => live.status()
     })
     const loadProber = new LoadProber({
       protocol: targetProtocol,
       timer,
       limiter: new ProbeRateLimiter({
-        probesPerTargetAndS: settings.probesPerTargetAndS,
+        probesPerTargetAndS: () => live.current().probesPerTargetAndS,
         instanceCount: () => this.instanceCount(),
         targetCount: () => targets.count()
       }),
@@ -125,14 +132,14 @@
       registry: targets,
       prober: loadProber,
       coldLimiter: coldRequestLimiter,
-      retryLimits: settings.retryLimits,
+      retryLimits: () => live.current().retryLimits,
       instanceCount: () => this.instanceCount()
     })
     this.shutdown = new FrontShutdown({
       lease,
       inFlightCount: () => kernel.get('front').inFlightCount(),
-      graceMs: settings.stopGraceMs,
-      directoryAnswerLifetimeMs: DIRECTORY_RETENTION_FACTOR * directoryTtlMs(settings),
+      graceMs: () => live.current().stopGraceMs,
+      directoryAnswerLifetimeMs: () => DIRECTORY_RETENTION_FACTOR * directoryTtlMs(live.current()),
       log
     })
     const routing = new RoutingHolder(cache)
@@ -147,7 +154,7 @@
       callerProtocol,
       targetProtocol,
       timer,
-      bodyMemory: new BodyMemory({ limitBytes: settings.bodyMemoryBytes }),
+      bodyMemory: new BodyMemory({ limitBytes: () => live.current().bodyMemoryBytes }),
       metrics,
       log,
       mustCloseConnections: () => this.shutdown.hasBegun(),
@@ -180,7 +187,7 @@
       listen: settings.directoryListen,
       protocol: callerProtocol,
       serving: () => this.directoryMembers(),
-      ttlMs: directoryTtlMs(settings)
+      ttlMs: () => directoryTtlMs(live.current())
     }))
     kernel.register('peer-feed', peerServer)
     kernel.register('feed-links', peerLinks)
@@ -196,6 +203,15 @@
     await this.kernel.start()
   }
 
+  /** Applies a changed settings file, as far as that is possible while the process runs. */
+  applySettings (next: FrontSettings): void {
+    const { changed, needsRestart } = this.liveSettings.adopt(next)
+    const { digest } = this.liveSettings.status()
+    const fields = { digest, changed: changed.join(','), needsRestart: needsRestart.join(',') }
+    if (needsRestart.length > 0) this.options.log.warn('settings.adopted', fields)
+    else this.options.log.info('settings.adopted', fields)
+  }
+
   /** Planned stop. Resolves when the process may exit. */
   async stopGracefully (): Promise<void> {
     await this.shutdown.run()
@@ -246,7 +262,7 @@
     const ownUrl = urlOf(settings.peerListen)
     const members = this.deploymentCache.members()
     const sameDomain = members.filter(({ failureDomain }) => failureDomain === settings.failureDomain)
-    return [...new Set([...sameDomain, ...members].map(({ peerUrl }) => peerUrl).concat(settings.seedPeerUrls))].filter(url => url !== ownUrl)
+    return [...new Set([...sameDomain, ...members].map(({ peerUrl }) => peerUrl).concat(this.liveSettings.current().seedPeerUrls))].filter(url => url !== ownUrl)
   }
 }
 
--- a/packages/daemon/src/front/bundle.test.ts
+++ b/packages/daemon/src/front/bundle.test.ts
@@ -30,6 +30,8 @@
 /** Time for which the processes run, in which each of them alone would read the store several times. */
 const RUN_MS = 4_000
 const INSTANCES = 3
+/** Time within which a changed settings file is noticed without a signal. */
+const FILE_CHECK_MAX_MS = 8_000
 /** Time after which all instances know each other. */
 const SETTLE_MS = 1_500
 
@@ -94,5 +96,22 @@
       // One reader waits for 0.46 of the bound of 2 s and pauses for 0.1 of it.
       expect(countReads() - readsBefore).to.be.within(2, RUN_MS / 1_000 * 1.25)
     })
+
+    it('guards against a changed settings file that takes effect in part, ends the process, or needs a signal to be seen', async () => {
+      const [file, child] = [files[0], processes[0]] as [string, ChildProcess]
+      const text = readFileSync(file, 'utf8')
+      log = ''
+      writeFileSync(file, text.replace('bounds.probes-per-s=60', 'bounds.probes-per-s=30').replace('bounds.grace-period=6s', 'bounds.grace-period=soon'))
+      child.kill('SIGHUP')
+      await waitUntil(() => log.includes('event=settings.invalid'))
+      expect(log).to.contain('bounds.grace-period').and.not.contain('event=settings.adopted')
+      writeFileSync(file, text.replace('bounds.probes-per-s=60', 'bounds.probes-per-s=30').replace('zone=z1', 'zone=z2'))
+      child.kill('SIGHUP')
+      await waitUntil(() => log.includes('changed=probesPerTargetAndS needsRestart=failureDomain'))
+      log = ''
+      writeFileSync(file, `${text}\nbounds.retry-budget-slack=10\n`)
+      await waitUntil(() => /changed=\S*retryLimits/.test(log), FILE_CHECK_MAX_MS)
+      expect(child.exitCode).to.equal(null)
+    })
   })
 })
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -3,7 +3,7 @@
  * Exit codes: 0 stopped, 1 failed to start or crashed, 2 invalid settings.
  */
 import './disableZodJit.js'
-import { readFileSync } from 'node:fs'
+import { readFileSync, statSync } from 'node:fs'
 import { Counter, Registry } from 'prom-client'
 import { Result } from 'true-myth'
 import type { FrontSettings } from '@carobpitch/gateway'
@@ -15,7 +15,10 @@
 
 const EXIT_FAILED = 1
 const EXIT_INVALID = 2
+/** Interval at which a change of the settings file is noticed without a signal. */
+const FILE_CHECK_MS = 5_000
 
+let settingsFileState = readFileState()
 const output = new RateLimitedOutput(process.stdout)
 const settings = readSettingsFile().match({ Ok: value => value, Err: exitInvalid })
 if (process.argv.includes('--check')) {
@@ -38,6 +41,8 @@
 
 for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => { stop(signal) })
 process.on('SIGHUP', () => reload())
+// The file may change without a signal.
+setInterval(() => { if (readFileState() !== settingsFileState) reload() }, FILE_CHECK_MS).unref()
 // The log line distinguishes a crash from a kill.
 process.on('uncaughtException', error => {
   log.error('process.failed', { reason: error.message, stack: error.stack })
@@ -56,14 +61,21 @@
   process.exit(0)
 }
 
-/** Addresses and limits are fixed for the lifetime of a process, so a changed file is only validated and logged. */
+/** Applies the settings file if it is valid as a whole; otherwise the settings in force stay. */
 function reload (): void {
+  settingsFileState = readFileState()
   readSettingsFile().match({
-    Ok: reread => log.info('settings.reread', { isChanged: JSON.stringify(reread) !== JSON.stringify(settings) }),
+    Ok: reread => daemon.applySettings(reread),
     Err: violations => log.error('settings.invalid', { reason: formatViolations(violations) })
   })
 }
 
+/** Returns what changes when the settings file is written. */
+function readFileState (): string {
+  const stats = statSync(process.env[SETTINGS_VARIABLE] ?? '', { throwIfNoEntry: false })
+  return stats === undefined ? 'missing' : `${stats.mtimeMs} ${stats.size} ${stats.ino}`
+}
+
 function readSettingsFile (): Result<FrontSettings, Violation[]> {
   const path = process.env[SETTINGS_VARIABLE]
   if (path === undefined) return Result.err([{ path: SETTINGS_VARIABLE, message: 'is not set' }])
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -124,8 +124,8 @@
 }
 
 /** Waits until a condition holds. */
-export async function waitUntil (condition: () => boolean): Promise<void> {
-  const deadlineAtMs = performance.now() + WAIT_MAX_MS
+export async function waitUntil (condition: () => boolean, waitMaxMs = WAIT_MAX_MS): Promise<void> {
+  const deadlineAtMs = performance.now() + waitMaxMs
   while (!condition()) {
     if (performance.now() > deadlineAtMs) throw new Error('timed out waiting for the condition')
     await new Promise(resolve => setTimeout(resolve, WAIT_STEP_MS))
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -16,7 +16,8 @@
  * @public
  */
 export interface DispatcherOptions extends Omit<ServiceDispatcherOptions, 'service'> {
-  retryLimits: FrontSettings['retryLimits']
+  /** The window applies to services that are used for the first time; the other limits apply at once. */
+  retryLimits: () => FrontSettings['retryLimits']
   instanceCount: () => number
 }
 
@@ -83,11 +84,15 @@
   private budgetOf (service: ServiceName): RetryBudget {
     const existing = this.budgets.get(service)
     if (existing !== undefined) return existing
-    const { retryLimits: { share, slack, windowMs }, instanceCount } = this.options
+    const { retryLimits, instanceCount } = this.options
+    const { windowMs } = retryLimits()
     const countedWindowMs = windowMs + WINDOW_MARGIN_MS
     const budget = new RetryBudget({
       windowMs: countedWindowMs,
-      allowance: requests => requests * share * windowMs / countedWindowMs + slack * USED_SLACK_SHARE / Math.max(1, instanceCount())
+      allowance: requests => {
+        const { share, slack } = retryLimits()
+        return requests * share * windowMs / countedWindowMs + slack * USED_SLACK_SHARE / Math.max(1, instanceCount())
+      }
     })
     this.budgets.set(service, budget)
     return budget
--- a/packages/gateway/src/edge/BodyMemory.ts
+++ b/packages/gateway/src/edge/BodyMemory.ts
@@ -7,7 +7,7 @@
  */
 export interface BodyMemoryOptions {
   /** Memory for the bodies of all requests together. */
-  limitBytes: number
+  limitBytes: () => number
 }
 
 /**
@@ -30,7 +30,7 @@
    */
   tryReserve (lengthBytes: number | undefined): (() => void) | undefined {
     const neededBytes = Math.min(lengthBytes ?? STREAM_BYTES, STREAM_BYTES)
-    if (this.usedBytes + neededBytes > this.options.limitBytes) return undefined
+    if (this.usedBytes + neededBytes > this.options.limitBytes()) return undefined
     this.usedBytes += neededBytes
     let isReserved = true
     return () => {
--- a/packages/gateway/src/edge/Directory.ts
+++ b/packages/gateway/src/edge/Directory.ts
@@ -20,7 +20,7 @@
   /** Instances that callers may use, this one included if it serves. */
   serving: () => readonly MemberRecord[]
   /** Time for which callers may cache a response. */
-  ttlMs: number
+  ttlMs: () => number
   random?: () => number
 }
 
@@ -64,7 +64,7 @@
       response.writeHead(503, { 'content-length': 0 }).end()
       return
     }
-    const body = protocol.formatAddresses(addresses, ttlMs)
+    const body = protocol.formatAddresses(addresses, ttlMs())
     response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
   }
 }
--- a/packages/gateway/src/edge/FrontMetrics.test.ts
+++ b/packages/gateway/src/edge/FrontMetrics.test.ts
@@ -13,7 +13,8 @@
       inFlight: () => 7,
       cacheAgeMs: () => 1_500,
       services: () => [{ service: STOCK, waiting, retriesLeft: 2 }],
-      routingTable: () => undefined
+      routingTable: () => undefined,
+      settings: () => ({ digest: 'd1', adoptedAtEpochMs: 1_500, needsRestart: [] })
     })
     metrics.recordColdRequest(STOCK)
     const first = await registry.metrics()
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -18,6 +18,21 @@
   services: () => readonly ServiceStats[]
   /** The configuration in force, if any. */
   routingTable: () => RoutingTable | undefined
+  /** The settings in force. */
+  settings: () => SettingsStatus
+}
+
+/**
+ * Which settings an instance runs.
+ * @public
+ */
+export interface SettingsStatus {
+  /** Digest of the settings that all instances share, as they are in force here. */
+  digest: string
+  /** Time at which they took effect, as Unix time in milliseconds. */
+  adoptedAtEpochMs: number
+  /** Changed settings that take effect at the next start. */
+  needsRestart: readonly string[]
 }
 
 /**
@@ -33,7 +48,7 @@
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
 
-  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable }: FrontMetricsSources) {
+  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
     this.latency = new Histogram({ name: 'carobpitch_front_request_seconds', help: 'Time from the arrival of a request to its response.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
@@ -58,6 +73,18 @@
     })
     const version: Gauge = new Gauge({ name: 'carobpitch_configuration_version', help: 'Version of the configuration in force; 0 without one.', registers, collect: () => version.set(routingTable()?.version ?? 0) })
     const faults: Gauge = new Gauge({ name: 'carobpitch_configuration_faults', help: 'Parts of the configuration in force that could not be read.', registers, collect: () => faults.set(routingTable()?.faults.length ?? 0) })
+    const settingsInfo: Gauge = new Gauge({
+      name: 'carobpitch_settings_info',
+      help: 'Digest of the settings in force that all instances share.',
+      labelNames: ['digest'],
+      registers,
+      collect: () => {
+        settingsInfo.reset()
+        settingsInfo.set({ digest: settings().digest }, 1)
+      }
+    })
+    const adoptedAt: Gauge = new Gauge({ name: 'carobpitch_settings_adopted_seconds', help: 'Unix time at which the settings took effect.', registers, collect: () => adoptedAt.set(settings().adoptedAtEpochMs / 1_000) })
+    const restartNeeded: Gauge = new Gauge({ name: 'carobpitch_settings_restart_needed', help: 'Changed settings that take effect at the next start.', registers, collect: () => restartNeeded.set(settings().needsRestart.length) })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
--- a/packages/gateway/src/edge/FrontShutdown.test.ts
+++ b/packages/gateway/src/edge/FrontShutdown.test.ts
@@ -21,8 +21,8 @@
         }
       },
       inFlightCount: () => inFlight,
-      graceMs: 6_000,
-      directoryAnswerLifetimeMs: 4_500,
+      graceMs: () => 6_000,
+      directoryAnswerLifetimeMs: () => 4_500,
       log: new EventLog({ silent: true })
     })
   })
--- a/packages/gateway/src/edge/FrontShutdown.ts
+++ b/packages/gateway/src/edge/FrontShutdown.ts
@@ -14,9 +14,9 @@
   lease: Pick<LeaseKeeper, 'revoke'>
   inFlightCount: () => number
   /** Time between the stop signal and the forced kill of the process. */
-  graceMs: number
+  graceMs: () => number
   /** Time for which callers may use a cached directory response. */
-  directoryAnswerLifetimeMs: number
+  directoryAnswerLifetimeMs: () => number
   log: EventLog
 }
 
@@ -51,7 +51,9 @@
   }
 
   private async drain (): Promise<void> {
-    const { lease, inFlightCount, graceMs, directoryAnswerLifetimeMs, log } = this.options
+    const { lease, inFlightCount, log } = this.options
+    const graceMs = this.options.graceMs()
+    const directoryAnswerLifetimeMs = this.options.directoryAnswerLifetimeMs()
     const startedAtMs = performance.now()
     const endsAtMs = startedAtMs + graceMs - KILL_MARGIN_MS
     this.endsAtMs = endsAtMs
--- a/packages/gateway/src/targets/ProbeRateLimiter.ts
+++ b/packages/gateway/src/targets/ProbeRateLimiter.ts
@@ -17,7 +17,7 @@
  */
 export interface ProbeRateLimiterOptions {
   /** Probes per target and second that all instances together may send. */
-  probesPerTargetAndS: number
+  probesPerTargetAndS: () => number
   instanceCount: () => number
   targetCount: () => number
 }
@@ -45,7 +45,7 @@
   /** Probes per second of one instance to one target if all instances and targets had the same rate. */
   private evenShare (): number {
     const { probesPerTargetAndS, instanceCount } = this.options
-    return probesPerTargetAndS * USED_RATE_SHARE / Math.max(1, instanceCount())
+    return probesPerTargetAndS() * USED_RATE_SHARE / Math.max(1, instanceCount())
   }
 
   private bucketOf (target: GatewayTarget): TokenBucket {
--- a/packages/gateway/src/targets/limiters.test.ts
+++ b/packages/gateway/src/targets/limiters.test.ts
@@ -81,7 +81,7 @@
     /** Lets each instance probe the targets that it prefers whenever it may. Returns the number of probes by target. */
     function countProbes (instances: number, preferredBy: (instance: number) => GatewayTarget[]): Map<GatewayTarget, number> {
       const probes = new Map<GatewayTarget, number>()
-      const limiters = Array.from({ length: instances }, () => new ProbeRateLimiter({ probesPerTargetAndS: 60, instanceCount: () => instances, targetCount: () => TARGETS }))
+      const limiters = Array.from({ length: instances }, () => new ProbeRateLimiter({ probesPerTargetAndS: () => 60, instanceCount: () => instances, targetCount: () => TARGETS }))
       for (let nowMs = 0; nowMs < SECONDS * 1_000; nowMs += 10) {
         limiters.forEach((limiter, instance) => {
           for (const target of preferredBy(instance)) {
