Leave targets that fall silent and accept no connections

Cause: a connection to a machine without power reports nothing, and only the deadline ended the attempt.

Change: at its objective, an idempotent request without a response checks whether its target accepts a connection. If it does not, the request takes a retry from the budget and goes to another target. One that connects keeps the request, and the new connection is kept.

--- a/packages/daemon/src/front/requests.test.ts
+++ b/packages/daemon/src/front/requests.test.ts
@@ -1,7 +1,8 @@
 import { connect } from 'node:net'
 import { text } from 'node:stream/consumers'
 import { expect } from 'chai'
-import { SEAL_HEADER, wireConfiguration, wireRoute } from '@carobpitch/platform'
+import { headerOf, RawTarget, rawResponse } from '@carobpitch/proxy'
+import { SEAL_HEADER, STORE_KEYS, wireConfiguration, wireRoute } from '@carobpitch/platform'
 import { FrontTestHarness, waitUntil } from './testing/FrontTestHarness.js'
 
 const BOOKING = { method: 'POST', path: '/book/1', body: 'an order' }
@@ -90,6 +91,44 @@
     })
   })
 
+  describe('when a target falls silent', () => {
+    /** Starts a target that runs nothing and stops listening after its first request, with its connections open. */
+    async function addSilentTarget (targetId: string): Promise<RawTarget> {
+      const silent = new RawTarget(({ head, socket }) => {
+        if (head.startsWith('GET /healthz')) socket.write(rawResponse('', ['x-carobpitch-instance-load: 0,0,3,50', `x-carobpitch-instance-id: ${targetId}`]))
+        else silent.stopListening()
+      })
+      await silent.start()
+      const entry = { service: 'menzaiko', address: new URL(silent.url()).host, zone: 'zone-a', version: 'v1', slots: 3, state: 'ready', 'warmup-left': '0ms', sequence: 1, born: 1 }
+      harness.store.put(`${STORE_KEYS.targetPrefix}${targetId}`, JSON.stringify(entry))
+      return silent
+    }
+
+    it('guards against an idempotent request that waits for it until the deadline', async () => {
+      const silent = await addSilentTarget('i-silent')
+      await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const front = await harness.addFront()
+      const responses = []
+      for (let sent = 0; sent < 6; sent += 1) responses.push(await harness.call(front))
+      await silent.stop()
+      expect(responses.map(({ status }) => status)).to.deep.equal(Array(6).fill(200))
+      expect(silent.requests.some(({ head }) => head.startsWith('GET /stock'))).to.equal(true)
+    })
+
+    it('guards against a second run of a request that may run at most once', async () => {
+      const silent = await addSilentTarget('i-silent')
+      const other = await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      const front = await harness.addFront()
+      const statuses = []
+      for (let sent = 0; sent < 4; sent += 1) statuses.push((await harness.call(front, { ...BOOKING, requestId: `order-${sent}`, deadlineMs: 900 })).status)
+      const lost = silent.requests.filter(({ head }) => head.startsWith('POST')).map(({ head }) => headerOf(head, 'x-carobpitch-attempt-id'))
+      await silent.stop()
+      expect(lost.length).to.be.greaterThan(0)
+      expect(other.receivedRequests.filter(({ requestId }) => lost.includes(requestId))).to.deep.equal([])
+      expect(statuses).to.include(504)
+    })
+  })
+
   describe('that may not run twice', () => {
     it('guards against a second run after a connection reset, and does not report the request as refused', async () => {
       const first = await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -21,6 +21,7 @@
 import { headSizeBytes } from './headSizeBytes.js'
 import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, type RunningAttempt } from './evaluateAttempt.js'
 import { localReply } from './localReply.js'
+import { OverdueCheck } from './OverdueCheck.js'
 import type { RoutingState } from './RoutingHolder.js'
 
 /** Share of the caller's deadline for which a request waits for the first configuration. */
@@ -83,6 +84,9 @@
   private isStreaming = false
   private hasEnded = false
   private releaseBodyMemory: (() => void) | undefined
+  private overdueCheck: OverdueCheck | undefined
+  /** Whether a retry has been taken from the budget for the attempt that is being cancelled. */
+  private hasRetry = false
 
   constructor (context: FrontExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.context = context
@@ -278,6 +282,34 @@
     logSend(this.context.log, this.logFields(), grant)
     if (target.isCold()) metrics.recordColdRequest(target.record.service)
     attempt.start(client)
+    this.scheduleOverdueCheck()
+  }
+
+  /** Schedules the check of the target for the time at which the response is late, if the request may run again. */
+  private scheduleOverdueCheck (): void {
+    const { matchedRoute: route } = this
+    if (route?.isIdempotent !== true) return
+    this.overdueCheck?.cancel()
+    this.overdueCheck = new OverdueCheck({
+      timer: this.context.timer,
+      dueAtMs: Math.max(this.arrivedAtMs + route.objectiveMs, performance.now() + route.objectiveMs / 2),
+      check: async () => await this.leaveUnreachableTarget()
+    })
+  }
+
+  /** Sends the request to another target if the current one has not responded and accepts no connections any more. */
+  private async leaveUnreachableTarget (): Promise<void> {
+    const { running } = this
+    if (running === undefined || running.attempt.head !== undefined) return
+    const { target } = running.grant
+    const isReachable = await target.connections.isReachable()
+    const isStillWaiting = !this.hasEnded && this.running === running && running.attempt.head === undefined
+    if (isReachable || !isStillWaiting) return
+    this.addVerdict('may-have-run')
+    this.hasRetry = this.mayRetry()
+    if (!this.hasRetry) return
+    this.context.log.info('attempt.unreachable', { requestId: this.requestId, targetId: target.record.targetId, elapsedMs: Math.round(performance.now() - running.startedAtMs) })
+    running.attempt.cancel('connection-lost', 'failed')
   }
 
   private respond (running: RunningAttempt, buffered: BufferedResponse): void {
@@ -315,7 +347,9 @@
   }
 
   private retryOrFinish (reason: FrontReason): void {
-    if (this.mayRetry()) this.dispatch()
+    const mayRetry = this.hasRetry || this.mayRetry()
+    this.hasRetry = false
+    if (mayRetry) this.dispatch()
     else this.finish(reason)
   }
 
@@ -374,6 +408,7 @@
     const { timer, metrics, log } = this.context
     this.hasEnded = true
     this.abortController.abort()
+    this.overdueCheck?.cancel()
     this.releaseBodyMemory?.()
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -113,6 +113,20 @@
     this.opening.add(opening)
   }
 
+  /** Finds out whether the target accepts connections. One that it accepts is kept for the next request. */
+  async isReachable (): Promise<boolean> {
+    if (this.isClosed) return false
+    const { connectTimeoutMs, timer } = this.options
+    return await new Promise(resolve => {
+      const opening = openConnection(this.address, connectTimeoutMs, timer, (_error, socket) => {
+        this.opening.delete(opening)
+        if (socket !== null) this.addSpare(socket)
+        resolve(socket !== null)
+      })
+      this.opening.add(opening)
+    })
+  }
+
   /** Counts connections for the state dump. */
   dump (): { busy: number, idle: number, spare: number } {
     return { busy: this.busy.size, idle: this.idle.length, spare: this.spares.length }
--- a/packages/proxy/src/testing/RawTarget.ts
+++ b/packages/proxy/src/testing/RawTarget.ts
@@ -28,6 +28,7 @@
   readonly sockets: Socket[] = []
   private readonly server: Server
   private readonly behaviour: RawBehaviour
+  private lastAddress: AddressInfo | undefined
 
   constructor (behaviour: RawBehaviour) {
     super()
@@ -41,9 +42,15 @@
     await once(this.server, 'listening')
   }
 
+  /** Refuses further connections and keeps the open ones. */
+  stopListening (): void {
+    this.lastAddress = this.server.address() as AddressInfo
+    this.server.close()
+  }
+
   /** Base URL. */
   url (): string {
-    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    return `http://127.0.0.1:${(this.lastAddress ?? this.server.address() as AddressInfo).port}`
   }
 
   /** Waits until `count` requests have arrived. */
