--- a/packages/daemon/src/front/requests.test.ts
+++ b/packages/daemon/src/front/requests.test.ts
@@ -99,8 +99,7 @@
         else silent.stopListening()
       })
       await silent.start()
-      const entry = { service: 'menzaiko', address: new URL(silent.url()).host, zone: 'zone-a', version: 'v1', slots: 3, state: 'ready', 'warmup-left': '0ms', sequence: 1, born: 1 }
-      harness.store.put(`${STORE_KEYS.targetPrefix}${targetId}`, JSON.stringify(entry))
+      harness.registerTarget(targetId, silent.url())
       return silent
     }
 
@@ -115,6 +114,15 @@
       expect(silent.requests.some(({ head }) => head.startsWith('GET /stock'))).to.equal(true)
     })
 
+    it('guards against more attempts than the route allows', async () => {
+      harness.store.put(STORE_KEYS.configuration, wireConfiguration({ version: 8, routes: { stock: wireRoute({ 'max-attempts': 1 }) } }))
+      const silent = await addSilentTarget('i-silent')
+      const front = await harness.addFront()
+      await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
+      expect(await harness.call(front)).to.include({ status: 504 })
+      await silent.stop()
+    })
+
     it('guards against a second run of a request that may run at most once', async () => {
       const silent = await addSilentTarget('i-silent')
       const other = await harness.addTarget({ targetId: 'i-1', service: 'menzaiko' })
--- a/packages/daemon/src/front/targetWishes.test.ts
+++ b/packages/daemon/src/front/targetWishes.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { headerOf, RawTarget, rawResponse, type RawRequest } from '@carobpitch/proxy'
-import { STORE_KEYS, wireConfiguration, wireRoute } from '@carobpitch/platform'
+import { wireConfiguration, wireRoute } from '@carobpitch/platform'
 import type { FrontDaemon } from './FrontDaemon.js'
 import { FrontTestHarness } from './testing/FrontTestHarness.js'
 
@@ -20,8 +20,7 @@
     target = new RawTarget(request => { request.socket.write(respond(request, request.head.startsWith('GET /healthz'))) })
     await target.start()
     harness = await FrontTestHarness.start(CONFIGURATION)
-    const entry = { service: 'menzaiko', address: new URL(target.url()).host, zone: 'zone-a', version: 'v1', slots: 3, state: 'ready', 'warmup-left': '0ms', sequence: 1, born: 1_700_000_000_000 }
-    harness.store.put(`${STORE_KEYS.targetPrefix}i-raw`, JSON.stringify(entry))
+    harness.registerTarget('i-raw', target.url())
     front = await harness.addFront()
   }
 
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -59,6 +59,12 @@
     return target
   }
 
+  /** Registers a target that the test has started itself. */
+  registerTarget (targetId: string, url: string): void {
+    const entry = { service: 'menzaiko', address: new URL(url).host, zone: 'zone-a', version: 'v1', slots: 3, state: 'ready', 'warmup-left': '0ms', sequence: 1, born: 1_700_000_000_000 }
+    this.store.put(`${STORE_KEYS.targetPrefix}${targetId}`, JSON.stringify(entry))
+  }
+
   /** Starts a front daemon and waits until it has loaded the configuration. */
   async addFront (settings: Partial<FrontSettings> = {}): Promise<FrontDaemon> {
     const daemon = this.createFront(settings)
--- a/packages/daemon/src/front/uploads.test.ts
+++ b/packages/daemon/src/front/uploads.test.ts
@@ -2,7 +2,7 @@
 import { createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
-import { callerHeaders, STORE_KEYS, wireConfiguration, wireRoute } from '@carobpitch/platform'
+import { callerHeaders, wireConfiguration, wireRoute } from '@carobpitch/platform'
 import type { FrontDaemon } from './FrontDaemon.js'
 import { FrontTestHarness } from './testing/FrontTestHarness.js'
 
@@ -63,8 +63,7 @@
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
     servers.push(server)
-    const entry = { service: 'menzaiko', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'zone-a', version: 'v1', slots: 3, state: 'ready', 'warmup-left': '0ms', sequence: 1, born: 1 }
-    harness.store.put(`${STORE_KEYS.targetPrefix}${targetId}`, JSON.stringify(entry))
+    harness.registerTarget(targetId, `http://127.0.0.1:${(server.address() as AddressInfo).port}`)
   }
 
   /** Sends an upload. Resolves to the status, or to 0 if the caller got no response. */
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -306,7 +306,8 @@
     const isStillWaiting = !this.hasEnded && this.running === running && running.attempt.head === undefined
     if (isReachable || !isStillWaiting) return
     this.addVerdict('may-have-run')
-    this.hasRetry = this.mayRetry()
+    // The attempt is counted when it ends.
+    this.hasRetry = this.mayRetry(this.sends + 1)
     if (!this.hasRetry) return
     this.context.log.info('attempt.unreachable', { requestId: this.requestId, targetId: target.record.targetId, elapsedMs: Math.round(performance.now() - running.startedAtMs) })
     running.attempt.cancel('connection-lost', 'failed')
@@ -358,11 +359,11 @@
     return reason !== 'invalid-request' && this.isBodyIntact() && this.hasTimeForAttempt()
   }
 
-  private mayRetry (): boolean {
+  private mayRetry (sends = this.sends): boolean {
     const { matchedRoute: route, service, verdict } = this
     if (route === undefined || service === undefined) return false
     const mayRunAgain = route.isIdempotent || verdict === 'not-run'
-    return mayRunAgain && this.isBodyIntact() && this.hasTimeForAttempt() && this.sends < route.attemptsMax && this.context.dispatcher.tryTakeRetry(service)
+    return mayRunAgain && this.isBodyIntact() && this.hasTimeForAttempt() && sends < route.attemptsMax && this.context.dispatcher.tryTakeRetry(service)
   }
 
   private hasTimeForAttempt (): boolean {
