--- a/review/lib/Store.mjs
+++ b/review/lib/Store.mjs
@@ -14,9 +14,6 @@
     this.revision = 1
     this.lastLease = 0
     this.waiting = new Set()
-    this.watches = new Set()
-    /** Returns `true` for a call that the store leaves without a response. */
-    this.isSilent = () => false
     this.server = createServer((request, response) => { this.handle(request, response) })
   }
 
@@ -60,7 +57,6 @@
     const query = url.searchParams
     const path = url.pathname
     const body = request.method === 'POST' ? JSON.parse(await text(request) || '{}') : {}
-    if (this.isSilent(path)) return
     if (path === '/carobpitch/kv-range') return this.list(query, response)
     if (path === '/carobpitch/kv-watch') return await this.watch(query, response)
     if (path === '/carobpitch/kv-key') return this.read(query, response)
@@ -83,16 +79,7 @@
     respond(response, 200, { items: keys.slice(0, PAGE_SIZE).map(key => this.items.get(key)), 'more-pages': keys.length > PAGE_SIZE, 'current-rev': this.revision })
   }
 
-  /** Closes the connections of all watches that are waiting. Returns their number. */
-  cutWatches () {
-    const { size } = this.watches
-    for (const { socket } of this.watches) socket.resetAndDestroy()
-    return size
-  }
-
   async watch (query, response) {
-    this.watches.add(response)
-    response.once('close', () => this.watches.delete(response))
     const after = Number(query.get('after'))
     const prefix = query.get('prefix') ?? ''
     const oldest = performance.now() - HISTORY_MS
--- a/review/lib/testCase.mjs
+++ b/review/lib/testCase.mjs
@@ -37,6 +37,7 @@
   const fronts = new Fronts(await store.start('127.0.0.1'))
   let exitCode = EXIT_NOT_RUN
   record(isTrouble ? 'with the disruption' : 'without the disruption')
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, async () => { await fronts.stop(); process.exit(EXIT_NOT_RUN) })
   try {
     const isBroken = await Promise.race([
       test({ store, fronts, isTrouble, record, startedAtMs }),
