--- a/review/lib/testCase.mjs
+++ b/review/lib/testCase.mjs
@@ -25,22 +25,21 @@
 }
 
 /**
- * Runs a script. `test` returns whether the rule was broken; it gets the store, the front processes, whether the disruption is on, and
- * a function that adds a line to the record.
+ * Runs a script. `test` returns whether the rule was broken; it gets the store, the front processes, and a function that
+ * adds a line to the record.
  */
-export async function runCase (recordPath, test) {
+export async function runCase ({ recordPath, isTrouble }, test) {
   const lines = []
   const startedAtMs = performance.now()
   const record = text => lines.push(`${((performance.now() - startedAtMs) / 1_000).toFixed(3)} s  ${text}`)
-  const isTrouble = process.env.TROUBLE !== '0'
   const store = new Store()
   const fronts = new Fronts(await store.start('127.0.0.1'))
   let exitCode = EXIT_NOT_RUN
   record(isTrouble ? 'with the disruption' : 'without the disruption')
-  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, async () => { await fronts.stop(); process.exit(EXIT_NOT_RUN) })
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, async () => { await fronts.stop(); process.exit(EXIT_NOT_RUN) })
   try {
     const isBroken = await Promise.race([
-      test({ store, fronts, isTrouble, record, startedAtMs }),
+      test({ store, fronts, record }),
       new Promise((resolve, reject) => setTimeout(() => reject(new Error(`not finished after ${TIME_MAX_MS} ms`)), TIME_MAX_MS).unref())
     ])
     exitCode = isBroken ? EXIT_BROKEN : EXIT_HELD
