Log whether the caller or this instance ended a connection before its response

What callers saw: three requests without an answer, and no log could have told why. A caller that leaves and a connection that this instance closes both ended as outcome=cancelled verdict=not-run, even when a target was at work, and a request behind another one on the same connection was logged only at its deadline.

CallerConnection holds the exchanges of one connection, for both listeners, and ends them when the connection closes.

--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -1,4 +1,5 @@
 import { request as httpRequest, type ClientRequest, type IncomingHttpHeaders } from 'node:http'
+import { Writable } from 'node:stream'
 import { Registry } from 'prom-client'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { EventLog } from '@carobpitch/kernel'
@@ -38,6 +39,8 @@
   readonly store = new StandInPlatformStore()
   readonly targets: StandInPlatformTarget[] = []
   readonly daemons: FrontDaemon[] = []
+  /** Log lines of all daemons. */
+  readonly logLines: string[] = []
   private readonly storeClients: PlatformStore[] = []
   private storeUrl = ''
   private requestCount = 0
@@ -79,7 +82,7 @@
     const ownSettings = settingsOf(this.storeUrl, `front-${this.daemons.length + 1}`, settings)
     const daemon = new FrontDaemon({
       settings: ownSettings,
-      log: new EventLog({ silent: true }),
+      log: new EventLog({ output: this.createLogOutput() }),
       store,
       decodeRecord,
       callerProtocol,
@@ -92,6 +95,15 @@
     return daemon
   }
 
+  private createLogOutput (): Writable {
+    return new Writable({
+      write: (chunk: Buffer, _encoding, callback) => {
+        this.logLines.push(...chunk.toString().trimEnd().split('\n'))
+        callback()
+      }
+    })
+  }
+
   /** Sends a request to a front daemon as a caller does. */
   async call (daemon: FrontDaemon, { method = 'GET', host = 'shop.example', path = '/stock/1', requestId, deadlineMs = 2_000, body, onRequest }: TestRequest = {}): Promise<ReceivedResponse> {
     const startedAtMs = performance.now()
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import type { EventLog } from '@carobpitch/kernel'
-import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type ConnectionEndedBy, type ConnectionExchange, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
@@ -61,10 +61,11 @@
  * One request of a caller and its response.
  * @internal
  */
-export class FrontExchange implements ResponseSink, Expirable {
+export class FrontExchange implements ConnectionExchange, ResponseSink, Expirable {
   readonly request: IncomingMessage
   readonly response: ServerResponse
   private readonly context: FrontExchangeContext
+  private readonly onClosed: () => void
   private readonly arrivedAtMs = performance.now()
   private readonly abortController = new AbortController()
   private readonly triedTargets = new Set<TargetId>()
@@ -88,8 +89,10 @@
   /** Whether a retry has been taken from the budget for the attempt that is being cancelled. */
   private hasRetry = false
 
-  constructor (context: FrontExchangeContext, request: IncomingMessage, response: ServerResponse) {
+  /** @param onClosed called when the response has been sent or the connection has closed */
+  constructor (context: FrontExchangeContext, request: IncomingMessage, response: ServerResponse, onClosed: () => void) {
     this.context = context
+    this.onClosed = onClosed
     this.request = request
     this.response = response
   }
@@ -112,10 +115,12 @@
     this.finish(reason)
   }
 
-  /** Cancels the request, because the caller has closed its connection. */
-  handleCallerDisconnect (): void {
+  /** @internal */
+  handleClose (endedBy: ConnectionEndedBy): void {
+    this.onClosed()
     if (this.hasEnded) return
-    this.recordEnd('cancelled', undefined)
+    this.countRunningAttempt()
+    this.recordEnd(endedBy === 'caller' ? 'cancelled' : 'connection-closed', undefined)
     this.running?.attempt.cancel('cancelled', 'cancelled')
   }
 
@@ -124,8 +129,7 @@
     this.timerKey = undefined
     if (this.hasEnded) return
     const { running } = this
-    // The status of the reply depends on the verdict, so the attempt in progress is counted first.
-    if (running !== undefined) this.addVerdict(running.attempt.headWrittenAtMs === undefined ? 'not-run' : 'may-have-run')
+    this.countRunningAttempt()
     this.finish('deadline-exceeded')
     running?.attempt.cancel('deadline-exceeded', 'timed-out')
   }
@@ -376,6 +380,11 @@
     return body === undefined || Buffer.isBuffer(body) || (!body.destroyed && !body.readableDidRead)
   }
 
+  /** Adds the verdict of the attempt in progress before the request ends, because the status of a reply and the log depend on it. */
+  private countRunningAttempt (): void {
+    if (this.running !== undefined) this.addVerdict(this.running.attempt.headWrittenAtMs === undefined ? 'not-run' : 'may-have-run')
+  }
+
   private addVerdict (verdict: Verdict): void {
     this.verdict = combineVerdicts(this.verdict, verdict)
   }
--- a/packages/gateway/src/edge/FrontListener.ts
+++ b/packages/gateway/src/edge/FrontListener.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { closeServer, openServer, type Service } from '@carobpitch/kernel'
-import { parserErrorReason, type ParserError } from '@carobpitch/proxy'
+import { CallerConnection, parserErrorReason, type ParserError } from '@carobpitch/proxy'
 import type { ListenerSettings } from '@carobpitch/schema'
 import { FrontExchange, type FrontExchangeContext } from './FrontExchange.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
@@ -34,7 +34,8 @@
 export class FrontListener implements Service {
   private readonly options: FrontListenerOptions
   private readonly server: Server
-  private readonly exchanges = new Set<FrontExchange>()
+  private readonly connections = new WeakMap<Duplex, CallerConnection>()
+  private inFlight = 0
 
   constructor (options: FrontListenerOptions) {
     this.options = options
@@ -52,6 +53,7 @@
   /** Starts to listen. Rejects when the address is in use. */
   async start (): Promise<void> {
     const { server } = this
+    server.on('connection', (socket: Duplex) => this.connections.set(socket, new CallerConnection(socket)))
     server.on('request', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response).start())
     server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response).refuse('unsupported-expectation'))
     server.on('connect', (_request: IncomingMessage, socket: Duplex) => refuseOnSocket(socket, 'method-not-forwarded', this.options.callerProtocol.retryAfterHeader))
@@ -75,7 +77,7 @@
 
   /** Number of requests whose responses are not yet sent. */
   inFlightCount (): number {
-    return this.exchanges.size
+    return this.inFlight
   }
 
   /** Closes the listener and all connections. */
@@ -84,23 +86,20 @@
   }
 
   dump (): unknown {
-    return { inFlight: this.exchanges.size, bodyBytes: this.options.bodyMemory.reservedBytes() }
+    return { inFlight: this.inFlight, bodyBytes: this.options.bodyMemory.reservedBytes() }
   }
 
   private openExchange (request: IncomingMessage, response: ServerResponse): FrontExchange {
-    const exchange = new FrontExchange(this.options, request, response)
-    this.exchanges.add(exchange)
-    response.once('close', () => {
-      this.exchanges.delete(exchange)
-      exchange.handleCallerDisconnect()
-    })
+    const exchange = new FrontExchange(this.options, request, response, () => { this.inFlight -= 1 })
+    this.inFlight += 1
+    this.connections.get(request.socket)?.add(exchange)
     return exchange
   }
 
   /** Responds to a message that cannot be parsed, unless a response to an earlier request is in progress on the connection. */
   private onClientError (error: ParserError, socket: Duplex): void {
     const reason = parserErrorReason(error)
-    const isBusy = [...this.exchanges].some(({ request }) => request.socket === socket)
+    const isBusy = this.connections.get(socket)?.isBusy() === true
     if (reason === undefined || isBusy || !socket.writable) socket.destroy()
     else refuseOnSocket(socket, reason, this.options.callerProtocol.retryAfterHeader)
   }
--- a/packages/platform/src/testing/configurations.ts
+++ b/packages/platform/src/testing/configurations.ts
@@ -19,13 +19,24 @@
   return { host: 'shop.example', prefix: '/stock/', 'route-type': 'safe', timeout: '1200ms', 'target-latency': '600ms', priority: 2, service: 'menzaiko', 'max-attempts': 2, ...route }
 }
 
+const WIRE_LIMITS = { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout': '3000ms', 'idle-timeout': '15000ms' }
+
+/** Options of `wireConfiguration`. */
+export interface WireConfigurationOptions {
+  version?: number
+  routes?: Record<string, WireRoute>
+  services?: string[]
+  /** Limits that differ from the defaults. */
+  limits?: Partial<typeof WIRE_LIMITS>
+}
+
 /** Returns a configuration document as the operator writes it. */
-export function wireConfiguration ({ version = 7, routes = { stock: wireRoute() }, services = ['menzaiko'] }: { version?: number, routes?: Record<string, WireRoute>, services?: string[] } = {}): string {
+export function wireConfiguration ({ version = 7, routes = { stock: wireRoute() }, services = ['menzaiko'], limits = {} }: WireConfigurationOptions = {}): string {
   return JSON.stringify({
     version,
     routes,
     services: Object.fromEntries(services.map(name => [name, WIRE_SERVICE])),
-    limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout': '3000ms', 'idle-timeout': '15000ms' },
+    limits: { ...WIRE_LIMITS, ...limits },
     'base-version': 1
   })
 }
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -7,6 +7,7 @@
 import type { Scheduler, TargetView } from '@carobpitch/routing'
 import { settingsSchema, type ConfigurationSource, type InstanceId, type ListenerSettings, type MemberRecord, type ServiceName, type Settings } from '@carobpitch/schema'
 import { InstanceDirectory } from './InstanceDirectory.js'
+import { CallerConnection } from './CallerConnection.js'
 import { writeLocalReply } from './CallerResponse.js'
 import { DeadlineTimer } from './DeadlineTimer.js'
 import { Exchange, type ExchangeContext } from './Exchange.js'
@@ -63,6 +64,7 @@
   private readonly context: ExchangeContext
   /** The most recent exchange of each connection. */
   private readonly exchanges = new WeakMap<Duplex, Exchange>()
+  private readonly connections = new WeakMap<Duplex, CallerConnection>()
   private unsubscribe: (() => void) | undefined
   private inFlight = 0
 
@@ -103,6 +105,7 @@
   /** Starts listening for callers. */
   async start (): Promise<void> {
     const ownRoutes = this.createOwnRoutes()
+    this.server.on('connection', (socket: Duplex) => this.connections.set(socket, new CallerConnection(socket)))
     this.server.on('request', (request: IncomingMessage, response: ServerResponse) => {
       // Forwarded requests bypass polka because they need no routing by path.
       if (request.url?.startsWith(OWN_PATH_PREFIX) === true) ownRoutes(request, response)
@@ -175,20 +178,10 @@
 
   private createExchange (request: IncomingMessage, response: ServerResponse): Exchange {
     const { socket } = request
-    const exchange = new Exchange(this.context, request, response)
-    const previous = this.exchanges.get(socket)
-    let isClosed = false
-    const onClose = (): void => {
-      if (isClosed) return
-      isClosed = true
-      this.inFlight -= 1
-      exchange.handleClose()
-    }
+    const exchange = new Exchange(this.context, request, response, () => { this.inFlight -= 1 })
     this.inFlight += 1
     this.exchanges.set(socket, exchange)
-    response.once('close', onClose)
-    // When a connection closes, Node emits no `close` for pipelined responses that wait for an earlier one.
-    if (previous !== undefined && !previous.response.closed) socket.once('close', onClose)
+    this.connections.get(socket)?.add(exchange)
     return exchange
   }
 
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -6,6 +6,7 @@
 import type { AttemptOutcome, Refusal, Scheduler, TargetGrant, TargetView } from '@carobpitch/routing'
 import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
+import type { ConnectionEndedBy, ConnectionExchange } from './CallerConnection.js'
 import { abortResponse, writeLocalReply, writeForwardedHead, type ResponseMetadata } from './CallerResponse.js'
 import type { DeadlineTimer, Expirable } from './DeadlineTimer.js'
 import { mayResend } from './mayResend.js'
@@ -57,10 +58,11 @@
  * One request of a caller and its response: validation, body, queueing and attempts at targets.
  * @internal
  */
-export class Exchange implements ResponseSink, Expirable {
+export class Exchange implements ConnectionExchange, ResponseSink, Expirable {
   readonly request: IncomingMessage
   readonly response: ServerResponse
   private readonly context: ExchangeContext
+  private readonly onClosed: () => void
   private readonly startedAtMs = performance.now()
   private readonly onDrain = (): void => { this.running?.attempt.resume() }
   private stage: Stage = 'reading'
@@ -85,8 +87,10 @@
   /** Reason from outside the attempt that ends the request and rules out further attempts. */
   private interruption: Reason | undefined
 
-  constructor (context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
+  /** @param onClosed called when the response has been sent or the connection has closed */
+  constructor (context: ExchangeContext, request: IncomingMessage, response: ServerResponse, onClosed: () => void) {
     this.context = context
+    this.onClosed = onClosed
     this.request = request
     this.response = response
   }
@@ -149,10 +153,11 @@
     else this.interrupt(this.stage === 'reading' ? 'slow-sender' : 'deadline-exceeded')
   }
 
-  /** Called when the response has been sent or its connection has closed. */
-  handleClose (): void {
+  /** @internal */
+  handleClose (endedBy: ConnectionEndedBy): void {
+    this.onClosed()
     this.context.timer.remove(this, this.timerKey)
-    if (this.stage !== 'ended') this.interrupt('cancelled')
+    if (this.stage !== 'ended') this.interrupt(endedBy === 'caller' ? 'cancelled' : 'connection-closed')
   }
 
   /** @internal */
