Let one place own the life of a caller's connection

What callers saw: a request that was read, and often run, got no answer, because its connection was closed behind it or an answer of another kind was written first; or a request ran after its refusal.

Cause: the end of a connection was decided by whatever happened to end it, without regard to what had been read from it. Node closes behind a response that says "connection: close", so during a planned stop the second of two requests in a segment ran and had no connection to be answered on. A parse error, a head that came too slowly or a reset destroyed the socket under the request before it; a CONNECT was answered in the place of that request; a closed sending half ended the connection; behind a 408 the parser read on and what it read was run; unread data turned the last close into a reset, which discarded the response; behind an early answer the rest of the body was never read, nor the next request.

CallerConnection now decides, for both listeners: which requests are admitted, whose turn it is, behind which response the connection ends, what happens to bytes that are no request, to the rest of a body and to a caller that sends nothing more, and that data is still read for a moment after the last response. A response says "connection: close" only if nothing else was read; a caller that always has a request under way is told to close by a refusal, at most 16 requests wait, and what is not admitted is never passed on. Requests of a connection are served one after the other unless all are safe. A caller that closes its sending half may have left: its request has 250 ms more, and one at its target that may not run again is finished.

--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -1,22 +1,14 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
-import type { EventLog } from '@carobpitch/kernel'
-import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type ConnectionEndedBy, type ConnectionExchange, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
-import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
-import type { WeightedRoundRobin } from '../model/WeightedRoundRobin.js'
-import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import { createAttempt } from '../targets/createAttempt.js'
-import type { ResponseObserver } from '../targets/observeResponse.js'
-import type { TargetProtocol } from '../targets/TargetProtocol.js'
-import type { CallerProtocol } from './CallerProtocol.js'
-import type { BodyMemory } from './BodyMemory.js'
 import { BufferedResponse } from './BufferedResponse.js'
-import type { FrontMetrics } from './FrontMetrics.js'
 import { logEnd, logFailedAttempt, logSend, type LoggedRequest } from './exchangeLog.js'
+import type { FrontExchangeContext, FrontExchangeOptions } from './FrontExchangeContext.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
 import { headSizeBytes } from './headSizeBytes.js'
 import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, type RunningAttempt } from './evaluateAttempt.js'
@@ -30,33 +22,11 @@
 const DEADLINE_DEFAULT_MS = 10_000
 /** Statuses that guarantee to callers that a request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+/** Time for which a request is served as usual after its caller has closed its sending half, and perhaps left. */
+const HALF_CLOSED_WAIT_MS = 250
 /** A retry with less time than this left cannot get a response. */
 const ATTEMPT_MIN_MS = 20
 
-/**
- * Dependencies that all exchanges of an instance share.
- * @internal
- */
-export interface FrontExchangeContext {
-  routing: () => RoutingState | undefined
-  /** Waits for the first configuration. */
-  waitForRouting: (waitMs: number) => Promise<RoutingState | undefined>
-  roundRobin: WeightedRoundRobin
-  dispatcher: Dispatcher
-  isEligible: (target: GatewayTarget) => boolean
-  observer: ResponseObserver
-  callerProtocol: CallerProtocol
-  targetProtocol: TargetProtocol
-  timer: DeadlineTimer
-  bodyMemory: BodyMemory
-  metrics: FrontMetrics
-  log: EventLog
-  /** Whether responses tell callers to close their connections. */
-  mustCloseConnections: () => boolean
-  /** Time until this process exits; `undefined` unless it is shutting down. */
-  endsInMs: () => number | undefined
-}
-
 /**
  * One request of a caller and its response.
  * @internal
@@ -65,6 +35,7 @@
   readonly request: IncomingMessage
   readonly response: ServerResponse
   private readonly context: FrontExchangeContext
+  private readonly connection: CallerConnection
   private readonly onClosed: () => void
   private readonly arrivedAtMs = performance.now()
   private readonly abortController = new AbortController()
@@ -74,6 +45,8 @@
   private service: ServiceName | undefined
   private configurationVersion = 0
   private deadlineAtMs = 0
+  /** Time from which on the request is not sent to a target any more, because its caller may have left. */
+  private sendableUntilMs = Infinity
   private timerKey: number | undefined
   private headers: string[] = []
   private body: Buffer | Readable | undefined
@@ -89,16 +62,17 @@
   /** Whether a retry has been taken from the budget for the attempt that is being cancelled. */
   private hasRetry = false
 
-  /** @param onClosed called when the response has been sent or the connection has closed */
-  constructor (context: FrontExchangeContext, request: IncomingMessage, response: ServerResponse, onClosed: () => void) {
+  constructor ({ context, connection, request, response, onClosed }: FrontExchangeOptions) {
     this.context = context
-    this.onClosed = onClosed
+    this.connection = connection
     this.request = request
     this.response = response
+    this.onClosed = onClosed
   }
 
   /** Finds the request's route and starts to serve it. */
   start (): void {
+    if (this.hasEnded) return
     const { requestId, deadlineMs = DEADLINE_DEFAULT_MS } = this.context.callerProtocol.readFacts(this.request.headers)
     this.requestId = requestId ?? randomUUID()
     if (!haveValidNames(this.request.rawHeaders)) {
@@ -124,6 +98,21 @@
     this.running?.attempt.cancel('cancelled', 'cancelled')
   }
 
+  /** @internal */
+  failRequest (reason: FrontReason): void {
+    const { running } = this
+    this.countRunningAttempt()
+    this.finish(reason)
+    running?.attempt.cancel('cancelled', 'cancelled')
+  }
+
+  /** @internal */
+  handleCallerEnd (): void {
+    if (this.hasEnded) return
+    this.sendableUntilMs = performance.now() + HALF_CLOSED_WAIT_MS
+    this.context.timer.add({ expire: () => this.leaveSilentCaller() }, this.sendableUntilMs)
+  }
+
   /** @internal Called when the deadline of the request has passed. */
   expire (): void {
     this.timerKey = undefined
@@ -177,6 +166,14 @@
     else this.retryOrFinish(result.reason ?? 'target-failed')
   }
 
+  /** Gives up a request whose caller may have left, unless its target is at work on it and it may not run again, or its response is on the way. */
+  private leaveSilentCaller (): void {
+    const { running, matchedRoute: route } = this
+    const isAtTarget = running?.attempt.headWrittenAtMs !== undefined
+    if (this.hasEnded || this.isStreaming || (isAtTarget && route?.isIdempotent !== true)) return
+    this.failRequest('cancelled')
+  }
+
   /** A process that has just started receives the configuration a moment later. */
   private async awaitConfiguration (deadlineMs: number): Promise<void> {
     const state = await this.context.waitForRouting(deadlineMs * CONFIGURATION_WAIT_SHARE)
@@ -215,7 +212,7 @@
     const length = request.headers['content-length']
     const hasBody = request.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0')
     if (!hasBody) {
-      this.dispatch()
+      this.dispatchInTurn()
       return
     }
     const lengthBytes = length === undefined ? undefined : Number(length)
@@ -235,12 +232,18 @@
       sizeMaxBytes: bodySizeMaxBytes,
       onReady: body => {
         this.body = body
-        this.dispatch()
+        if (this.hasEnded) this.discardRequestBody()
+        else this.dispatchInTurn()
       },
       onTooLarge: () => this.finish('body-too-large')
     })
   }
 
+  /** Dispatches the request when it is its turn on its connection. */
+  private dispatchInTurn (): void {
+    this.connection.whenDue(this, () => { this.dispatch() })
+  }
+
   private async dispatch (): Promise<void> {
     const { matchedRoute: route, service } = this
     if (this.hasEnded || route === undefined || service === undefined) return
@@ -325,6 +328,7 @@
     }
     if (this.isStreaming) this.response.end()
     else this.writeBuffered(buffered)
+    this.discardRequestBody()
     this.recordEnd('answered', buffered.head.status, running.grant.target.record.targetId)
   }
 
@@ -371,7 +375,7 @@
   }
 
   private hasTimeForAttempt (): boolean {
-    return this.deadlineAtMs - performance.now() > ATTEMPT_MIN_MS
+    return Math.min(this.deadlineAtMs, this.sendableUntilMs) - performance.now() > ATTEMPT_MIN_MS
   }
 
   /** Whether the whole body can still be sent. */
@@ -397,12 +401,19 @@
     }
     const status = frontStatusOf(reason, this.verdict !== 'not-run')
     this.recordEnd(reason, status)
+    this.discardRequestBody()
     if (this.response.destroyed) return
     const { headers, body } = localReply({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
-    this.pushConnectionHeader(headers, reason === 'malformed-request' || !this.request.complete)
+    this.pushConnectionHeader(headers, reason === 'malformed-request')
     this.response.writeHead(status, headers)
     this.response.end(body)
-    if (!this.request.complete) this.request.resume()
+  }
+
+  /** Reads and discards the rest of the request body, so that the caller can read the response. */
+  private discardRequestBody (): void {
+    if (this.request.complete) return
+    if (this.body !== undefined && !Buffer.isBuffer(this.body)) this.body.destroy()
+    this.request.resume()
   }
 
   private abortStream (reason: FrontReason): void {
@@ -411,7 +422,7 @@
   }
 
   private pushConnectionHeader (headers: string[], mustClose = false): void {
-    if (mustClose || this.context.mustCloseConnections()) headers.push('connection', 'close')
+    if (this.connection.closesBehind(this, mustClose)) headers.push('connection', 'close')
   }
 
   private recordEnd (outcome: FrontReason | 'answered', status: number | undefined, targetId?: TargetId): void {
--- a/packages/gateway/src/edge/FrontListener.ts
+++ b/packages/gateway/src/edge/FrontListener.ts
@@ -1,10 +1,11 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { closeServer, openServer, type Service } from '@carobpitch/kernel'
-import { CallerConnection, parserErrorReason, type ParserError } from '@carobpitch/proxy'
+import { CallerConnection, type ParserError } from '@carobpitch/proxy'
 import type { ListenerSettings } from '@carobpitch/schema'
-import { FrontExchange, type FrontExchangeContext } from './FrontExchange.js'
+import { FrontExchange } from './FrontExchange.js'
+import type { FrontExchangeContext } from './FrontExchangeContext.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
 import { localReply } from './localReply.js'
 
@@ -25,6 +26,8 @@
  */
 export interface FrontListenerOptions extends FrontExchangeContext {
   listen: ListenerSettings
+  /** Whether responses tell callers to close their connections. */
+  mustCloseConnections: () => boolean
 }
 
 /**
@@ -53,11 +56,13 @@
   /** Starts to listen. Rejects when the address is in use. */
   async start (): Promise<void> {
     const { server } = this
-    server.on('connection', (socket: Duplex) => this.connections.set(socket, new CallerConnection(socket)))
-    server.on('request', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response).start())
-    server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response).refuse('unsupported-expectation'))
-    server.on('connect', (_request: IncomingMessage, socket: Duplex) => refuseOnSocket(socket, 'method-not-forwarded', this.options.callerProtocol.retryAfterHeader))
-    server.on('clientError', (error: ParserError, socket: Duplex) => this.onClientError(error, socket))
+    // The connection decides what a caller that closes its sending half gets.
+    Object.assign(server, { httpAllowHalfOpen: true })
+    server.on('connection', (socket: Socket) => this.connections.set(socket, this.createConnection(socket)))
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response, exchange => exchange.start()))
+    server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response, exchange => exchange.refuse('unsupported-expectation')))
+    server.on('connect', (_request: IncomingMessage, socket: Duplex) => this.connections.get(socket)?.refuse('method-not-forwarded'))
+    server.on('clientError', (error: ParserError, socket: Duplex) => this.connections.get(socket)?.handleParserError(error))
     const { host, port } = this.options.listen
     await openServer(server, { host, port, backlog: ACCEPT_BACKLOG })
   }
@@ -89,28 +94,35 @@
     return { inFlight: this.inFlight, bodyBytes: this.options.bodyMemory.reservedBytes() }
   }
 
-  private openExchange (request: IncomingMessage, response: ServerResponse): FrontExchange {
-    const exchange = new FrontExchange(this.options, request, response, () => { this.inFlight -= 1 })
-    this.inFlight += 1
-    this.connections.get(request.socket)?.add(exchange)
-    return exchange
+  private createConnection (socket: Socket): CallerConnection {
+    const { mustCloseConnections, callerProtocol: { retryAfterHeader } } = this.options
+    return new CallerConnection({ socket, mustClose: mustCloseConnections, formatRefusal: reason => formatRefusal(reason, retryAfterHeader) })
   }
 
-  /** Responds to a message that cannot be parsed, unless a response to an earlier request is in progress on the connection. */
-  private onClientError (error: ParserError, socket: Duplex): void {
-    const reason = parserErrorReason(error)
-    const isBusy = this.connections.get(socket)?.isBusy() === true
-    if (reason === undefined || isBusy || !socket.writable) socket.destroy()
-    else refuseOnSocket(socket, reason, this.options.callerProtocol.retryAfterHeader)
+  /** Serves a request as its connection admits it. */
+  private openExchange (request: IncomingMessage, response: ServerResponse, serve: (exchange: FrontExchange) => void): void {
+    const connection = this.connections.get(request.socket)
+    const admission = connection?.admit() ?? 'ignore'
+    if (connection === undefined || admission === 'ignore') {
+      request.resume()
+      return
+    }
+    const exchange = new FrontExchange({ context: this.options, connection, request, response, onClosed: () => { this.inFlight -= 1 } })
+    this.inFlight += 1
+    connection.add(exchange)
+    // What came in the same segment is read first: the rest of the request, and requests behind it.
+    process.nextTick(() => {
+      if (admission === 'serve') serve(exchange)
+      else exchange.refuse(admission === 'refuse-stopping' ? 'stopping' : 'queue-full')
+    })
   }
 }
 
-/** Responds to a message that the server has not turned into a request, and closes its connection. */
-function refuseOnSocket (socket: Duplex, reason: FrontReason, retryAfterHeader: string): void {
+/** Returns the bytes of a response to a message that the server has not turned into a request. */
+function formatRefusal (reason: FrontReason, retryAfterHeader: string): string {
   const status = frontStatusOf(reason, false)
   const { headers, body } = localReply({ reason, status, retryAfterHeader })
   headers.push('connection', 'close')
   const lines = headers.map((part, index) => index % 2 === 0 ? `${part}: ` : `${part}\r\n`).join('')
-  socket.on('error', () => {})
-  socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? 'Error'}\r\n${lines}\r\n${body}`, 'latin1')
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? 'Error'}\r\n${lines}\r\n${body}`
 }
--- a/packages/gateway/src/edge/FrontReason.ts
+++ b/packages/gateway/src/edge/FrontReason.ts
@@ -2,7 +2,7 @@
 import type { DispatchRefusalReason } from '../dispatch/DispatchRequest.js'
 
 /** Why a request did not get a target's response. @public */
-export type FrontReason = Reason | DispatchRefusalReason | 'no-configuration' | 'unknown-route' | 'unreadable-route' | 'no-memory' | 'stopping' | 'target-failed'
+export type FrontReason = Reason | DispatchRefusalReason | 'no-configuration' | 'unknown-route' | 'unreadable-route' | 'no-memory' | 'target-failed'
 
 /**
  * Status of a local reply. 408, 429 and 503 guarantee that the request has not run and never will.
--- a/packages/proxy/src/CallerConnection.ts
+++ b/packages/proxy/src/CallerConnection.ts
@@ -1,48 +1,209 @@
-import type { ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { parserErrorReason, type ParserError } from './parserError.js'
+import type { Reason } from './Reason.js'
+
+/** Time for which a caller's data is still read after the last response, because closing earlier can discard a response before the caller reads it. */
+const LINGER_MS = 1_000
+/** Largest number of requests of one connection that wait for their turn or their response. */
+const EXCHANGES_MAX = 16
+/** Methods of requests that may be served in parallel although they came over one connection (RFC 9112, 9.3.2). */
+const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(['GET', 'HEAD', 'OPTIONS'])
+/** Largest declared body whose rest is read behind an early response to keep the connection. */
+const DISCARDED_BODY_MAX_BYTES = 262_144
+/** Longest time to read the rest of a body behind an early response. */
+const DISCARD_MAX_MS = 5_000
 
 /** Which side ended a connection first. @public */
 export type ConnectionEndedBy = 'caller' | 'instance'
 
+/**
+ * What happens to a request that was read: it is served; it is refused as not run, and its response is the last one of the connection; or
+ * it gets no response, because the last one has been decided.
+ * @public
+ */
+export type Admission = 'serve' | 'refuse-stopping' | 'refuse-queue-full' | 'ignore'
+
 /**
  * A request and its response, as the connection that carries them sees it.
  * @public
  */
 export interface ConnectionExchange {
+  readonly request: IncomingMessage
   readonly response: ServerResponse
+  /** Called when the rest of the request cannot be read. */
+  failRequest(reason: Reason): void
+  /** Called when the caller sends nothing more. It has left, or it only closed its sending half and still reads. */
+  handleCallerEnd(): void
   /** Called once when the response has been sent or the connection has closed. */
   handleClose(endedBy: ConnectionEndedBy): void
 }
 
 /**
- * A caller's connection with the exchanges that are in progress on it.
+ * Options of `CallerConnection`.
+ * @public
+ */
+export interface CallerConnectionOptions {
+  socket: Socket
+  /** Whether callers must not send further requests over their connections. */
+  mustClose: () => boolean
+  /** Returns the bytes of a response to a message that is no request, which says that the connection closes. */
+  formatRefusal: (reason: Reason) => string
+}
+
+/**
+ * The life of a caller's connection. Requests are served in the order in which they were read, one after the other unless all of them
+ * are safe. The connection ends behind the response to the last request that was admitted; what is read after that is not served.
  * @public
  */
 export class CallerConnection {
-  private readonly exchanges = new Set<ConnectionExchange>()
+  private readonly options: CallerConnectionOptions
+  private readonly exchanges: ConnectionExchange[] = []
+  private readonly turnCallbacks = new Map<ConnectionExchange, () => void>()
+  /** `last-call`: a request behind others is refused, so that a caller that always has one under way is told to close. */
+  private stage: 'open' | 'last-call' | 'closed' = 'open'
+  private isEnding = false
   private hasCallerEnded = false
+  private lingerTimer: NodeJS.Timeout | undefined
 
-  constructor (socket: Duplex) {
-    socket.once('end', () => { this.hasCallerEnded = true })
-    socket.once('error', () => { this.hasCallerEnded = true })
+  constructor (options: CallerConnectionOptions) {
+    this.options = options
+    const { socket } = options
+    socket.once('end', () => this.handleCallerEnd())
+    socket.on('error', () => { this.hasCallerEnded = true })
     // Node emits no `close` for responses that wait for an earlier one.
-    socket.once('close', () => {
-      for (const exchange of this.exchanges) this.close(exchange)
-    })
+    socket.once('close', () => this.handleClose())
+    // Node calls this behind the last response and would close the connection with unread data, which resets it.
+    socket.destroySoon = () => this.endAndLinger()
+  }
+
+  /** Decides what happens to a request that was read. */
+  admit (): Admission {
+    if (this.stage === 'closed') return 'ignore'
+    const isLastCall = this.stage === 'last-call' && this.exchanges.length > 0
+    if (!isLastCall && this.exchanges.length < EXCHANGES_MAX) return 'serve'
+    this.stage = 'closed'
+    return isLastCall ? 'refuse-stopping' : 'refuse-queue-full'
   }
 
-  /** Adds an exchange until its response is sent or the connection closes. */
+  /** Adds the exchange of a request that was not ignored. */
   add (exchange: ConnectionExchange): void {
-    this.exchanges.add(exchange)
-    exchange.response.once('close', () => this.close(exchange))
+    this.exchanges.push(exchange)
+    exchange.response.once('close', () => this.remove(exchange))
+  }
+
+  /** Calls back when it is the request's turn, at once if it is. */
+  whenDue (exchange: ConnectionExchange, callback: () => void): void {
+    if (this.isDue(exchange)) callback()
+    else this.turnCallbacks.set(exchange, callback)
+  }
+
+  /**
+   * Whether the response of an exchange closes the connection. Called once, when its head is written.
+   * @param mustClose whether the bytes behind the request cannot be trusted
+   */
+  closesBehind (exchange: ConnectionExchange, mustClose = false): boolean {
+    const isLast = this.exchanges.at(-1) === exchange
+    const isClosing = this.stage === 'closed' || this.options.mustClose()
+    if (mustClose || (isLast && (isClosing || !isBodyDiscardable(exchange.request)))) {
+      this.stage = 'closed'
+      return true
+    }
+    if (isClosing && this.stage === 'open') this.stage = 'last-call'
+    return false
   }
 
-  /** Whether a response is in progress. */
-  isBusy (): boolean {
-    return this.exchanges.size > 0
+  /** Handles an error that Node's HTTP server reports on the connection. */
+  handleParserError (error: ParserError): void {
+    const { socket } = this.options
+    if (!socket.writable) {
+      if (!socket.writableEnded) socket.destroy()
+      return
+    }
+    if (this.exchanges.at(-1)?.request.complete === true) {
+      this.stage = 'closed'
+      return
+    }
+    const reason = parserErrorReason(error)
+    if (reason !== undefined) this.refuse(reason)
+    // The caller has ended the connection in the middle of a message.
+    else if (this.exchanges.length > 1) this.refuse('malformed-request')
+    else socket.destroy()
   }
 
-  private close (exchange: ConnectionExchange): void {
-    if (this.exchanges.delete(exchange)) exchange.handleClose(this.hasCallerEnded ? 'caller' : 'instance')
+  /** Refuses a message that is no request, or the rest of one that has begun. Responses to earlier requests are sent before the connection ends. */
+  refuse (reason: Reason): void {
+    const { socket, formatRefusal } = this.options
+    const isClosed = this.stage === 'closed'
+    const last = this.exchanges.at(-1)
+    this.stage = 'closed'
+    if (last?.request.complete === false) last.failRequest(reason)
+    else if (last === undefined && !isClosed) {
+      socket.write(formatRefusal(reason), 'latin1')
+      this.endAndLinger()
+    }
+    // Node stops reading behind a CONNECT.
+    socket.resume()
   }
+
+  private handleCallerEnd (): void {
+    this.hasCallerEnded = true
+    this.stage = 'closed'
+    for (const exchange of this.exchanges) exchange.handleCallerEnd()
+  }
+
+  private handleClose (): void {
+    clearTimeout(this.lingerTimer)
+    this.stage = 'closed'
+    this.isEnding = true
+    for (const exchange of [...this.exchanges]) this.remove(exchange)
+  }
+
+  private remove (exchange: ConnectionExchange): void {
+    const index = this.exchanges.indexOf(exchange)
+    if (index < 0) return
+    this.exchanges.splice(index, 1)
+    this.turnCallbacks.delete(exchange)
+    exchange.handleClose(this.hasCallerEnded ? 'caller' : 'instance')
+    if (this.isEnding) return
+    if (!exchange.request.complete) this.discardBody(exchange.request)
+    if (this.exchanges.length === 0 && this.stage === 'closed') this.endAndLinger()
+    for (const waiting of [...this.turnCallbacks.keys()]) this.startIfDue(waiting)
+  }
+
+  private startIfDue (exchange: ConnectionExchange): void {
+    const callback = this.turnCallbacks.get(exchange)
+    if (callback === undefined || !this.isDue(exchange)) return
+    this.turnCallbacks.delete(exchange)
+    callback()
+  }
+
+  private isDue (exchange: ConnectionExchange): boolean {
+    const index = this.exchanges.indexOf(exchange)
+    return index === 0 || this.exchanges.slice(0, index + 1).every(({ request }) => SAFE_METHODS.has(request.method))
+  }
+
+  /** Reads the rest of a body behind an early response, so that the next request can be read. */
+  private discardBody (request: IncomingMessage): void {
+    const timer = setTimeout(() => this.endAndLinger(), DISCARD_MAX_MS)
+    timer.unref()
+    request.once('close', () => clearTimeout(timer))
+    request.resume()
+  }
+
+  private endAndLinger (): void {
+    const { socket } = this.options
+    if (this.lingerTimer !== undefined) return
+    this.stage = 'closed'
+    this.isEnding = true
+    this.lingerTimer = setTimeout(() => socket.destroy(), LINGER_MS)
+    this.lingerTimer.unref()
+    socket.end()
+    socket.resume()
+  }
+}
+
+/** Whether the rest of a body is short enough to be read only to keep the connection. */
+function isBodyDiscardable ({ complete, headers }: IncomingMessage): boolean {
+  return complete || Number(headers['content-length'] ?? Infinity) <= DISCARDED_BODY_MAX_BYTES
 }
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import polka from 'polka'
 import { Registry } from 'prom-client'
@@ -7,13 +7,13 @@
 import type { Scheduler, TargetView } from '@carobpitch/routing'
 import { settingsSchema, type ConfigurationSource, type InstanceId, type ListenerSettings, type MemberRecord, type ServiceName, type Settings } from '@carobpitch/schema'
 import { InstanceDirectory } from './InstanceDirectory.js'
-import { CallerConnection } from './CallerConnection.js'
+import { CallerConnection, type ConnectionExchange } from './CallerConnection.js'
 import { writeLocalReply } from './CallerResponse.js'
 import { DeadlineTimer } from './DeadlineTimer.js'
 import { Exchange, type ExchangeContext } from './Exchange.js'
-import { parserErrorReason, type ParserError } from './parserError.js'
+import { formatRefusal } from './formatRefusal.js'
+import type { ParserError } from './parserError.js'
 import { ProxyMetrics } from './ProxyMetrics.js'
-import { refuseConnection } from './refuseConnection.js'
 import type { Reason } from './Reason.js'
 import { TargetPools } from './TargetPools.js'
 
@@ -62,8 +62,6 @@
   private readonly metrics: ProxyMetrics
   private readonly directory: InstanceDirectory
   private readonly context: ExchangeContext
-  /** The most recent exchange of each connection. */
-  private readonly exchanges = new WeakMap<Duplex, Exchange>()
   private readonly connections = new WeakMap<Duplex, CallerConnection>()
   private unsubscribe: (() => void) | undefined
   private inFlight = 0
@@ -105,15 +103,17 @@
   /** Starts listening for callers. */
   async start (): Promise<void> {
     const ownRoutes = this.createOwnRoutes()
-    this.server.on('connection', (socket: Duplex) => this.connections.set(socket, new CallerConnection(socket)))
+    // The connection decides what a caller that closes its sending half gets.
+    Object.assign(this.server, { httpAllowHalfOpen: true })
+    this.server.on('connection', (socket: Socket) => this.connections.set(socket, this.createConnection(socket)))
     this.server.on('request', (request: IncomingMessage, response: ServerResponse) => {
       // Forwarded requests bypass polka because they need no routing by path.
-      if (request.url?.startsWith(OWN_PATH_PREFIX) === true) ownRoutes(request, response)
-      else this.forward(request, response)
+      if (request.url?.startsWith(OWN_PATH_PREFIX) === true) this.serveOwnRoute(request, response, ownRoutes)
+      else this.openExchange(request, response, exchange => exchange.start())
     })
-    this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.createExchange(request, response).refuse('unsupported-expectation'))
-    this.server.on('connect', (_request: IncomingMessage, socket: Duplex) => this.refuseSocket(socket, 'method-not-forwarded'))
-    this.server.on('clientError', (error: ParserError, socket: Duplex) => this.onClientError(error, socket))
+    this.server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => this.openExchange(request, response, exchange => exchange.refuse('unsupported-expectation')))
+    this.server.on('connect', (_request: IncomingMessage, socket: Duplex) => this.connections.get(socket)?.refuse('method-not-forwarded'))
+    this.server.on('clientError', (error: ParserError, socket: Duplex) => this.connections.get(socket)?.handleParserError(error))
     this.unsubscribe = this.options.configuration.onChange(configuration => this.pools.closeRemovedTargets(configuration))
     await openServer(this.server, this.options.listen)
   }
@@ -172,47 +172,48 @@
     return app.handler as never
   }
 
-  private forward (request: IncomingMessage, response: ServerResponse): void {
-    this.createExchange(request, response).start()
-  }
-
-  private createExchange (request: IncomingMessage, response: ServerResponse): Exchange {
-    const { socket } = request
-    const exchange = new Exchange(this.context, request, response, () => { this.inFlight -= 1 })
-    this.inFlight += 1
-    this.exchanges.set(socket, exchange)
-    this.connections.get(socket)?.add(exchange)
-    return exchange
-  }
-
-  private sendLocalReply (response: ServerResponse, reason: Reason): void {
-    const { instanceId } = this.options
-    writeLocalReply(response, reason, { verdict: 'not-run', reason, instanceId, targetId: undefined, attempts: 0, closesConnection: false })
+  private createConnection (socket: Socket): CallerConnection {
+    return new CallerConnection({
+      socket,
+      mustClose: this.context.mustCloseConnections,
+      formatRefusal: reason => {
+        this.metrics.countOutcome(undefined, 'not-run', reason)
+        return formatRefusal(reason, this.options.instanceId)
+      }
+    })
   }
 
-  /** Responds to a message that Node's parser rejects, unless the response to an earlier request is pending. */
-  private onClientError (error: ParserError, socket: Duplex): void {
-    const reason = parserErrorReason(error)
-    const exchange = this.exchanges.get(socket)
-    if (reason === undefined || !socket.writable) {
-      if (!socket.writableEnded) socket.destroy()
+  /** Serves a request as its connection admits it. */
+  private openExchange (request: IncomingMessage, response: ServerResponse, serve: (exchange: Exchange) => void): void {
+    const connection = this.connections.get(request.socket)
+    const admission = connection?.admit() ?? 'ignore'
+    if (connection === undefined || admission === 'ignore') {
+      request.resume()
       return
     }
-    if (exchange === undefined) this.refuseSocket(socket, reason)
-    else if (!exchange.request.complete) this.failIncompleteRequest(exchange, reason, socket)
-    else if (exchange.response.closed) this.refuseSocket(socket, reason)
-    // The caller would match a response sent now to the earlier request.
-    else exchange.response.once('close', () => socket.destroy())
+    const exchange = new Exchange({ context: this.context, connection, request, response, onClosed: () => { this.inFlight -= 1 } })
+    this.inFlight += 1
+    connection.add(exchange)
+    // What came in the same segment is read first: the rest of the request, and requests behind it.
+    process.nextTick(() => {
+      if (admission === 'serve') serve(exchange)
+      else exchange.refuse(admission === 'refuse-stopping' ? 'stopping' : 'queue-full')
+    })
   }
 
-  private failIncompleteRequest (exchange: Exchange, reason: Reason, socket: Duplex): void {
-    if (exchange.hasEnded()) socket.destroy()
-    else exchange.failRequest(reason)
+  /** Serves one of carobpitch's own routes. */
+  private serveOwnRoute (request: IncomingMessage, response: ServerResponse, ownRoutes: (request: IncomingMessage, response: ServerResponse) => void): void {
+    const connection = this.connections.get(request.socket)
+    request.resume()
+    if (connection === undefined || connection.admit() === 'ignore') return
+    const exchange: ConnectionExchange = { request, response, failRequest: () => {}, handleCallerEnd: () => {}, handleClose: () => {} }
+    connection.add(exchange)
+    ownRoutes(request, response)
   }
 
-  private refuseSocket (socket: Duplex, reason: Reason): void {
-    this.metrics.countOutcome(undefined, 'not-run', reason)
-    refuseConnection(socket, reason, this.options.instanceId)
+  private sendLocalReply (response: ServerResponse, reason: Reason): void {
+    const { instanceId } = this.options
+    writeLocalReply(response, reason, { verdict: 'not-run', reason, instanceId, targetId: undefined, attempts: 0, closesConnection: false })
   }
 }
 
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -6,7 +6,7 @@
 import type { AttemptOutcome, Refusal, Scheduler, TargetGrant, TargetView } from '@carobpitch/routing'
 import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
-import type { ConnectionEndedBy, ConnectionExchange } from './CallerConnection.js'
+import type { CallerConnection, ConnectionEndedBy, ConnectionExchange } from './CallerConnection.js'
 import { abortResponse, writeLocalReply, writeForwardedHead, type ResponseMetadata } from './CallerResponse.js'
 import type { DeadlineTimer, Expirable } from './DeadlineTimer.js'
 import { mayResend } from './mayResend.js'
@@ -39,6 +39,19 @@
   bodySizeMaxBytes: number
 }
 
+/**
+ * Options of `Exchange`.
+ * @internal
+ */
+export interface ExchangeOptions {
+  context: ExchangeContext
+  connection: CallerConnection
+  request: IncomingMessage
+  response: ServerResponse
+  /** Called when the response has been sent or the connection has closed. */
+  onClosed: () => void
+}
+
 /** An attempt in progress with its grant and its connection. */
 interface RunningAttempt {
   attempt: Attempt
@@ -48,10 +61,12 @@
   startedAtMs: number
 }
 
-type Stage = 'reading' | 'queued' | 'attempting' | 'ended'
+type Stage = 'reading' | 'waiting' | 'queued' | 'attempting' | 'ended'
 
 /** Largest response body that is written together with its head. For larger bodies, copying costs more than a second buffer. */
 const COALESCED_BODY_MAX_BYTES = 8_192
+/** Time for which a request is served as usual after its caller has closed its sending half, and perhaps left. */
+const HALF_CLOSED_WAIT_MS = 250
 const NO_TARGETS: ReadonlySet<TargetId> = new Set()
 
 /**
@@ -62,12 +77,15 @@
   readonly request: IncomingMessage
   readonly response: ServerResponse
   private readonly context: ExchangeContext
+  private readonly connection: CallerConnection
   private readonly onClosed: () => void
   private readonly startedAtMs = performance.now()
   private readonly onDrain = (): void => { this.running?.attempt.resume() }
   private stage: Stage = 'reading'
   private parsed: CallerRequest | undefined
   private deadlineAtMs = 0
+  /** Time from which on the request is not sent to a target any more, because its caller may have left. */
+  private sendableUntilMs = Infinity
   private timerKey = 0
   private requestId = ''
   private headers: string[] = []
@@ -87,16 +105,17 @@
   /** Reason from outside the attempt that ends the request and rules out further attempts. */
   private interruption: Reason | undefined
 
-  /** @param onClosed called when the response has been sent or the connection has closed */
-  constructor (context: ExchangeContext, request: IncomingMessage, response: ServerResponse, onClosed: () => void) {
+  constructor ({ context, connection, request, response, onClosed }: ExchangeOptions) {
     this.context = context
-    this.onClosed = onClosed
+    this.connection = connection
     this.request = request
     this.response = response
+    this.onClosed = onClosed
   }
 
   /** Validates the request and starts to serve it. */
   start (): void {
+    if (this.stage === 'ended') return
     const { configuration, mayAcceptNewWork, timer, bodySizeMaxBytes } = this.context
     const { request } = this
     const parsed = parseCallerRequest(request, configuration.current(), bodySizeMaxBytes)
@@ -116,7 +135,7 @@
     this.deadlineAtMs = this.startedAtMs + timeoutMs
     this.timerKey = timer.add(this, this.deadlineAtMs)
     if (!hasBody) {
-      this.queue()
+      this.queueInTurn()
       return
     }
     readBody({
@@ -125,7 +144,8 @@
       sizeMaxBytes: bodySizeMaxBytes,
       onReady: body => {
         this.body = body
-        if (this.stage === 'reading') this.queue()
+        if (this.stage === 'reading') this.queueInTurn()
+        else this.discardRequestBody()
       },
       onTooLarge: () => this.interrupt('body-too-large')
     })
@@ -136,15 +156,17 @@
     this.finish(reason)
   }
 
-  /** Fails a request whose message is malformed or incomplete. Its connection cannot be reused. */
+  /** @internal */
   failRequest (reason: Reason): void {
     this.mustClose = true
     this.interrupt(reason)
   }
 
-  /** Whether the outcome is final. The response may not be fully sent yet. */
-  hasEnded (): boolean {
-    return this.stage === 'ended'
+  /** @internal */
+  handleCallerEnd (): void {
+    if (this.stage === 'ended') return
+    this.sendableUntilMs = performance.now() + HALF_CLOSED_WAIT_MS
+    this.context.timer.add({ expire: () => this.leaveSilentCaller() }, this.sendableUntilMs)
   }
 
   /** Called when the deadline has passed. A response that the caller has not read by then is aborted. */
@@ -193,6 +215,12 @@
     else this.finish(result.reason)
   }
 
+  /** Queues the request when it is its turn on its connection. */
+  private queueInTurn (): void {
+    this.stage = 'waiting'
+    this.connection.whenDue(this, () => { if (this.stage === 'waiting') this.queue() })
+  }
+
   private queue (): void {
     this.stage = 'queued'
     this.willResend = false
@@ -282,10 +310,17 @@
       isRetry,
       isBodyBuffered: this.body === undefined || Buffer.isBuffer(this.body),
       isResponseStarted: this.response.headersSent,
-      remainingMs: this.deadlineAtMs - performance.now()
+      remainingMs: Math.min(this.deadlineAtMs, this.sendableUntilMs) - performance.now()
     }, this.context.takeRetryToken)
   }
 
+  /** Gives up a request whose caller may have left, unless its target is at work on it and it may not run again, or its response is on the way. */
+  private leaveSilentCaller (): void {
+    const isAtTarget = this.running?.attempt.headWrittenAtMs !== undefined
+    if (this.response.headersSent || (isAtTarget && this.parsed?.isIdempotent !== true)) return
+    this.interrupt('cancelled')
+  }
+
   /** Ends the request for a reason from outside its attempt. */
   private interrupt (reason: Reason): void {
     if (this.stage === 'ended') return
@@ -335,7 +370,7 @@
   }
 
   private responseMetadata (verdict: Verdict, reason: Reason | undefined): ResponseMetadata {
-    const { instanceId, mustCloseConnections } = this.context
-    return { verdict, reason, instanceId, targetId: this.targetId, attempts: this.attempts, closesConnection: this.mustClose || mustCloseConnections() }
+    const { instanceId } = this.context
+    return { verdict, reason, instanceId, targetId: this.targetId, attempts: this.attempts, closesConnection: this.connection.closesBehind(this, this.mustClose) }
   }
 }
--- a/packages/proxy/src/Reason.ts
+++ b/packages/proxy/src/Reason.ts
@@ -7,6 +7,7 @@
  * - Refusals of the scheduler: see `RefusalReason`.
  * - Failures at the target: `connect-failed` to `target-withdrawn`.
  * - `deadline-exceeded`: the caller's deadline passed.
+ * - `stopping`: this instance stops, and the connection carries no further request.
  * - `connection-closed`: this instance closed the caller's connection before the response; `cancelled`: the caller did.
  * @public
  */
@@ -15,7 +16,7 @@
   | 'invalid-deadline' | 'invalid-request-id' | 'invalid-request-target' | 'invalid-host' | 'invalid-request'
   | 'malformed-request' | 'head-too-large' | 'body-too-large' | 'slow-sender' | 'unknown-method'
   | 'method-not-forwarded' | 'unsupported-expectation'
-  | RefusalReason | 'no-instance' | 'deadline-exceeded' | 'connection-closed'
+  | RefusalReason | 'no-instance' | 'stopping' | 'deadline-exceeded' | 'connection-closed'
   | 'connect-failed' | 'connect-timeout' | 'connection-lost' | 'truncated-response' | 'malformed-response'
   | 'unframed-response' | 'mismatched-response' | 'refused-by-target' | 'target-withdrawn'
 
@@ -48,9 +49,11 @@
     case 'refused-by-target':
     case 'target-withdrawn': return 503
     case 'deadline-exceeded': return 504
+    // `cancelled` is sent only to a caller that has closed its sending half and still reads.
+    case 'stopping':
+    case 'cancelled': return 503
     // The connection is closed, so that this status appears only in metrics.
-    case 'connection-closed':
-    case 'cancelled': return 499
+    case 'connection-closed': return 499
     case 'connect-failed':
     case 'connect-timeout':
     case 'connection-lost':
