Keep a connection whose discarded body has arrived in time

A caller whose request body was discarded behind an early response would have had its connection ended 5 s later if Node reported no close for the request. The timer now looks at the request.

--- a/packages/proxy/src/CallerConnection.ts
+++ b/packages/proxy/src/CallerConnection.ts
@@ -185,7 +185,7 @@
 
   /** Reads the rest of a body behind an early response, so that the next request can be read. */
   private discardBody (request: IncomingMessage): void {
-    const timer = setTimeout(() => this.endAndLinger(), DISCARD_MAX_MS)
+    const timer = setTimeout(() => { if (!request.complete) this.endAndLinger() }, DISCARD_MAX_MS)
     timer.unref()
     request.once('close', () => clearTimeout(timer))
     request.resume()
