--- /dev/null
+++ b/packages/daemon/src/front/soak/SoakCaller.ts
@@ -0,0 +1,138 @@
+import { CallerConnection } from './CallerConnection.js'
+import type { LinkProxy } from './LinkProxy.js'
+import { contentOf, requestPath } from './requestContent.js'
+import type { SeededRandom } from './SeededRandom.js'
+import type { CallerKind, CallerRecord } from './SoakHistory.js'
+
+const DEADLINE_MS = 5_000
+/** Pause before the next front is tried when one cannot be reached. */
+const RECONNECT_MS = 50
+/** Bytes of a slow body after which its sender pauses. */
+const BODY_PIECES = 10
+
+/** Front as callers reach it. @internal */
+export interface ReachableFront {
+  name: string
+  proxy: LinkProxy
+}
+
+/**
+ * Options of `SoakCaller`.
+ * @internal
+ */
+export interface SoakCallerOptions {
+  name: string
+  kind: CallerKind
+  random: SeededRandom
+  fronts: ReachableFront[]
+  records: CallerRecord[]
+  /** Called when an answer arrives that no request was waiting for. */
+  onSurplusAnswer: (front: string) => void
+}
+
+interface PlannedRequest {
+  record: CallerRecord
+  head: Buffer
+  body: Buffer
+  answerBytes: number
+}
+
+/**
+ * Caller of one kind that sends requests in a closed loop until it is stopped. A kept connection is used until it has ended.
+ * @internal
+ */
+export class SoakCaller {
+  private readonly options: SoakCallerOptions
+  private count = 0
+  private isStopped = false
+
+  constructor (options: SoakCallerOptions) {
+    this.options = options
+  }
+
+  /** Sends requests until `stop` is called, and resolves when the last one has ended. */
+  async run (): Promise<void> {
+    const { fronts, random, kind, onSurplusAnswer } = this.options
+    const isKept = kind === 'kept' || kind === 'pipelined' || kind === 'slow-body' || kind === 'slow-reader'
+    while (!this.isStopped) {
+      const front = random.pick(fronts)
+      const connection = await CallerConnection.open({ proxy: front.proxy, onSurplusAnswer: () => onSurplusAnswer(front.name), readPauseMs: kind === 'slow-reader' ? random.between(5, 40) : 0 })
+      if (connection === undefined) {
+        await pause(RECONNECT_MS)
+        continue
+      }
+      while (!connection.isClosing && !this.isStopped) {
+        await this.useOnce(connection, front.name)
+        await pause(random.pick([0, 0, 5, 50, 200]))
+        if (!isKept) break
+      }
+      connection.leave()
+    }
+  }
+
+  /** Ends the loop after the requests in progress. */
+  stop (): void {
+    this.isStopped = true
+  }
+
+  private async useOnce (connection: CallerConnection, front: string): Promise<void> {
+    const { kind, random } = this.options
+    const isIdempotent = kind === 'slow-body' ? random.next() < 0.3 : random.next() < 0.5
+    const workMs = random.pick([0, 5, 30, 100, 300, 300, 700])
+    switch (kind) {
+      case 'pipelined': return await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs }), this.plan(front, { isIdempotent, workMs: random.pick([0, 100, 300]) })])
+      case 'slow-body': return await this.sendSlowly(connection, this.plan(front, { isIdempotent, workMs, bodyBytes: random.pick([2_000, 60_000, 70_000, 400_000]) }))
+      case 'slow-reader': return await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs, answerBytes: random.pick([60_000, 300_000, 1_500_000]) })])
+      case 'half-closing': {
+        const done = this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs })])
+        connection.endSending()
+        return await done
+      }
+      case 'leaving': {
+        const timer = setTimeout(() => connection.leave(), random.between(1, 400))
+        await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs: 700, bodyBytes: isIdempotent ? 0 : random.pick([10, 100_000]) })])
+        clearTimeout(timer)
+        return
+      }
+      default: return await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs, bodyBytes: isIdempotent ? 0 : random.pick([0, 10, 30_000]), answerBytes: random.pick([20, 20, 5_000, 100_000]) })])
+    }
+  }
+
+  private plan (front: string, { isIdempotent, workMs, bodyBytes = isIdempotent ? 0 : 10, answerBytes = 200 }: { isIdempotent: boolean, workMs: number, bodyBytes?: number, answerBytes?: number }): PlannedRequest {
+    const { name, kind, records } = this.options
+    this.count += 1
+    const requestId = `${name}-${this.count}`
+    const nowMs = performance.now()
+    const record: CallerRecord = { requestId, kind, isIdempotent, front, position: 0, sentAtMs: nowMs, deadlineMs: DEADLINE_MS, endedAtMs: Infinity, end: 'running' }
+    records.push(record)
+    const method = isIdempotent && bodyBytes === 0 ? 'GET' : 'POST'
+    const path = requestPath(isIdempotent ? '/stock/' : '/order/', { workMs, answerBytes, bodyBytes })
+    const length = method === 'GET' ? '' : `Content-Length: ${bodyBytes}\r\n`
+    const head = Buffer.from(`${method} ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Carobpitch-Attempt-Id: ${requestId}\r\nX-Carobpitch-Deadline-Ms: ${DEADLINE_MS}\r\n${length}\r\n`)
+    return { record, head, body: contentOf(requestId, bodyBytes), answerBytes }
+  }
+
+  private async sendTogether (connection: CallerConnection, requests: PlannedRequest[]): Promise<void> {
+    const ended = requests.map(async ({ record, head, body, answerBytes }) => await connection.expect(record, head.length + body.length, answerBytes))
+    connection.write(Buffer.concat(requests.flatMap(({ head, body }) => [head, body])))
+    await Promise.all(ended)
+  }
+
+  private async sendSlowly (connection: CallerConnection, { record, head, body, answerBytes }: PlannedRequest): Promise<void> {
+    const waitMs = this.options.random.pick([0, 5, 20, 80])
+    const ended = connection.expect(record, head.length + body.length, answerBytes)
+    connection.write(head)
+    const pieceBytes = Math.ceil(body.length / BODY_PIECES)
+    for (let at = 0; at < body.length && record.end === 'running'; at += pieceBytes) {
+      await pause(waitMs)
+      record.sentAtMs = performance.now()
+      connection.write(body.subarray(at, at + pieceBytes))
+    }
+    if (record.end !== 'running' && !connection.isClosing) connection.leave()
+    await ended
+  }
+}
+
+async function pause (durationMs: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, durationMs))
+}
--- /dev/null
+++ b/packages/daemon/src/front/soak/SoakTarget.ts
@@ -0,0 +1,111 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { SEAL_HEADER, STORE_KEYS, type StandInPlatformStore } from '@carobpitch/platform'
+import { contentOf, isContentOf, readRequestPath } from './requestContent.js'
+import type { TargetRecord } from './SoakHistory.js'
+
+/** Idle time after which a target closes a connection. */
+const IDLE_TIMEOUT_MS = 4_000
+
+/**
+ * Options of `SoakTarget`.
+ * @internal
+ */
+export interface SoakTargetOptions {
+  store: StandInPlatformStore
+  targetId: string
+  service: string
+  records: TargetRecord[]
+  slots?: number
+}
+
+/**
+ * Target that works and answers as the path of a request says, and records every request that it receives.
+ * @internal
+ */
+export class SoakTarget {
+  readonly targetId: string
+  readonly service: string
+  private readonly options: Required<SoakTargetOptions>
+  private readonly server: Server
+  private isDraining = false
+  private running = 0
+  private readonly bornAtEpochMs = Date.now()
+
+  constructor (options: SoakTargetOptions) {
+    this.options = { slots: 16, ...options }
+    this.targetId = options.targetId
+    this.service = options.service
+    this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true }, (request, response) => this.handle(request, response))
+  }
+
+  /** Listens on a free loopback port and registers in the store. */
+  async start (): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+    this.register('ready')
+  }
+
+  /** Reports to the store that the target is draining. */
+  drain (): void {
+    this.isDraining = true
+    this.register('draining')
+  }
+
+  /** Removes the target from the store, waits until no request is running, and ends. */
+  async stop (): Promise<void> {
+    this.options.store.remove(`${STORE_KEYS.targetPrefix}${this.targetId}`)
+    while (this.running > 0) await new Promise(resolve => setTimeout(resolve, 50))
+    this.server.closeAllConnections()
+    await new Promise(resolve => this.server.close(resolve))
+  }
+
+  private register (state: 'ready' | 'draining'): void {
+    const { store, service, slots } = this.options
+    const address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    store.put(`${STORE_KEYS.targetPrefix}${this.targetId}`, JSON.stringify({ service, address, zone: 'zone-a', version: 'v1', slots, state, 'warmup-left': '0ms', sequence: 1, born: this.bornAtEpochMs }))
+  }
+
+  private handle (request: IncomingMessage, response: ServerResponse): void {
+    const { slots, records } = this.options
+    const requestId = String(request.headers['x-carobpitch-attempt-id'] ?? '')
+    response.setHeader('x-carobpitch-instance-load', `${this.running},0,${slots}`)
+    response.setHeader('x-carobpitch-instance-id', this.targetId)
+    if (request.url === '/healthz') {
+      response.writeHead(this.isDraining ? 503 : 200, { 'content-length': 0 }).end()
+      return
+    }
+    response.setHeader('x-carobpitch-attempt-id', requestId)
+    const expected = request.headers['x-carobpitch-expect-instance']
+    const isOther = expected !== undefined && expected !== this.targetId
+    const record: TargetRecord = { requestId, targetId: this.targetId, atMs: performance.now(), hasRun: !isOther && this.running < slots, isBodyIntact: false }
+    records.push(record)
+    if (!record.hasRun) {
+      response.writeHead(isOther ? 421 : 503, { 'x-carobpitch-not-executed': '1', 'content-length': 0 }).end()
+      request.resume()
+      return
+    }
+    this.run(request, response, record)
+  }
+
+  private run (request: IncomingMessage, response: ServerResponse, record: TargetRecord): void {
+    const { workMs, answerBytes, bodyBytes } = readRequestPath(request.url ?? '')
+    const chunks: Buffer[] = []
+    this.running += 1
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.once('end', () => {
+      record.receivedAtMs = performance.now()
+      record.isBodyIntact = isContentOf(record.requestId, Buffer.concat(chunks), bodyBytes)
+      setTimeout(() => {
+        if (response.destroyed) return
+        record.answeredAtMs = performance.now()
+        response.writeHead(200, { [SEAL_HEADER]: `seal-of-${this.targetId}`, 'content-length': answerBytes })
+        response.end(contentOf(record.requestId, answerBytes))
+      }, workMs)
+    })
+    request.on('error', () => {})
+    response.once('close', () => {
+      this.running -= 1
+      if (!response.writableFinished) record.abortedAtMs = performance.now()
+    })
+  }
+}
