--- a/packages/daemon/src/front/soak/LinkProxy.ts
+++ b/packages/daemon/src/front/soak/LinkProxy.ts
@@ -82,13 +82,26 @@
   }
 
   private pass (from: Socket, to: Socket, direction: CutDirection, { onData, onClose }: { onData: (chunk: Buffer) => void, onClose: () => void }): void {
+    const queue: Array<{ dueAtMs: number, action: () => void }> = []
     let freeAtMs = 0
     let inFlightBytes = 0
     this.sockets.add(from)
+    // One timer for the head of the queue: timers of different lengths do not keep their order.
+    const pump = (): void => {
+      for (let head = queue[0]; head !== undefined; head = queue[0]) {
+        const waitMs = head.dueAtMs - performance.now()
+        if (waitMs > 0) {
+          setTimeout(pump, Math.ceil(waitMs))
+          return
+        }
+        head.action()
+        queue.shift()
+      }
+    }
     const later = (sizeBytes: number, action: () => void): void => {
-      const nowMs = performance.now()
-      freeAtMs = Math.max(freeAtMs, nowMs + this.delayMs) + sizeBytes / this.rateBytesPerS * 1_000
-      setTimeout(action, freeAtMs - nowMs)
+      freeAtMs = Math.max(freeAtMs, performance.now() + this.delayMs) + sizeBytes / this.rateBytesPerS * 1_000
+      queue.push({ dueAtMs: freeAtMs, action })
+      if (queue.length === 1) pump()
     }
     const resumeIfRoom = (): void => { if (inFlightBytes < IN_FLIGHT_MAX_BYTES && to.writableLength < IN_FLIGHT_MAX_BYTES) from.resume() }
     to.on('drain', resumeIfRoom)
