--- a/packages/daemon/src/front/soak/SoakFleet.ts
+++ b/packages/daemon/src/front/soak/SoakFleet.ts
@@ -11,6 +11,16 @@
 /** Time for which a target that is draining stays after the store's confirmation. */
 const DRAINING_STAY_MS = 5_000
 
+/** What differs between versions of the configuration. @internal */
+export interface SoakConfiguration {
+  stockService: string
+  orderService: string
+  /** Timeout of the routes. */
+  timeoutMs: number
+  /** Time for which callers' connections may be idle. */
+  idleTimeoutMs: number
+}
+
 /** Front with the link that callers reach it through. @internal */
 export interface SoakFront {
   name: string
@@ -44,7 +54,7 @@
   /** Starts the store, the targets and the fronts. */
   async start (frontCount: number): Promise<void> {
     const storeAddress = new URL(await this.store.start()).host
-    this.writeConfiguration('menzaiko', 'nimono', 6_000)
+    this.writeConfiguration({ stockService: 'menzaiko', orderService: 'nimono', timeoutMs: 6_000, idleTimeoutMs: 15_000 })
     for (const service of SERVICES) {
       for (let index = 0; index < TARGETS_PER_SERVICE; index += 1) await this.addTarget(service)
     }
@@ -103,8 +113,8 @@
   }
 
   /** Writes the next version of the configuration. */
-  async configure (stockService: string, orderService: string, timeoutMs: number): Promise<void> {
-    await this.disturb({ name: 'configuration' }, async () => this.writeConfiguration(stockService, orderService, timeoutMs))
+  async configure (configuration: SoakConfiguration): Promise<void> {
+    await this.disturb({ name: 'configuration' }, async () => this.writeConfiguration(configuration))
   }
 
   /** Lets the oldest target of a service drain, while another one joins. */
@@ -158,13 +168,15 @@
     this.targets.push(target)
   }
 
-  private writeConfiguration (stockService: string, orderService: string, timeoutMs: number): void {
+  private writeConfiguration ({ stockService, orderService, timeoutMs, idleTimeoutMs }: SoakConfiguration): void {
     const timeout = `${timeoutMs}ms`
     const routes = {
       stock: wireRoute({ service: stockService, timeout, 'max-attempts': 3 }),
       order: wireRoute({ prefix: '/order/', 'route-type': 'unsafe', service: orderService, timeout })
     }
-    this.store.put(STORE_KEYS.configuration, wireConfiguration({ version: this.version, routes, services: [...SERVICES] }))
+    const configuration = JSON.parse(wireConfiguration({ version: this.version, routes, services: [...SERVICES] })) as { limits: Record<string, unknown> }
+    configuration.limits['idle-timeout'] = `${idleTimeoutMs}ms`
+    this.store.put(STORE_KEYS.configuration, JSON.stringify(configuration))
     this.version += 3
   }
 
--- a/packages/daemon/src/front/soak/SoakHistory.ts
+++ b/packages/daemon/src/front/soak/SoakHistory.ts
@@ -1,5 +1,5 @@
 /** How callers behave on their connections. @internal */
-export const CALLER_KINDS = ['kept', 'single', 'pipelined', 'slow-body', 'slow-reader', 'half-closing', 'leaving'] as const
+export const CALLER_KINDS = ['kept', 'single', 'pipelined', 'slow-head', 'slow-body', 'slow-reader', 'half-closing', 'leaving'] as const
 
 /** One of `CALLER_KINDS`. @internal */
 export type CallerKind = typeof CALLER_KINDS[number]
@@ -18,7 +18,11 @@
   front: string
   /** Position on its connection, from 0. */
   position: number
+  /** Time of its first byte. */
+  startedAtMs: number
+  /** Time of its last byte. */
   sentAtMs: number
+  /** Time for which the caller waits, from the first byte. */
   deadlineMs: number
   /** Time at which the last byte was passed on to the front; `undefined` if it never was. */
   deliveredAtMs?: number
--- a/packages/daemon/src/front/soak/SoakTarget.ts
+++ b/packages/daemon/src/front/soak/SoakTarget.ts
@@ -1,11 +1,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { SEAL_HEADER, STORE_KEYS, type StandInPlatformStore } from '@carobpitch/platform'
-import { contentOf, isContentOf, readRequestPath } from './requestContent.js'
+import { contentOf, isContentOf, readRequestPath, type RequestContent } from './requestContent.js'
 import type { TargetRecord } from './SoakHistory.js'
 
 /** Idle time after which a target closes a connection. */
 const IDLE_TIMEOUT_MS = 4_000
+/** Answers after which a target closes a connection. */
+const ANSWERS_PER_CLOSE = 40
+/** Pause between the parts of a dripped answer. */
+const DRIP_MS = 250
 
 /**
  * Options of `SoakTarget`.
@@ -30,6 +34,7 @@
   private readonly server: Server
   private isDraining = false
   private running = 0
+  private answers = 0
   private readonly bornAtEpochMs = Date.now()
 
   constructor (options: SoakTargetOptions) {
@@ -88,19 +93,18 @@
   }
 
   private run (request: IncomingMessage, response: ServerResponse, record: TargetRecord): void {
-    const { workMs, answerBytes, bodyBytes } = readRequestPath(request.url ?? '')
+    const content = readRequestPath(request.url ?? '')
     const chunks: Buffer[] = []
     this.running += 1
     request.on('data', (chunk: Buffer) => chunks.push(chunk))
     request.once('end', () => {
       record.receivedAtMs = performance.now()
-      record.isBodyIntact = isContentOf(record.requestId, Buffer.concat(chunks), bodyBytes)
+      record.isBodyIntact = isContentOf(record.requestId, Buffer.concat(chunks), content.bodyBytes)
       setTimeout(() => {
         if (response.destroyed) return
         record.answeredAtMs = performance.now()
-        response.writeHead(200, { [SEAL_HEADER]: `seal-of-${this.targetId}`, 'content-length': answerBytes })
-        response.end(contentOf(record.requestId, answerBytes))
-      }, workMs)
+        this.answer(response, record.requestId, content)
+      }, content.workMs)
     })
     request.on('error', () => {})
     response.once('close', () => {
@@ -108,4 +112,19 @@
       if (!response.writableFinished) record.abortedAtMs = performance.now()
     })
   }
+
+  private async answer (response: ServerResponse, requestId: string, { answerBytes, framing }: RequestContent): Promise<void> {
+    const body = contentOf(requestId, answerBytes)
+    this.answers += 1
+    if (framing === 'close') response.useChunkedEncodingByDefault = false
+    if (framing === 'close' || this.answers % ANSWERS_PER_CLOSE === 0) response.setHeader('connection', 'close')
+    response.writeHead(200, { [SEAL_HEADER]: `seal-of-${this.targetId}`, ...(framing === 'length' ? { 'content-length': answerBytes } : {}) })
+    if (framing === 'dripped') {
+      for (const part of [0, 1, 2]) {
+        response.write(body.subarray(part * answerBytes / 4, (part + 1) * answerBytes / 4))
+        await new Promise(resolve => setTimeout(resolve, DRIP_MS))
+      }
+      response.end(body.subarray(3 * answerBytes / 4))
+    } else response.end(body)
+  }
 }
--- a/packages/daemon/src/front/soak/disturbFleet.ts
+++ b/packages/daemon/src/front/soak/disturbFleet.ts
@@ -22,7 +22,7 @@
     case 'kill': return front.isBusy ? undefined : await fleet.kill(front)
     case 'freeze': return front.isBusy ? undefined : await fleet.freeze(front, durationMs)
     case 'reload': return await fleet.reload(front, { 'bounds.probes-per-s': pick(['30', '60'], second), 'bounds.retry-budget-slack': pick(['20', '56'], third), 'limits.link-mbps': pick(['200.0', '1000.0'], second) })
-    case 'configuration': return await fleet.configure(pick(['menzaiko', 'nimono'], first), pick(['menzaiko', 'nimono'], second), pick([5_000, 6_000], third))
+    case 'configuration': return await fleet.configure({ stockService: pick(['menzaiko', 'nimono'], first), orderService: pick(['menzaiko', 'nimono'], second), timeoutMs: pick([6_000, 9_500], third), idleTimeoutMs: pick([1_500, 15_000], first * 2 % 1) })
     case 'drain': return await fleet.replaceTarget(pick(['menzaiko', 'nimono'], first))
     case 'store': return await fleet.troubleStore(pick(['busy', 'silent', 'reset'] as const, first), durationMs)
     case 'slow-link': return await fleet.slowLink(front, { delayMs: pick([2, 10, 40, 100], second), rateBytesPerS: pick([200_000, 1_000_000, Infinity], third), durationMs })
--- a/packages/daemon/src/front/soak/requestContent.ts
+++ b/packages/daemon/src/front/soak/requestContent.ts
@@ -1,3 +1,17 @@
+/** How a target frames its answer; `dripped` is chunked, with pauses between the parts. @internal */
+export const ANSWER_FRAMINGS = ['length', 'chunked', 'dripped', 'close'] as const
+
+/** One of `ANSWER_FRAMINGS`. @internal */
+export type AnswerFraming = typeof ANSWER_FRAMINGS[number]
+
+/** What a request asks of its target. @internal */
+export interface RequestContent {
+  workMs: number
+  answerBytes: number
+  bodyBytes: number
+  framing: AnswerFraming
+}
+
 /** Returns a body of the given size that names its request throughout. */
 export function contentOf (requestId: string, sizeBytes: number): Buffer {
   return Buffer.alloc(sizeBytes, `${requestId} `)
@@ -9,12 +23,12 @@
 }
 
 /** Returns the path of a request; the target reads from it how long it works and what it answers. */
-export function requestPath (prefix: string, { workMs, answerBytes, bodyBytes }: { workMs: number, answerBytes: number, bodyBytes: number }): string {
-  return `${prefix}w${workMs}-a${answerBytes}-b${bodyBytes}`
+export function requestPath (prefix: string, { workMs, answerBytes, bodyBytes, framing }: RequestContent): string {
+  return `${prefix}w${workMs}-a${answerBytes}-b${bodyBytes}-${framing}`
 }
 
 /** Reads what `requestPath` has written. */
-export function readRequestPath (path: string): { workMs: number, answerBytes: number, bodyBytes: number } {
-  const [, workMs = '0', answerBytes = '0', bodyBytes = '0'] = /w(\d+)-a(\d+)-b(\d+)$/.exec(path) ?? []
-  return { workMs: Number(workMs), answerBytes: Number(answerBytes), bodyBytes: Number(bodyBytes) }
+export function readRequestPath (path: string): RequestContent {
+  const [, workMs = '0', answerBytes = '0', bodyBytes = '0', framing = 'length'] = /w(\d+)-a(\d+)-b(\d+)-(\w+)$/.exec(path) ?? []
+  return { workMs: Number(workMs), answerBytes: Number(answerBytes), bodyBytes: Number(bodyBytes), framing: framing as AnswerFraming }
 }
