--- a/packages/daemon/src/front/soak/FrontProcess.ts
+++ b/packages/daemon/src/front/soak/FrontProcess.ts
@@ -2,8 +2,8 @@
 import { once } from 'node:events'
 import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs'
 import { request } from 'node:http'
-import { createServer, type AddressInfo } from 'node:net'
 import { join } from 'node:path'
+import { findFreePort } from './findFreePort.js'
 
 const START_MAX_MS = 20_000
 const READY_CHECK_MS = 50
@@ -118,15 +118,6 @@
   }
 }
 
-async function findFreePort (): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
-
 function settingsOf ({ name, storeAddress, ports, seeds }: { name: string, storeAddress: string, ports: Record<typeof LISTENERS[number], number>, seeds: string[] }): Record<string, string> {
   return {
     'node-name': name,
