--- a/packages/daemon/src/front/soak/FrontProcess.ts
+++ b/packages/daemon/src/front/soak/FrontProcess.ts
@@ -105,6 +105,12 @@
     return readFileSync(this.logPath, 'utf8').split('\n').filter(line => line.includes(requestId) || (/event=(process|settings|stop)\./.test(line) && isNear(line)))
   }
 
+  /** Time between the last line of the log that says that the process has stopped, and a time of the wall clock. */
+  sinceStoppedMs (epochMs: number): number {
+    const line = readFileSync(this.logPath, 'utf8').split('\n').filter(line => line.includes('event=process.stopped')).at(-1)
+    return epochMs - Date.parse(/time=(\S+)/.exec(line ?? '')?.[1] ?? '')
+  }
+
   private async isReady (): Promise<boolean> {
     return await new Promise(resolve => {
       const outgoing = request({ host: '127.0.0.1', port: this.readyPort, path: '/carobpitch/readyz', agent: false, timeout: 1_000 }, response => {
--- a/packages/daemon/src/front/soak/SoakCaller.ts
+++ b/packages/daemon/src/front/soak/SoakCaller.ts
@@ -108,7 +108,7 @@
     const requestId = `${name}-${this.count}`
     const nowMs = performance.now()
     const deadlineMs = kind.startsWith('slow') ? random.pick([5_000, 9_000]) : random.pick([700, 5_000, 9_000])
-    const framing = random.pick(ANSWER_FRAMINGS)
+    const framing = random.pick(kind === 'slow-body' ? ANSWER_FRAMINGS : ANSWER_FRAMINGS.filter(framing => framing !== 'early'))
     const record: CallerRecord = { requestId, kind, isIdempotent, front, position: 0, startedAtMs: nowMs, sentAtMs: nowMs, deadlineMs, endedAtMs: Infinity, end: 'running' }
     records.push(record)
     const method = isIdempotent && bodyBytes === 0 ? 'GET' : 'POST'
@@ -131,12 +131,11 @@
   private async sendInPieces (connection: CallerConnection, { record, answerBytes }: PlannedRequest, bytes: Buffer, { pieces, waitMs }: { pieces: number, waitMs: number }): Promise<void> {
     const ended = connection.expect(record, bytes.length, answerBytes)
     const pieceBytes = Math.ceil(bytes.length / pieces)
-    for (let at = 0; at < bytes.length && record.end === 'running'; at += pieceBytes) {
+    for (let at = 0; at < bytes.length && !connection.isClosing; at += pieceBytes) {
       if (at > 0) await pause(waitMs)
       record.sentAtMs = performance.now()
       connection.write(bytes.subarray(at, at + pieceBytes))
     }
-    if (record.end !== 'running' && !connection.isClosing) connection.leave()
     await ended
   }
 }
--- a/packages/daemon/src/front/soak/SoakFleet.ts
+++ b/packages/daemon/src/front/soak/SoakFleet.ts
@@ -19,6 +19,8 @@
   timeoutMs: number
   /** Time for which callers' connections may be idle. */
   idleTimeoutMs: number
+  /** Whether a service that no route names is missing. */
+  isServiceDropped?: boolean
 }
 
 /** Front with the link that callers reach it through. @internal */
@@ -42,6 +44,8 @@
   readonly disturbances: Disturbance[] = []
   /** Failures of the fleet itself, such as a process that ended without being told to. */
   readonly failures: string[] = []
+  /** Times between the log line of a planned stop and the end of the process. */
+  readonly exitDurationsMs: number[] = []
   private readonly folder: string
   private targetCount = 0
   private version = 7
@@ -82,7 +86,10 @@
   /** Stops a front as planned, and starts it again. */
   async restart (front: SoakFront): Promise<void> {
     await this.disturb({ name: 'SIGTERM', front: front.name }, async () => {
+      setTimeout(() => front.process.signal('SIGHUP'), 300)
+      setTimeout(() => front.process.signal('SIGTERM'), 900)
       const exit = await front.process.end('SIGTERM', GRACE_MS + 2_000)
+      this.exitDurationsMs.push(front.process.sinceStoppedMs(Date.now()))
       if (exit !== '0') this.failures.push(`${front.name} ended with ${exit} after SIGTERM`)
       await front.process.start()
     }, front)
@@ -117,14 +124,15 @@
     await this.disturb({ name: 'configuration' }, async () => this.writeConfiguration(configuration))
   }
 
-  /** Lets the oldest target of a service drain, while another one joins. */
-  async replaceTarget (service: string): Promise<void> {
+  /** Lets the oldest target of a service drain, or leave the store without having drained, while another one joins. */
+  async replaceTarget (service: string, reports: boolean): Promise<void> {
     const target = this.targets.find(target => target.service === service)
     if (target === undefined) return
     this.targets.splice(this.targets.indexOf(target), 1)
     await this.addTarget(service)
     await this.disturb({ name: 'draining', target: target.targetId }, async () => {
-      target.drain()
+      if (reports) target.drain()
+      else target.unregister()
       await pause(DRAINING_STAY_MS)
       await target.stop()
     })
@@ -161,6 +169,16 @@
     })
   }
 
+  /** Loses the records of some targets for a while, as when they lapse. */
+  async loseRecords (count: number, durationMs: number): Promise<void> {
+    const lost = this.targets.slice(-count)
+    await this.disturb({ name: 'records lost' }, async () => {
+      for (const target of lost) target.unregister()
+      await pause(durationMs)
+      for (const target of lost) if (this.targets.includes(target)) target.register('ready')
+    })
+  }
+
   private async addTarget (service: string): Promise<void> {
     this.targetCount += 1
     const target = new SoakTarget({ store: this.store, targetId: `target-${this.targetCount}`, service, records: this.targetRecords })
@@ -168,13 +186,13 @@
     this.targets.push(target)
   }
 
-  private writeConfiguration ({ stockService, orderService, timeoutMs, idleTimeoutMs }: SoakConfiguration): void {
+  private writeConfiguration ({ stockService, orderService, timeoutMs, idleTimeoutMs, isServiceDropped = false }: SoakConfiguration): void {
     const timeout = `${timeoutMs}ms`
     const routes = {
       stock: wireRoute({ service: stockService, timeout, 'max-attempts': 3 }),
       order: wireRoute({ prefix: '/order/', 'route-type': 'unsafe', service: orderService, timeout })
     }
-    const configuration = JSON.parse(wireConfiguration({ version: this.version, routes, services: [...SERVICES] })) as { limits: Record<string, unknown> }
+    const configuration = JSON.parse(wireConfiguration({ version: this.version, routes, services: isServiceDropped ? [...new Set([stockService, orderService])] : [...SERVICES] })) as { limits: Record<string, unknown> }
     configuration.limits['idle-timeout'] = `${idleTimeoutMs}ms`
     this.store.put(STORE_KEYS.configuration, JSON.stringify(configuration))
     this.version += 3
--- a/packages/daemon/src/front/soak/SoakTarget.ts
+++ b/packages/daemon/src/front/soak/SoakTarget.ts
@@ -10,6 +10,8 @@
 const ANSWERS_PER_CLOSE = 40
 /** Pause between the parts of a dripped answer. */
 const DRIP_MS = 250
+/** Time after an early answer at which a target reads the rest of the body. */
+const READ_ON_MS = 100
 
 /**
  * Options of `SoakTarget`.
@@ -56,15 +58,21 @@
     this.register('draining')
   }
 
+  /** Removes the target from the store; it goes on serving. */
+  unregister (): void {
+    this.options.store.remove(`${STORE_KEYS.targetPrefix}${this.targetId}`)
+  }
+
   /** Removes the target from the store, waits until no request is running, and ends. */
   async stop (): Promise<void> {
-    this.options.store.remove(`${STORE_KEYS.targetPrefix}${this.targetId}`)
+    this.unregister()
     while (this.running > 0) await new Promise(resolve => setTimeout(resolve, 50))
     this.server.closeAllConnections()
     await new Promise(resolve => this.server.close(resolve))
   }
 
-  private register (state: 'ready' | 'draining'): void {
+  /** Writes the target's record. */
+  register (state: 'ready' | 'draining'): void {
     const { store, service, slots } = this.options
     const address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
     store.put(`${STORE_KEYS.targetPrefix}${this.targetId}`, JSON.stringify({ service, address, zone: 'zone-a', version: 'v1', slots, state, 'warmup-left': '0ms', sequence: 1, born: this.bornAtEpochMs }))
@@ -96,6 +104,10 @@
     const content = readRequestPath(request.url ?? '')
     const chunks: Buffer[] = []
     this.running += 1
+    if (content.framing === 'early') {
+      this.answerEarly(request, response, record, content)
+      return
+    }
     request.on('data', (chunk: Buffer) => chunks.push(chunk))
     request.once('end', () => {
       record.receivedAtMs = performance.now()
@@ -113,6 +125,21 @@
     })
   }
 
+  /** Answers before it has read the body, keeps the connection and reads on later. */
+  private answerEarly (request: IncomingMessage, response: ServerResponse, record: TargetRecord, content: RequestContent): void {
+    request.pause()
+    setTimeout(() => {
+      record.answeredAtMs = performance.now()
+      this.answer(response, record.requestId, { ...content, framing: 'length' })
+    }, content.workMs)
+    setTimeout(() => request.resume(), content.workMs + READ_ON_MS)
+    request.on('error', () => {})
+    response.once('close', () => {
+      this.running -= 1
+      if (!response.writableFinished) record.abortedAtMs = performance.now()
+    })
+  }
+
   private async answer (response: ServerResponse, requestId: string, { answerBytes, framing }: RequestContent): Promise<void> {
     const body = contentOf(requestId, answerBytes)
     this.answers += 1
--- a/packages/daemon/src/front/soak/disturbFleet.ts
+++ b/packages/daemon/src/front/soak/disturbFleet.ts
@@ -2,13 +2,13 @@
 import type { SoakFleet } from './SoakFleet.js'
 
 /** Kinds of disturbances that a run can draw from. @internal */
-export const DISTURBANCE_KINDS = ['restart', 'reload', 'configuration', 'drain', 'store', 'slow-link', 'kill', 'freeze', 'reset-link', 'cut-link'] as const
+export const DISTURBANCE_KINDS = ['restart', 'reload', 'configuration', 'drain', 'records', 'store', 'slow-link', 'kill', 'freeze', 'reset-link', 'cut-link'] as const
 
 /** One of `DISTURBANCE_KINDS`. @internal */
 export type DisturbanceKind = typeof DISTURBANCE_KINDS[number]
 
 /** Kinds that the checks excuse nothing for. @internal */
-export const PLANNED_KINDS: DisturbanceKind[] = ['restart', 'reload', 'configuration', 'drain', 'store', 'slow-link']
+export const PLANNED_KINDS: DisturbanceKind[] = ['restart', 'reload', 'configuration', 'drain', 'records', 'store', 'slow-link']
 
 /** Starts one disturbance; resolves when it is over. */
 async function startDisturbance (fleet: SoakFleet, kind: DisturbanceKind, random: SeededRandom): Promise<void> {
@@ -22,8 +22,9 @@
     case 'kill': return front.isBusy ? undefined : await fleet.kill(front)
     case 'freeze': return front.isBusy ? undefined : await fleet.freeze(front, durationMs)
     case 'reload': return await fleet.reload(front, { 'bounds.probes-per-s': pick(['30', '60'], second), 'bounds.retry-budget-slack': pick(['20', '56'], third), 'limits.link-mbps': pick(['200.0', '1000.0'], second) })
-    case 'configuration': return await fleet.configure({ stockService: pick(['menzaiko', 'nimono'], first), orderService: pick(['menzaiko', 'nimono'], second), timeoutMs: pick([6_000, 9_500], third), idleTimeoutMs: pick([1_500, 15_000], first * 2 % 1) })
-    case 'drain': return await fleet.replaceTarget(pick(['menzaiko', 'nimono'], first))
+    case 'configuration': return await fleet.configure({ stockService: pick(['menzaiko', 'nimono'], first), orderService: pick(['menzaiko', 'nimono'], second), timeoutMs: pick([6_000, 9_500], third), idleTimeoutMs: pick([1_500, 15_000], first * 2 % 1), isServiceDropped: third * 2 % 1 < 0.5 })
+    case 'drain': return await fleet.replaceTarget(pick(['menzaiko', 'nimono'], first), second < 0.6)
+    case 'records': return await fleet.loseRecords(1 + Math.floor(first * 6), durationMs)
     case 'store': return await fleet.troubleStore(pick(['busy', 'silent', 'reset'] as const, first), durationMs)
     case 'slow-link': return await fleet.slowLink(front, { delayMs: pick([2, 10, 40, 100], second), rateBytesPerS: pick([200_000, 1_000_000, Infinity], third), durationMs })
     case 'reset-link': return await fleet.resetLink(front)
--- a/packages/daemon/src/front/soak/requestContent.ts
+++ b/packages/daemon/src/front/soak/requestContent.ts
@@ -1,5 +1,5 @@
-/** How a target frames its answer; `dripped` is chunked, with pauses between the parts. @internal */
-export const ANSWER_FRAMINGS = ['length', 'chunked', 'dripped', 'close'] as const
+/** How a target frames its answer; `dripped` is chunked, with pauses between the parts, and `early` is sent before the body is read. @internal */
+export const ANSWER_FRAMINGS = ['length', 'chunked', 'dripped', 'close', 'early'] as const
 
 /** One of `ANSWER_FRAMINGS`. @internal */
 export type AnswerFraming = typeof ANSWER_FRAMINGS[number]
--- a/packages/daemon/src/front/soak/runSoak.ts
+++ b/packages/daemon/src/front/soak/runSoak.ts
@@ -66,7 +66,7 @@
     const reports = [...describeViolations(history, fleet, { seed, startedAtMs }), ...fleet.failures.map(failure => `FAILED seed ${seed}: ${failure}`)]
     if (reports.length === 0) rmSync(folder, { recursive: true, force: true })
     else writeFileSync(join(folder, 'violations.txt'), `${reports.join('\n')}\n`)
-    return { history, reports, summary: summarize(history, seed, reports.length) }
+    return { history, reports, summary: `${summarize(history, seed, reports.length)}; exits took up to ${Math.max(0, ...fleet.exitDurationsMs)} ms` }
   } finally {
     await fleet.stop()
   }
