--- a/packages/daemon/src/front/soak/LinkProxy.ts
+++ b/packages/daemon/src/front/soak/LinkProxy.ts
@@ -18,7 +18,7 @@
 }
 
 /**
- * TCP proxy between callers and one front. It delays data in both directions, limits the rate, resets connections and cuts one direction.
+ * TCP proxy between callers and one front, or between fronts and one target. It delays data in both directions, limits the rate, resets connections and cuts one direction.
  * Half-closed connections stay half closed, and a reset arrives as a reset.
  * @internal
  */
--- a/packages/daemon/src/front/soak/SoakFleet.ts
+++ b/packages/daemon/src/front/soak/SoakFleet.ts
@@ -155,6 +155,16 @@
     })
   }
 
+  /** Delays and slows the links of some targets. */
+  async slowTargets (count: number, { delayMs, rateBytesPerS, durationMs }: { delayMs: number, rateBytesPerS: number, durationMs: number }): Promise<void> {
+    const links = this.targets.slice(0, count).flatMap(({ link }) => link ?? [])
+    await this.disturb({ name: `target links +${delayMs} ms ${rateBytesPerS} B/s` }, async () => {
+      for (const link of links) Object.assign(link, { delayMs, rateBytesPerS })
+      await pause(durationMs)
+      for (const link of links) Object.assign(link, { delayMs: 0, rateBytesPerS: Infinity })
+    })
+  }
+
   async resetLink (front: SoakFront): Promise<void> {
     await this.disturb({ name: 'link reset', front: front.name, isUnplanned: true }, async () => front.proxy.reset())
   }
--- a/packages/daemon/src/front/soak/SoakTarget.ts
+++ b/packages/daemon/src/front/soak/SoakTarget.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { SEAL_HEADER, STORE_KEYS, type StandInPlatformStore } from '@carobpitch/platform'
+import { LinkProxy } from './LinkProxy.js'
 import { contentOf, isContentOf, readRequestPath, type RequestContent } from './requestContent.js'
 import type { TargetRecord } from './SoakHistory.js'
 
@@ -32,6 +33,8 @@
 export class SoakTarget {
   readonly targetId: string
   readonly service: string
+  /** Link between the fronts and the target. */
+  link: LinkProxy | undefined
   private readonly options: Required<SoakTargetOptions>
   private readonly server: Server
   private isDraining = false
@@ -46,9 +49,11 @@
     this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true }, (request, response) => this.handle(request, response))
   }
 
-  /** Listens on a free loopback port and registers in the store. */
+  /** Listens on a free loopback port behind a link of its own and registers in the store. */
   async start (): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+    this.link = new LinkProxy((this.server.address() as AddressInfo).port)
+    await this.link.start()
     this.register('ready')
   }
 
@@ -68,13 +73,14 @@
     this.unregister()
     while (this.running > 0) await new Promise(resolve => setTimeout(resolve, 50))
     this.server.closeAllConnections()
+    await this.link?.stop()
     await new Promise(resolve => this.server.close(resolve))
   }
 
   /** Writes the target's record. */
   register (state: 'ready' | 'draining'): void {
     const { store, service, slots } = this.options
-    const address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    const address = `127.0.0.1:${this.link?.port() ?? 0}`
     store.put(`${STORE_KEYS.targetPrefix}${this.targetId}`, JSON.stringify({ service, address, zone: 'zone-a', version: 'v1', slots, state, 'warmup-left': '0ms', sequence: 1, born: this.bornAtEpochMs }))
   }
 
--- a/packages/daemon/src/front/soak/disturbFleet.ts
+++ b/packages/daemon/src/front/soak/disturbFleet.ts
@@ -2,13 +2,13 @@
 import type { SoakFleet } from './SoakFleet.js'
 
 /** Kinds of disturbances that a run can draw from. @internal */
-export const DISTURBANCE_KINDS = ['restart', 'reload', 'configuration', 'drain', 'records', 'store', 'slow-link', 'kill', 'freeze', 'reset-link', 'cut-link'] as const
+export const DISTURBANCE_KINDS = ['restart', 'reload', 'configuration', 'drain', 'records', 'store', 'slow-link', 'slow-targets', 'kill', 'freeze', 'reset-link', 'cut-link'] as const
 
 /** One of `DISTURBANCE_KINDS`. @internal */
 export type DisturbanceKind = typeof DISTURBANCE_KINDS[number]
 
 /** Kinds that the checks excuse nothing for. @internal */
-export const PLANNED_KINDS: DisturbanceKind[] = ['restart', 'reload', 'configuration', 'drain', 'records', 'store', 'slow-link']
+export const PLANNED_KINDS: DisturbanceKind[] = ['restart', 'reload', 'configuration', 'drain', 'records', 'store', 'slow-link', 'slow-targets']
 
 /** Starts one disturbance; resolves when it is over. */
 async function startDisturbance (fleet: SoakFleet, kind: DisturbanceKind, random: SeededRandom): Promise<void> {
@@ -27,6 +27,7 @@
     case 'records': return await fleet.loseRecords(1 + Math.floor(first * 6), durationMs)
     case 'store': return await fleet.troubleStore(pick(['busy', 'silent', 'reset'] as const, first), durationMs)
     case 'slow-link': return await fleet.slowLink(front, { delayMs: pick([2, 10, 40, 100], second), rateBytesPerS: pick([200_000, 1_000_000, Infinity], third), durationMs })
+    case 'slow-targets': return await fleet.slowTargets(1 + Math.floor(first * 8), { delayMs: pick([2, 10, 40, 100], second), rateBytesPerS: pick([200_000, 1_000_000, Infinity], third), durationMs })
     case 'reset-link': return await fleet.resetLink(front)
     case 'cut-link': return await fleet.cutLink(front, pick(['to-front', 'to-caller'] as const, third), durationMs)
   }
--- a/packages/daemon/src/front/soak/runSoak.ts
+++ b/packages/daemon/src/front/soak/runSoak.ts
@@ -95,6 +95,7 @@
   }
   const byName = new Map<string, number>()
   for (const { name } of disturbances) byName.set(name.split(' +')[0] ?? name, (byName.get(name.split(' +')[0] ?? name) ?? 0) + 1)
+  const heldMs = callers.filter(({ end }) => end === 'closed').map(({ endedAtMs, deliveredAtMs = Infinity }) => Math.max(0, endedAtMs - deliveredAtMs))
   const list = (map: Map<string, number>): string => [...map].sort().map(([key, count]) => `${key}: ${count}`).join(', ')
-  return `seed ${seed}: ${callers.length} requests, ${violationCount} violations; ${list(counts)}; disturbances ${list(byName)}`
+  return `seed ${seed}: ${callers.length} requests, ${violationCount} violations; ${list(counts)}; disturbances ${list(byName)}; closed without an answer after up to ${Math.round(Math.max(0, ...heldMs))} ms`
 }
