--- a/packages/daemon/src/front/soak/CallerConnection.ts
+++ b/packages/daemon/src/front/soak/CallerConnection.ts
@@ -23,7 +23,7 @@
 export interface CallerConnectionOptions {
   proxy: LinkProxy
   /** Called when an answer arrives that no request was waiting for. */
-  onSurplusAnswer: () => void
+  onSurplusAnswer: (status: number) => void
   /** Pause after each read, for slow readers. */
   readPauseMs?: number
 }
@@ -124,7 +124,7 @@
     const entry = this.pending[0]
     if (headers.get('connection') === 'close') this.isClosing = true
     if (entry === undefined) {
-      this.options.onSurplusAnswer()
+      this.options.onSurplusAnswer(status)
       return
     }
     const { record, answerBytes } = entry
--- a/packages/daemon/src/front/soak/SoakCaller.ts
+++ b/packages/daemon/src/front/soak/SoakCaller.ts
@@ -9,6 +9,8 @@
 /** Parts in which a slow body is sent. */
 const BODY_PIECES = 10
 const CHUNK_BYTES = 5_000
+/** Bytes after a whole request that are no request. */
+const NO_REQUEST = Buffer.from('no request\r\n\r\n')
 
 /** Front as callers reach it. @internal */
 export interface ReachableFront {
@@ -56,7 +58,7 @@
     const isKept = kind === 'kept' || kind === 'pipelined' || kind === 'slow-head' || kind === 'slow-body' || kind === 'slow-reader'
     while (!this.isStopped) {
       const front = random.pick(fronts)
-      const connection = await CallerConnection.open({ proxy: front.proxy, onSurplusAnswer: () => onSurplusAnswer(front.name), readPauseMs: kind === 'slow-reader' ? random.between(5, 40) : 0 })
+      const connection = await CallerConnection.open({ proxy: front.proxy, onSurplusAnswer: status => { if (kind !== 'trailing' || status !== 400) onSurplusAnswer(front.name) }, readPauseMs: kind === 'slow-reader' ? random.between(5, 40) : 0 })
       if (connection === undefined) {
         await pause(RECONNECT_MS)
         continue
@@ -92,6 +94,7 @@
         connection.endSending()
         return await done
       }
+      case 'trailing': return await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs })], NO_REQUEST)
       case 'leaving': {
         const timer = setTimeout(() => connection.leave(), random.between(1, 400))
         await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs: 700, bodyBytes: isIdempotent ? 0 : random.pick([10, 100_000]) })])
@@ -118,9 +121,9 @@
     return { record, head, body: isChunked ? inChunks(contentOf(requestId, bodyBytes)) : contentOf(requestId, bodyBytes), answerBytes }
   }
 
-  private async sendTogether (connection: CallerConnection, requests: PlannedRequest[]): Promise<void> {
+  private async sendTogether (connection: CallerConnection, requests: PlannedRequest[], trailing = Buffer.alloc(0)): Promise<void> {
     const ended = requests.map(async ({ record, head, body, answerBytes }) => await connection.expect(record, head.length + body.length, answerBytes))
-    connection.write(Buffer.concat(requests.flatMap(({ head, body }) => [head, body])))
+    connection.write(Buffer.concat([...requests.flatMap(({ head, body }) => [head, body]), trailing]))
     await Promise.all(ended)
   }
 
--- a/packages/daemon/src/front/soak/SoakHistory.ts
+++ b/packages/daemon/src/front/soak/SoakHistory.ts
@@ -1,5 +1,5 @@
 /** How callers behave on their connections. @internal */
-export const CALLER_KINDS = ['kept', 'single', 'pipelined', 'slow-head', 'slow-body', 'slow-reader', 'half-closing', 'leaving'] as const
+export const CALLER_KINDS = ['kept', 'single', 'pipelined', 'slow-head', 'slow-body', 'slow-reader', 'half-closing', 'trailing', 'leaving'] as const
 
 /** One of `CALLER_KINDS`. @internal */
 export type CallerKind = typeof CALLER_KINDS[number]
