--- a/packages/daemon/src/front/soak/CallerConnection.ts
+++ b/packages/daemon/src/front/soak/CallerConnection.ts
@@ -5,7 +5,7 @@
 import type { CallerRecord } from './SoakHistory.js'
 
 /** Time after its deadline for which a caller still waits. */
-const WAIT_AFTER_DEADLINE_MS = 500
+const WAIT_AFTER_DEADLINE_MS = 2_000
 
 interface PendingRequest {
   record: CallerRecord
--- a/packages/daemon/src/front/soak/LinkProxy.ts
+++ b/packages/daemon/src/front/soak/LinkProxy.ts
@@ -111,8 +111,8 @@
       later(chunk.length, () => {
         inFlightBytes -= chunk.length
         if (this.cut !== direction && !to.destroyed) {
-          to.write(chunk)
-          onData(chunk)
+          // Bytes written before the connection is established have not arrived anywhere.
+          to.write(chunk, error => { if (error == null) onData(chunk) })
         }
         resumeIfRoom()
       })
--- a/packages/daemon/src/front/soak/SoakHistory.ts
+++ b/packages/daemon/src/front/soak/SoakHistory.ts
@@ -79,6 +79,8 @@
   disturbances: Disturbance[]
   /** Answers that no request was waiting for. */
   surplusAnswers: Array<{ front: string, atMs: number }>
+  /** Spans in which the soak process itself did not run and could see nothing. */
+  stalls: Array<{ fromMs: number, untilMs: number }>
 }
 
 /** Rules that `checkHistory` checks. @internal */
--- a/packages/daemon/src/front/soak/runSoak.ts
+++ b/packages/daemon/src/front/soak/runSoak.ts
@@ -5,6 +5,7 @@
 import { SeededRandom } from './SeededRandom.js'
 import { SoakCaller } from './SoakCaller.js'
 import { SoakFleet } from './SoakFleet.js'
+import { StallRecorder } from './StallRecorder.js'
 import { CALLER_KINDS, type CallerKind, type CallerRecord, type Disturbance, type SoakHistory } from './SoakHistory.js'
 
 /** Time between the last disturbance and the end of the run. */
@@ -43,6 +44,7 @@
 export async function runSoak ({ seed, durationMs = 25_000, frontCount = 4, callerCount = 28, callerKinds = CALLER_KINDS, disturbanceKinds = PLANNED_KINDS, folder = `target/soak-${seed}` }: SoakOptions): Promise<SoakResult> {
   rmSync(folder, { recursive: true, force: true })
   const fleet = new SoakFleet(folder)
+  const recorder = new StallRecorder()
   const records: CallerRecord[] = []
   const surplusAnswers: SoakHistory['surplusAnswers'] = []
   try {
@@ -62,12 +64,13 @@
     for (const caller of callers) caller.stop()
     await Promise.all(running)
     for (const { name, process } of fleet.fronts) if (!process.isRunning()) fleet.failures.push(`${name} has ended by itself`)
-    const history = { callers: records, targets: fleet.targetRecords, disturbances: fleet.disturbances, surplusAnswers }
+    const history = { callers: records, targets: fleet.targetRecords, disturbances: fleet.disturbances, surplusAnswers, stalls: recorder.stalls }
     const reports = [...describeViolations(history, fleet, { seed, startedAtMs }), ...fleet.failures.map(failure => `FAILED seed ${seed}: ${failure}`)]
     if (reports.length === 0) rmSync(folder, { recursive: true, force: true })
     else writeFileSync(join(folder, 'violations.txt'), `${reports.join('\n')}\n`)
     return { history, reports, summary: `${summarize(history, seed, reports.length)}; exits took up to ${Math.max(0, ...fleet.exitDurationsMs)} ms` }
   } finally {
+    recorder.stop()
     await fleet.stop()
   }
 }
@@ -87,7 +90,7 @@
   })
 }
 
-function summarize ({ callers, disturbances }: SoakHistory, seed: number, violationCount: number): string {
+function summarize ({ callers, disturbances, stalls }: SoakHistory, seed: number, violationCount: number): string {
   const counts = new Map<string, number>()
   for (const { kind, end, status } of callers) {
     const key = `${kind} ${end}${status === undefined ? '' : ` ${status}`}`
@@ -97,5 +100,5 @@
   for (const { name } of disturbances) byName.set(name.split(' +')[0] ?? name, (byName.get(name.split(' +')[0] ?? name) ?? 0) + 1)
   const heldMs = callers.filter(({ end }) => end === 'closed').map(({ endedAtMs, deliveredAtMs = Infinity }) => Math.max(0, endedAtMs - deliveredAtMs))
   const list = (map: Map<string, number>): string => [...map].sort().map(([key, count]) => `${key}: ${count}`).join(', ')
-  return `seed ${seed}: ${callers.length} requests, ${violationCount} violations; ${list(counts)}; disturbances ${list(byName)}; closed without an answer after up to ${Math.round(Math.max(0, ...heldMs))} ms`
+  return `seed ${seed}: ${callers.length} requests, ${violationCount} violations; ${list(counts)}; disturbances ${list(byName)}; closed without an answer after up to ${Math.round(Math.max(0, ...heldMs))} ms; the soak stalled for up to ${Math.round(Math.max(0, ...stalls.map(({ fromMs, untilMs }) => untilMs - fromMs)))} ms`
 }
