--- a/packages/daemon/src/front/soak/CallerConnection.ts
+++ b/packages/daemon/src/front/soak/CallerConnection.ts
@@ -73,7 +73,7 @@
     record.position = this.count
     this.count += 1
     await new Promise<void>(resolve => {
-      const entry: PendingRequest = { record, endsAtBytes: this.plannedBytes() + sizeBytes, answerBytes, resolve, timer: setTimeout(() => this.end(entry, 'unanswered'), record.deadlineMs + WAIT_AFTER_DEADLINE_MS) }
+      const entry: PendingRequest = { record, endsAtBytes: this.plannedBytes() + sizeBytes, answerBytes, resolve, timer: setTimeout(() => this.giveUp(entry), record.deadlineMs + WAIT_AFTER_DEADLINE_MS) }
       if (this.isClosing) {
         clearTimeout(entry.timer)
         record.end = 'closed'
@@ -155,9 +155,15 @@
     // The front's own close counts, not its arrival over a slow link.
     if (end === 'closed' && trace?.frontClosedAtMs !== undefined) record.endedAtMs = Math.min(record.endedAtMs, trace.frontClosedAtMs)
     resolve()
-    if (end === 'unanswered') {
-      this.isClosing = true
-      this.finish()
+  }
+
+  /** Ends a request whose answer is overdue, and with it the connection. An answer that has to wait for an earlier one is not overdue. */
+  private giveUp (entry: PendingRequest): void {
+    if (this.pending[0] !== entry) {
+      entry.timer = setTimeout(() => this.giveUp(entry), WAIT_AFTER_DEADLINE_MS)
+      return
     }
+    this.end(entry, 'unanswered')
+    this.leave()
   }
 }
