Soak: arrivals at targets do not count stalls of the soak process

With four busy processes beside it, the soak stood still for 571 ms at a time, and three requests that a front had cancelled in time were reported as GONE.

--- a/packages/daemon/src/front/soak/checkHistory.test.ts
+++ b/packages/daemon/src/front/soak/checkHistory.test.ts
@@ -102,6 +102,11 @@
       expect(brokenRules({ callers: [left], targets: late })).to.deep.equal(['GONE'])
     })
 
+    it('does not count the time in which the target could not receive', () => {
+      expect(brokenRules({ callers: [left], targets: late, stalls: [{ fromMs: SENT_AT_MS + 500, untilMs: SENT_AT_MS + 600 }] })).to.deep.equal([])
+      expect(brokenRules({ callers: [left], targets: [targetRecord({ atMs: SENT_AT_MS + 701 })], stalls: [{ fromMs: SENT_AT_MS + 500, untilMs: SENT_AT_MS + 600 }] })).to.deep.equal(['GONE'])
+    })
+
     it('allows an arrival within the slack, and one from a front that has just started', () => {
       expect(brokenRules({ callers: [left], targets: [targetRecord({ atMs: SENT_AT_MS + 599 })] })).to.deep.equal([])
       expect(brokenRules({ callers: [left], targets: late, disturbances: [disturbance({ name: 'SIGTERM', front: 'front-1' })] })).to.deep.equal([])
