--- a/packages/daemon/src/front/soak/FrontProcess.ts
+++ b/packages/daemon/src/front/soak/FrontProcess.ts
@@ -32,6 +32,7 @@
   readonly settings: Record<string, string>
   private readonly settingsPath: string
   private readonly readyPort: number
+  private readonly metricsPort: number
   readonly frontPort: number
   readonly controlAddress: string
   private child: ChildProcess | undefined
@@ -42,6 +43,7 @@
     this.settingsPath = join(folder, `${name}.conf`)
     this.frontPort = ports.front
     this.readyPort = ports.ready
+    this.metricsPort = ports.metrics
     this.controlAddress = `127.0.0.1:${ports.control}`
     this.settings = settingsOf({ name, storeAddress, ports, seeds: [...seeds, this.controlAddress].slice(0, 3) })
   }
@@ -105,6 +107,12 @@
     return readFileSync(this.logPath, 'utf8').split('\n').filter(line => line.includes(requestId) || (/event=(process|settings|stop)\./.test(line) && isNear(line)))
   }
 
+  /** Number of requests in flight, as the process reports it. Rejects if it does not answer. */
+  async inFlightCount (): Promise<number> {
+    const text = await (await fetch(`http://127.0.0.1:${this.metricsPort}/metrics`)).text()
+    return Number(/^carobpitch_front_in_flight (\d+)/m.exec(text)?.[1])
+  }
+
   /** Time between the last line of the log that says that the process has stopped, and a time of the wall clock. */
   sinceStoppedMs (epochMs: number): number {
     const line = readFileSync(this.logPath, 'utf8').split('\n').filter(line => line.includes('event=process.stopped')).at(-1)
--- a/packages/daemon/src/front/soak/SoakCaller.ts
+++ b/packages/daemon/src/front/soak/SoakCaller.ts
@@ -97,7 +97,9 @@
       case 'trailing': return await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs })], NO_REQUEST)
       case 'leaving': {
         const timer = setTimeout(() => connection.leave(), random.between(1, 400))
-        await this.sendTogether(connection, [this.plan(front, { isIdempotent, workMs: 700, bodyBytes: isIdempotent ? 0 : random.pick([10, 100_000]) })])
+        const requests = [this.plan(front, { isIdempotent, workMs: 700, bodyBytes: isIdempotent ? 0 : random.pick([10, 100_000]) })]
+        if (random.next() < 0.3) requests.push(this.plan(front, { isIdempotent, workMs: 700 }))
+        await this.sendTogether(connection, requests)
         clearTimeout(timer)
         return
       }
--- a/packages/daemon/src/front/soak/runSoak.ts
+++ b/packages/daemon/src/front/soak/runSoak.ts
@@ -63,7 +63,14 @@
     await new Promise(resolve => setTimeout(resolve, CALM_MS))
     for (const caller of callers) caller.stop()
     await Promise.all(running)
-    for (const { name, process } of fleet.fronts) if (!process.isRunning()) fleet.failures.push(`${name} has ended by itself`)
+    await new Promise(resolve => setTimeout(resolve, CALM_MS))
+    for (const { name, process } of fleet.fronts) {
+      if (!process.isRunning()) fleet.failures.push(`${name} has ended by itself`)
+      else {
+        const inFlightCount = await process.inFlightCount()
+        if (inFlightCount !== 0) fleet.failures.push(`${name} still counts ${inFlightCount} requests in flight after all callers have left`)
+      }
+    }
     const history = { callers: records, targets: fleet.targetRecords, disturbances: fleet.disturbances, surplusAnswers, stalls: recorder.stalls }
     const reports = [...describeViolations(history, fleet, { seed, startedAtMs }), ...fleet.failures.map(failure => `FAILED seed ${seed}: ${failure}`)]
     if (reports.length === 0) rmSync(folder, { recursive: true, force: true })
