Ask a caller that has closed its sending half whether it still reads

What callers saw: a caller that closes its sending half got 502 for a request at which a target was at work, 250 ms later, and 503 for one that waited.

Cause: a caller that has left and one that only sends nothing more look the same until something is written to them.

From 250 ms on the connection writes an interim response every 100 ms while a request is of no use without its caller. The connection of a caller that has left fails at the second write, and its requests are cancelled as before; one that still reads is answered.

--- a/packages/daemon/src/front/testing/RawCaller.ts
+++ b/packages/daemon/src/front/testing/RawCaller.ts
@@ -52,7 +52,7 @@
 
   /** Statuses of the final responses so far. */
   statuses (): number[] {
-    return [...this.received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status]) => Number(status))
+    return [...this.received.matchAll(/HTTP\/1\.1 ([2-5]\d{2})/g)].map(([, status]) => Number(status))
   }
 
   /** Waits until the instance has ended the connection, and returns the statuses of the responses. */
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -22,8 +22,6 @@
 const DEADLINE_DEFAULT_MS = 10_000
 /** Statuses that guarantee to callers that a request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
-/** Time for which a request is served as usual after its caller has closed its sending half, and perhaps left. */
-const HALF_CLOSED_WAIT_MS = 250
 /** A retry with less time than this left cannot get a response. */
 const ATTEMPT_MIN_MS = 20
 
@@ -45,8 +43,6 @@
   private service: ServiceName | undefined
   private configurationVersion = 0
   private deadlineAtMs = 0
-  /** Time from which on the request is not sent to a target any more, because its caller may have left. */
-  private sendableUntilMs = Infinity
   private timerKey: number | undefined
   private headers: string[] = []
   private body: Buffer | Readable | undefined
@@ -107,10 +103,8 @@
   }
 
   /** @internal */
-  handleCallerEnd (): void {
-    if (this.hasEnded) return
-    this.sendableUntilMs = performance.now() + HALF_CLOSED_WAIT_MS
-    this.context.timer.add({ expire: () => this.leaveSilentCaller() }, this.sendableUntilMs)
+  needsCaller (): boolean {
+    return this.running?.attempt.headWrittenAtMs === undefined || this.matchedRoute?.isIdempotent === true
   }
 
   /** @internal Called when the deadline of the request has passed. */
@@ -166,14 +160,6 @@
     else this.retryOrFinish(result.reason ?? 'target-failed')
   }
 
-  /** Gives up a request whose caller may have left, unless its target is at work on it and it may not run again, or its response is on the way. */
-  private leaveSilentCaller (): void {
-    const { running, matchedRoute: route } = this
-    const isAtTarget = running?.attempt.headWrittenAtMs !== undefined
-    if (this.hasEnded || this.isStreaming || (isAtTarget && route?.isIdempotent !== true)) return
-    this.failRequest('cancelled')
-  }
-
   /** A process that has just started receives the configuration a moment later. */
   private async awaitConfiguration (deadlineMs: number): Promise<void> {
     const state = await this.context.waitForRouting(deadlineMs * CONFIGURATION_WAIT_SHARE)
@@ -375,7 +361,7 @@
   }
 
   private hasTimeForAttempt (): boolean {
-    return Math.min(this.deadlineAtMs, this.sendableUntilMs) - performance.now() > ATTEMPT_MIN_MS
+    return this.deadlineAtMs - performance.now() > ATTEMPT_MIN_MS
   }
 
   /** Whether the whole body can still be sent. */
--- a/packages/proxy/src/CallerConnection.ts
+++ b/packages/proxy/src/CallerConnection.ts
@@ -11,6 +11,10 @@
 const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(['GET', 'HEAD', 'OPTIONS'])
 /** Largest declared body whose rest is read behind an early response to keep the connection. */
 const DISCARDED_BODY_MAX_BYTES = 262_144
+/** Time for which a request is served as usual after its caller has closed its sending half. */
+const HALF_CLOSED_WAIT_MS = 250
+/** Time in which a caller that has left resets a connection to which something was written. */
+const RESET_WAIT_MS = 100
 /** Longest time to read the rest of a body behind an early response. */
 const DISCARD_MAX_MS = 5_000
 
@@ -33,8 +37,8 @@
   readonly response: ServerResponse
   /** Called when the rest of the request cannot be read. */
   failRequest(reason: Reason): void
-  /** Called when the caller sends nothing more. It has left, or it only closed its sending half and still reads. */
-  handleCallerEnd(): void
+  /** Whether the request is of no use to anybody once its caller has left. */
+  needsCaller(): boolean
   /** Called once when the response has been sent or the connection has closed. */
   handleClose(endedBy: ConnectionEndedBy): void
 }
@@ -63,14 +67,15 @@
   /** `last-call`: a request behind others is refused, so that a caller that always has one under way is told to close. */
   private stage: 'open' | 'last-call' | 'closed' = 'open'
   private isEnding = false
-  private hasCallerEnded = false
+  private callerEndedAtMs: number | undefined
+  private probeTimer: NodeJS.Timeout | undefined
   private lingerTimer: NodeJS.Timeout | undefined
 
   constructor (options: CallerConnectionOptions) {
     this.options = options
     const { socket } = options
     socket.once('end', () => this.handleCallerEnd())
-    socket.on('error', () => { this.hasCallerEnded = true })
+    socket.on('error', () => { this.callerEndedAtMs ??= performance.now() })
     // Node emits no `close` for responses that wait for an earlier one.
     socket.once('close', () => this.handleClose())
     // Node calls this behind the last response and would close the connection with unread data, which resets it.
@@ -147,13 +152,31 @@
   }
 
   private handleCallerEnd (): void {
-    this.hasCallerEnded = true
+    this.callerEndedAtMs ??= performance.now()
     this.stage = 'closed'
-    for (const exchange of this.exchanges) exchange.handleCallerEnd()
+    this.scheduleProbe(HALF_CLOSED_WAIT_MS)
+  }
+
+  private scheduleProbe (delayMs: number): void {
+    if (this.exchanges.length === 0) return
+    this.probeTimer = setTimeout(() => {
+      if (this.exchanges[0]?.needsCaller() === true) this.probeCaller()
+      this.scheduleProbe(RESET_WAIT_MS)
+    }, delayMs)
+  }
+
+  /**
+   * Finds out whether a caller that sends nothing more still reads. The connection of one that has left fails at the second write, and with
+   * it its requests end. An interim response is the only message that a caller accepts at any time before its response.
+   */
+  private probeCaller (): void {
+    const [first] = this.exchanges
+    if (first !== undefined && !first.response.headersSent && first.request.httpVersionMinor > 0) first.response.writeContinue()
   }
 
   private handleClose (): void {
     clearTimeout(this.lingerTimer)
+    clearTimeout(this.probeTimer)
     this.stage = 'closed'
     this.isEnding = true
     for (const exchange of [...this.exchanges]) this.remove(exchange)
@@ -164,7 +187,7 @@
     if (index < 0) return
     this.exchanges.splice(index, 1)
     this.turnCallbacks.delete(exchange)
-    exchange.handleClose(this.hasCallerEnded ? 'caller' : 'instance')
+    exchange.handleClose(this.callerEndedAtMs === undefined ? 'instance' : 'caller')
     if (this.isEnding) return
     if (!exchange.request.complete) this.discardBody(exchange.request)
     if (this.exchanges.length === 0 && this.stage === 'closed') this.endAndLinger()
@@ -175,7 +198,14 @@
     const callback = this.turnCallbacks.get(exchange)
     if (callback === undefined || !this.isDue(exchange)) return
     this.turnCallbacks.delete(exchange)
-    callback()
+    const { callerEndedAtMs } = this
+    if (callerEndedAtMs === undefined || performance.now() - callerEndedAtMs < HALF_CLOSED_WAIT_MS) {
+      callback()
+      return
+    }
+    // The response before this request was the first write.
+    this.probeCaller()
+    setTimeout(() => { if (this.exchanges.includes(exchange)) callback() }, RESET_WAIT_MS)
   }
 
   private isDue (exchange: ConnectionExchange): boolean {
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -206,7 +206,7 @@
     const connection = this.connections.get(request.socket)
     request.resume()
     if (connection === undefined || connection.admit() === 'ignore') return
-    const exchange: ConnectionExchange = { request, response, failRequest: () => {}, handleCallerEnd: () => {}, handleClose: () => {} }
+    const exchange: ConnectionExchange = { request, response, failRequest: () => {}, needsCaller: () => true, handleClose: () => {} }
     connection.add(exchange)
     ownRoutes(request, response)
   }
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -65,8 +65,6 @@
 
 /** Largest response body that is written together with its head. For larger bodies, copying costs more than a second buffer. */
 const COALESCED_BODY_MAX_BYTES = 8_192
-/** Time for which a request is served as usual after its caller has closed its sending half, and perhaps left. */
-const HALF_CLOSED_WAIT_MS = 250
 const NO_TARGETS: ReadonlySet<TargetId> = new Set()
 
 /**
@@ -84,8 +82,6 @@
   private stage: Stage = 'reading'
   private parsed: CallerRequest | undefined
   private deadlineAtMs = 0
-  /** Time from which on the request is not sent to a target any more, because its caller may have left. */
-  private sendableUntilMs = Infinity
   private timerKey = 0
   private requestId = ''
   private headers: string[] = []
@@ -163,10 +159,8 @@
   }
 
   /** @internal */
-  handleCallerEnd (): void {
-    if (this.stage === 'ended') return
-    this.sendableUntilMs = performance.now() + HALF_CLOSED_WAIT_MS
-    this.context.timer.add({ expire: () => this.leaveSilentCaller() }, this.sendableUntilMs)
+  needsCaller (): boolean {
+    return this.running?.attempt.headWrittenAtMs === undefined || this.parsed?.isIdempotent === true
   }
 
   /** Called when the deadline has passed. A response that the caller has not read by then is aborted. */
@@ -310,17 +304,10 @@
       isRetry,
       isBodyBuffered: this.body === undefined || Buffer.isBuffer(this.body),
       isResponseStarted: this.response.headersSent,
-      remainingMs: Math.min(this.deadlineAtMs, this.sendableUntilMs) - performance.now()
+      remainingMs: this.deadlineAtMs - performance.now()
     }, this.context.takeRetryToken)
   }
 
-  /** Gives up a request whose caller may have left, unless its target is at work on it and it may not run again, or its response is on the way. */
-  private leaveSilentCaller (): void {
-    const isAtTarget = this.running?.attempt.headWrittenAtMs !== undefined
-    if (this.response.headersSent || (isAtTarget && this.parsed?.isIdempotent !== true)) return
-    this.interrupt('cancelled')
-  }
-
   /** Ends the request for a reason from outside its attempt. */
   private interrupt (reason: Reason): void {
     if (this.stage === 'ended') return
--- a/packages/proxy/src/Reason.ts
+++ b/packages/proxy/src/Reason.ts
@@ -49,11 +49,10 @@
     case 'refused-by-target':
     case 'target-withdrawn': return 503
     case 'deadline-exceeded': return 504
-    // `cancelled` is sent only to a caller that has closed its sending half and still reads.
-    case 'stopping':
-    case 'cancelled': return 503
+    case 'stopping': return 503
     // The connection is closed, so that this status appears only in metrics.
-    case 'connection-closed': return 499
+    case 'connection-closed':
+    case 'cancelled': return 499
     case 'connect-failed':
     case 'connect-timeout':
     case 'connection-lost':
