Keep serving when the settings file cannot be read

What callers saw: the front process ended, exit code 1, with every request that it held; three orders at their target, 300 ms before, got a closed connection and no answer.

Cause: the state of the settings file is read on SIGHUP and every 5 s, outside of the check of its content. `statSync` with `throwIfNoEntry: false` throws on every error but a missing file (a loop of links, missing permission, an input error), and an uncaught exception ends the process.

Change: an unreadable file counts as a state of the file. The read that follows reports `settings.invalid` with the reason, and the settings in force stay.

The tests of the bundle now wait until their processes have started, since a signal ends one that has no handlers yet.

--- a/packages/daemon/src/front/bundle.test.ts
+++ b/packages/daemon/src/front/bundle.test.ts
@@ -1,7 +1,8 @@
 import { execFile, spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { readFileSync, renameSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { createServer, type AddressInfo } from 'node:net'
+import { basename } from 'node:path'
 import { promisify } from 'node:util'
 import { expect } from 'chai'
 import { STORE_KEYS, StandInPlatformStore, STORE_PATHS, wireConfiguration } from '@carobpitch/platform'
@@ -77,6 +78,8 @@
         child.stdout.setEncoding('utf8').on('data', (text: string) => { log += text })
         processes.push(child)
       }
+      // A signal ends a process that has not yet installed its handlers.
+      await waitUntil(() => log.split('event=process.started').length > INSTANCES)
     })
 
     after(async () => {
@@ -113,5 +116,20 @@
       await waitUntil(() => /changed=\S*retryLimits/.test(log), FILE_CHECK_MAX_MS)
       expect(child.exitCode).to.equal(null)
     })
+
+    it('guards against a settings file that cannot be read and ends the process with the requests that it holds', async () => {
+      const [file, child] = [files[0], processes[0]] as [string, ChildProcess]
+      renameSync(file, `${file}.away`)
+      symlinkSync(basename(file), file)
+      log = ''
+      child.kill('SIGHUP')
+      await waitUntil(() => log.includes('event=settings.invalid') || log.includes('event=process.failed'))
+      rmSync(file)
+      renameSync(`${file}.away`, file)
+      child.kill('SIGHUP')
+      await waitUntil(() => log.includes('event=settings.adopted') || log.includes('event=process.failed'))
+      expect(log).to.contain('ELOOP').and.not.contain('event=process.failed')
+      expect(child.exitCode).to.equal(null)
+    })
   })
 })
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -70,10 +70,14 @@
   })
 }
 
-/** Returns what changes when the settings file is written. */
+/** Returns what changes when the settings file is written, or becomes readable or unreadable. */
 function readFileState (): string {
-  const stats = statSync(process.env[SETTINGS_VARIABLE] ?? '', { throwIfNoEntry: false })
-  return stats === undefined ? 'missing' : `${stats.mtimeMs} ${stats.size} ${stats.ino}`
+  try {
+    const { mtimeMs, size, ino } = statSync(process.env[SETTINGS_VARIABLE] ?? '')
+    return `${mtimeMs} ${size} ${ino}`
+  } catch (error) {
+    return `unreadable: ${(error as NodeJS.ErrnoException).code}`
+  }
 }
 
 function readSettingsFile (): Result<FrontSettings, Violation[]> {
