Judge a target's reachability after the events that wait

What callers saw: idempotent requests at a sound target that was still at work were broken off at their objective and sent elsewhere, or answered 502 where no other target could take them, after this process had been busy for a moment.

Cause: the check of an overdue target opens a connection with a timeout of 250 ms. When the process is busy for longer, the timer runs before the event of the socket, so that an established connection counted as one that had not opened.

Change: the timeout of this check applies only after the waiting events have been handled. Connections that are opened for requests keep their timeout; one of these that expires has sent nothing.

--- a/packages/proxy/src/Connector.ts
+++ b/packages/proxy/src/Connector.ts
@@ -21,12 +21,24 @@
   port: number
 }
 
+/**
+ * Options of `openConnection`.
+ * @internal
+ */
+export interface OpenConnectionOptions {
+  /**
+   * Whether the events that wait are handled before the timeout applies. After this process was busy, timers run before the events of
+   * sockets, although the connection may be established already.
+   */
+  handlesEventsFirst?: boolean
+}
+
 /**
  * Opens a connection with a timeout. undici's own connector checks its timeout only about twice a second,
  * which is too coarse for timeouts of 300 ms. The callback is called once, never synchronously.
  * @internal
  */
-export function openConnection (address: TargetAddress, timeoutMs: number, timer: DeadlineTimer, callback: ConnectCallback): Socket {
+export function openConnection (address: TargetAddress, timeoutMs: number, timer: DeadlineTimer, callback: ConnectCallback, { handlesEventsFirst = false }: OpenConnectionOptions = {}): Socket {
   const socket = connect({ ...address, noDelay: true, keepAlive: true })
   let isSettled = false
   const settle = (error: Error | null): void => {
@@ -44,7 +56,8 @@
   }
   const onConnect = (): void => settle(null)
   const onClose = (): void => settle(new Error('connection closed before it was established'))
-  const connectTimeout: Expirable = { expire: () => settle(new ConnectTimeoutError(`connection not established within ${timeoutMs} ms`)) }
+  const timeOut = (): void => settle(new ConnectTimeoutError(`connection not established within ${timeoutMs} ms`))
+  const connectTimeout: Expirable = { expire: () => { if (handlesEventsFirst) setImmediate(timeOut); else timeOut() } }
   const key = timer.add(connectTimeout, performance.now() + timeoutMs)
   socket.once('connect', onConnect)
   socket.once('error', settle)
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -122,7 +122,7 @@
         this.opening.delete(opening)
         if (socket !== null) this.addSpare(socket)
         resolve(socket !== null)
-      })
+      }, { handlesEventsFirst: true })
       this.opening.add(opening)
     })
   }
--- /dev/null
+++ b/packages/proxy/src/reachability.test.ts
@@ -0,0 +1,41 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server } from 'node:net'
+import { expect } from 'chai'
+import { DeadlineTimer } from './DeadlineTimer.js'
+import { TargetConnectionPool } from './TargetConnectionPool.js'
+
+const CONNECT_TIMEOUT_MS = 50
+const ROUNDS = 5
+
+describe('reachability of a target', () => {
+  let server: Server
+  let pool: TargetConnectionPool
+
+  beforeEach(async () => {
+    server = createServer(() => {}).listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const { port } = server.address() as AddressInfo
+    pool = new TargetConnectionPool({ url: `http://127.0.0.1:${port}`, connectionsMax: 3, connectTimeoutMs: CONNECT_TIMEOUT_MS, timer: new DeadlineTimer() })
+  })
+
+  afterEach(async () => {
+    await pool.close()
+    server.close()
+  })
+
+  /** Keeps the process from handling any event. */
+  function block (durationMs: number): void {
+    const untilMs = performance.now() + durationMs
+    while (performance.now() < untilMs);
+  }
+
+  it('guards against a target that is taken for unreachable because this process was busy', async () => {
+    const results: boolean[] = []
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const isReachable = pool.isReachable()
+      block(2 * CONNECT_TIMEOUT_MS)
+      results.push(await isReachable)
+    }
+    expect(results).to.deep.equal(Array(ROUNDS).fill(true))
+  })
+})
