Take a target that resets a new connection for reachable

What callers saw: three idempotent requests at a sound target that was at work on them, around a SIGTERM of the front process: broken off 1.5 s after they were sent, at their objective, and answered 502 by the front process instead of the target's 200 after 3 s.

Cause: a target resets connections beyond the number that it accepts. The check of an overdue target opens one connection more, and took a reset for an unreachable machine.

Change: a reset counts as a sign of life. A refused connection and one that does not open within the timeout still count as unreachable.

--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -113,15 +113,18 @@
     this.opening.add(opening)
   }
 
-  /** Finds out whether the target accepts connections. One that it accepts is kept for the next request. */
+  /**
+   * Finds out whether the target accepts connections. One that it accepts is kept for the next request. A target that resets the
+   * connection is reachable: it does that to connections beyond the number that it accepts.
+   */
   async isReachable (): Promise<boolean> {
     if (this.isClosed) return false
     const { connectTimeoutMs, timer } = this.options
     return await new Promise(resolve => {
-      const opening = openConnection(this.address, connectTimeoutMs, timer, (_error, socket) => {
+      const opening = openConnection(this.address, connectTimeoutMs, timer, (error, socket) => {
         this.opening.delete(opening)
         if (socket !== null) this.addSpare(socket)
-        resolve(socket !== null)
+        resolve(socket !== null || (error as NodeJS.ErrnoException).code === 'ECONNRESET')
       }, { handlesEventsFirst: true })
       this.opening.add(opening)
     })
--- a/packages/proxy/src/reachability.test.ts
+++ b/packages/proxy/src/reachability.test.ts
@@ -38,4 +38,17 @@
     }
     expect(results).to.deep.equal(Array(ROUNDS).fill(true))
   })
+
+  it('guards against a target that is taken for unreachable because it resets connections beyond its limit', async () => {
+    server.on('connection', socket => socket.resetAndDestroy())
+    const results: boolean[] = []
+    for (let round = 0; round < ROUNDS; round += 1) results.push(await pool.isReachable())
+    expect(results).to.deep.equal(Array(ROUNDS).fill(true))
+  })
+
+  it('does not take a target for reachable that refuses connections', async () => {
+    server.close()
+    await once(server, 'close')
+    expect(await pool.isReachable()).to.equal(false)
+  })
 })
