Keep overdue requests at targets that are no longer registered

What callers saw: idempotent requests whose target left as planned (its record was removed and it served on) were broken off at their objective while the target was at work. Three of three were answered 502 by the front process, 1.5 s after they were sent, instead of the target's 200 after 2.5 s: `outcome=stopping` after a SIGTERM of the front process, also with two other targets, and `outcome=no-target` without one. The same after a target was registered anew.

Cause: the check of an overdue target answered "not reachable" without a try once its connection pool was retired, and a check under way failed when the pool was retired. The attempt was then cancelled, although the request could go nowhere else.

Change: the check opens its connection also for a retired pool, and retiring leaves it alone. The connection is closed after the check.

--- a/packages/daemon/src/front/plannedStop.test.ts
+++ b/packages/daemon/src/front/plannedStop.test.ts
@@ -2,12 +2,14 @@
 import { expect } from 'chai'
 import { callerHeaders, wireConfiguration, wireRoute, type StandInPlatformTarget } from '@carobpitch/platform'
 import type { FrontDaemon } from './FrontDaemon.js'
-import { FrontTestHarness } from './testing/FrontTestHarness.js'
+import { FrontTestHarness, waitUntil } from './testing/FrontTestHarness.js'
 
 const GRACE_MS = 2_000
 /** Pause of a caller between two requests. */
 const PAUSE_MS = 15
 const CALLERS = 6
+/** Work of a target that lasts beyond the objective of the route. */
+const LONG_WORK_MS = 1_000
 /** Time that a slow caller takes for the body of a request. */
 const SLOW_BODY_MS = 400
 const CONFIGURATION = wireConfiguration({
@@ -83,4 +85,18 @@
       expect(outcomes.filter(({ status }) => status === 200).length).to.be.greaterThan(0)
     })
   }
+
+  for (const [name, isStopping] of [['while this process stops', true], ['while no other target is there', false]] as const) {
+    it(`guards against a request that is broken off at a target whose record is removed and that serves on, ${name}`, async () => {
+      target = await harness.addTarget({ targetId: 'i-1', service: 'menzaiko', serviceTimeMs: LONG_WORK_MS })
+      const front = await harness.addFront({ stopGraceMs: GRACE_MS, directoryTtlMaxMs: 400 })
+      const call = harness.call(front, { deadlineMs: 5_000 })
+      await waitUntil(() => target.receivedRequests.length === 1)
+      harness.store.remove(target.key())
+      await waitUntil(() => front.kernel.get('targets').count() === 0)
+      if (isStopping) front.stopGracefully()
+      expect(await call).to.include({ status: 200, body: 'the whole body' })
+      expect(target.receivedRequests.map(({ isAborted }) => isAborted)).to.deep.equal([false])
+    })
+  }
 })
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -54,6 +54,8 @@
   private readonly busy = new Set<Client>()
   private readonly spares: SpareConnection[] = []
   private readonly opening = new Set<Socket>()
+  /** Connections that are being opened to find out whether the target is reachable. */
+  private readonly checking = new Set<Socket>()
   private readonly sockets = new WeakMap<Client, Socket>()
   /** Connections that have carried an exchange. */
   private readonly reused = new WeakSet<Client>()
@@ -102,7 +104,7 @@
 
   /** Opens a connection in advance if there is none for the next request. */
   preconnect (): void {
-    const spareCount = this.spares.length + this.opening.size
+    const spareCount = this.spares.length + this.opening.size + this.checking.size
     const isNeeded = this.idle.length === 0 && spareCount === 0 && this.busy.size < this.options.connectionsMax
     if (!isNeeded || this.isClosed) return
     const { connectTimeoutMs, timer } = this.options
@@ -115,18 +117,18 @@
 
   /**
    * Finds out whether the target accepts connections. One that it accepts is kept for the next request. A target that resets the
-   * connection is reachable: it does that to connections beyond the number that it accepts.
+   * connection is reachable: it does that to connections beyond the number that it accepts. The same holds after `retire`, because a
+   * target that is no longer registered may still be at work on the requests that it has.
    */
   async isReachable (): Promise<boolean> {
-    if (this.isClosed) return false
     const { connectTimeoutMs, timer } = this.options
     return await new Promise(resolve => {
-      const opening = openConnection(this.address, connectTimeoutMs, timer, (error, socket) => {
-        this.opening.delete(opening)
+      const checking = openConnection(this.address, connectTimeoutMs, timer, (error, socket) => {
+        this.checking.delete(checking)
         if (socket !== null) this.addSpare(socket)
         resolve(socket !== null || (error as NodeJS.ErrnoException).code === 'ECONNRESET')
       }, { handlesEventsFirst: true })
-      this.opening.add(opening)
+      this.checking.add(checking)
     })
   }
 
@@ -146,6 +148,7 @@
   /** Closes all connections immediately, including busy ones. */
   async close (): Promise<void> {
     this.retire()
+    for (const socket of this.checking) socket.destroy()
     await Promise.all([...this.busy].map(client => client.destroy()))
   }
 
--- a/packages/proxy/src/reachability.test.ts
+++ b/packages/proxy/src/reachability.test.ts
@@ -46,6 +46,29 @@
     expect(results).to.deep.equal(Array(ROUNDS).fill(true))
   })
 
+  describe('of a target that is no longer registered', () => {
+    it('guards against a target at work that is taken for unreachable', async () => {
+      pool.retire()
+      expect(await pool.isReachable()).to.equal(true)
+    })
+
+    it('guards against a check that fails because the target leaves meanwhile', async () => {
+      const isReachable = pool.isReachable()
+      pool.retire()
+      expect(await isReachable).to.equal(true)
+    })
+
+    it('guards against a connection that is kept after the check', async () => {
+      const accepted = once(server, 'connection')
+      pool.retire()
+      await pool.isReachable()
+      const [socket] = await accepted
+      socket.resume()
+      await once(socket, 'close')
+      expect(pool.dump()).to.deep.equal({ busy: 0, idle: 0, spare: 0 })
+    })
+  })
+
   it('does not take a target for reachable that refuses connections', async () => {
     server.close()
     await once(server, 'close')
