Say how many requests end with the process

What operators saw: after a crash nothing said how many requests had ended with the process, and the end of a planned stop with requests in flight looked like any other in the log.

Cause: `process.failed` had no count, and `stop.ended` is an event of the usual level.

Change: `process.failed` carries `inFlight`, and a planned stop whose grace period ends with requests in flight logs `stop.requests-cut` as a warning. Ids of the requests are not logged: those that were sent have a `request.sent` without `request.ended`.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -104,7 +104,7 @@
     const observer: ResponseObserver = { onMisplaced: target => targets.markMisplaced(target), onLeaving: target => targets.markLeaving(target) }
 
     const metrics = new FrontMetrics(registry, {
-      inFlight: () => kernel.get('front').inFlightCount(),
+      inFlight: () => this.inFlightCount(),
       cacheAgeMs: () => kernel.get('follower').ageMs(),
       services: () => kernel.get('dispatcher').stats(),
       routingTable: () => cache.routingTable(),
@@ -137,7 +137,7 @@
     })
     this.shutdown = new FrontShutdown({
       lease,
-      inFlightCount: () => kernel.get('front').inFlightCount(),
+      inFlightCount: () => this.inFlightCount(),
       graceMs: () => live.current().stopGraceMs,
       directoryAnswerLifetimeMs: () => DIRECTORY_RETENTION_FACTOR * directoryTtlMs(live.current()),
       log
@@ -212,6 +212,11 @@
     else this.options.log.info('settings.adopted', fields)
   }
 
+  /** Number of callers' requests without a response. */
+  inFlightCount (): number {
+    return this.kernel.get('front').inFlightCount()
+  }
+
   /** Planned stop. Resolves when the process may exit. */
   async stopGracefully (): Promise<void> {
     await this.shutdown.run()
--- a/packages/daemon/src/front/bundle.test.ts
+++ b/packages/daemon/src/front/bundle.test.ts
@@ -1,7 +1,7 @@
 import { execFile, spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { readFileSync, renameSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
+import { connect, createServer, type AddressInfo } from 'node:net'
 import { basename } from 'node:path'
 import { promisify } from 'node:util'
 import { expect } from 'chai'
@@ -31,6 +31,8 @@
 /** Time for which the processes run, in which each of them alone would read the store several times. */
 const RUN_MS = 4_000
 const INSTANCES = 3
+/** Time after which a request has arrived; shorter than it waits for a configuration. */
+const HELD_MS = 300
 /** Time within which a changed settings file is noticed without a signal. */
 const FILE_CHECK_MAX_MS = 8_000
 /** Time after which all instances know each other. */
@@ -60,6 +62,27 @@
     expect(stdout).to.contain('code cache used')
   })
 
+  it('guards against a crash that does not say how many requests end with it', async () => {
+    const file = 'target/bundle-test-crash.conf'
+    const port = await findFreePort()
+    const listeners = await Promise.all(['ready', 'directory', 'control'].map(async name => [`listen.${name}`, `127.0.0.1:${await findFreePort()}`]))
+    writeSettings(file, { ...SETTINGS, ...Object.fromEntries(listeners) as Record<string, string>, 'listen.front': `127.0.0.1:${port}`, 'metrics.port': String(await findFreePort()) })
+    const crash = "data:text/javascript,process.on('SIGUSR2',()=>{throw(new(Error)('a%20defect'))})"
+    const child = spawn(process.execPath, ['--import', crash, ...nodeArguments], { env: { ...process.env, CAROBPITCH_SETTINGS: file }, stdio: ['ignore', 'pipe', 'ignore'] })
+    let log = ''
+    child.stdout.setEncoding('utf8').on('data', (text: string) => { log += text })
+    await waitUntil(() => log.includes('event=peer.listening'))
+    // Without a configuration, a request is held for a moment.
+    const caller = connect(port, '127.0.0.1').on('error', () => {})
+    caller.write('GET / HTTP/1.1\r\nhost: shop.example\r\n\r\n')
+    await new Promise(resolve => setTimeout(resolve, HELD_MS))
+    child.kill('SIGUSR2')
+    const [code] = await once(child, 'close') as [number]
+    rmSync(file)
+    expect(code).to.equal(1)
+    expect(log).to.match(/event=process.failed .*reason="a defect" inFlight=1 /)
+  })
+
   describe('as several processes', () => {
     const store = new StandInPlatformStore()
     const files: string[] = []
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -45,7 +45,7 @@
 setInterval(() => { if (readFileState() !== settingsFileState) reload() }, FILE_CHECK_MS).unref()
 // The log line distinguishes a crash from a kill.
 process.on('uncaughtException', error => {
-  log.error('process.failed', { reason: error.message, stack: error.stack })
+  log.error('process.failed', { reason: error.message, inFlight: daemon.inFlightCount(), stack: error.stack })
   process.exit(EXIT_FAILED)
 })
 log.info('process.loaded', { codeCache: codeCacheState(), uptimeMs: Math.round(process.uptime() * 1_000) })
--- a/packages/gateway/src/edge/FrontShutdown.test.ts
+++ b/packages/gateway/src/edge/FrontShutdown.test.ts
@@ -1,3 +1,4 @@
+import { Writable } from 'node:stream'
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
 import { EventLog } from '@carobpitch/kernel'
@@ -8,11 +9,19 @@
   let inFlight: number
   let revocations: number
   let stop: FrontShutdown
+  let logged: string
 
   beforeEach(() => {
     clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] }) as never
     inFlight = 1
     revocations = 0
+    logged = ''
+    const output = new Writable({
+      write: (line, _encoding, callback) => {
+        logged += String(line)
+        callback()
+      }
+    })
     stop = new FrontShutdown({
       lease: {
         revoke: async () => {
@@ -23,7 +32,7 @@
       inFlightCount: () => inFlight,
       graceMs: () => 6_000,
       directoryAnswerLifetimeMs: () => 4_500,
-      log: new EventLog({ silent: true })
+      log: new EventLog({ output })
     })
   })
 
@@ -53,6 +62,20 @@
     expect(end.atMs).to.be.within(5_400, 5_600)
   })
 
+  it('guards against requests that are cut at the end without a trace', async () => {
+    inFlight = 3
+    runShutdown()
+    await clock.tickAsync(6_000)
+    expect(logged).to.match(/level=warn event=stop.requests-cut inFlight=3\n/)
+  })
+
+  it('reports no cut requests if there are none', async () => {
+    inFlight = 0
+    runShutdown()
+    await clock.tickAsync(6_000)
+    expect(logged).to.contain('event=stop.ended').and.not.contain('stop.requests-cut')
+  })
+
   it('guards against a second signal that ends the process at once', async () => {
     const first = runShutdown()
     await clock.tickAsync(1_000)
--- a/packages/gateway/src/edge/FrontShutdown.ts
+++ b/packages/gateway/src/edge/FrontShutdown.ts
@@ -65,6 +65,8 @@
       if (isUnused || performance.now() >= endsAtMs) break
       await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS))
     }
-    log.info('stop.ended', { elapsedMs: Math.round(performance.now() - startedAtMs), inFlight: inFlightCount() })
+    const cutCount = inFlightCount()
+    if (cutCount > 0) log.warn('stop.requests-cut', { inFlight: cutCount })
+    log.info('stop.ended', { elapsedMs: Math.round(performance.now() - startedAtMs), inFlight: cutCount })
   }
 }
