--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -45,7 +45,7 @@
 setInterval(() => { if (readFileState() !== settingsFileState) reload() }, FILE_CHECK_MS).unref()
 // The log line distinguishes a crash from a kill.
 process.on('uncaughtException', error => {
-  log.error('process.failed', { reason: error.message, stack: error.stack })
+  log.error('process.failed', { reason: error.message, inFlight: daemon.inFlightCount(), stack: error.stack })
   process.exit(EXIT_FAILED)
 })
 log.info('process.loaded', { codeCache: codeCacheState(), uptimeMs: Math.round(process.uptime() * 1_000) })
@@ -70,10 +70,14 @@
   })
 }
 
-/** Returns what changes when the settings file is written. */
+/** Returns what changes when the settings file is written, or becomes readable or unreadable. */
 function readFileState (): string {
-  const stats = statSync(process.env[SETTINGS_VARIABLE] ?? '', { throwIfNoEntry: false })
-  return stats === undefined ? 'missing' : `${stats.mtimeMs} ${stats.size} ${stats.ino}`
+  try {
+    const { mtimeMs, size, ino } = statSync(process.env[SETTINGS_VARIABLE] ?? '')
+    return `${mtimeMs} ${size} ${ino}`
+  } catch (error) {
+    return `unreadable: ${(error as NodeJS.ErrnoException).code}`
+  }
 }
 
 function readSettingsFile (): Result<FrontSettings, Violation[]> {
