--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import type { EventLog } from '@carobpitch/kernel'
-import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { abortResponse, BlockWriter, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type DeadlineTimer, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
@@ -82,6 +82,7 @@
   private sends = 0
   private verdict: Verdict = 'not-run'
   private isStreaming = false
+  private writer: BlockWriter | undefined
   private hasEnded = false
   private releaseBodyMemory: (() => void) | undefined
   private overdueCheck: OverdueCheck | undefined
@@ -144,7 +145,7 @@
   takeData (chunk: Buffer): boolean {
     const { buffered } = this.running ?? {}
     if (buffered === undefined || this.hasEnded) return true
-    if (this.isStreaming) return this.response.write(chunk) || this.pauseUntilDrained()
+    if (this.writer !== undefined) return this.writer.write(chunk)
     if (buffered.add(chunk)) return true
     this.beginStreaming(buffered)
     return true
@@ -319,7 +320,7 @@
       this.dispatch()
       return
     }
-    if (this.isStreaming) this.response.end()
+    if (this.writer !== undefined) this.writer.end()
     else this.writeBuffered(buffered)
     this.recordEnd('answered', buffered.head.status, running.grant.target.record.targetId)
   }
@@ -339,12 +340,8 @@
     const headers = buffered.head.forwarded
     this.pushConnectionHeader(headers)
     this.response.writeHead(buffered.head.status, headers)
-    this.response.write(buffered.take())
-  }
-
-  private pauseUntilDrained (): false {
-    this.response.once('drain', () => this.running?.attempt.resume())
-    return false
+    this.writer = new BlockWriter({ destination: this.response, onRoom: () => this.running?.attempt.resume() })
+    this.writer.write(buffered.take())
   }
 
   private retryOrFinish (reason: FrontReason): void {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,6 @@
 export { createBearerCheck } from './bearerCheck.js'
+export { ByteCollector } from './ByteCollector.js'
+export { collectBytes } from './collectBytes.js'
 export { closeServer, openServer } from './serverLifecycle.js'
 export { RateLimitedOutput, type RateLimitedOutputOptions } from './RateLimitedOutput.js'
 export { EventLog, type EventLogOptions } from './EventLog.js'
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -6,6 +6,7 @@
 import type { AttemptOutcome, Refusal, Scheduler, TargetGrant, TargetView } from '@carobpitch/routing'
 import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
+import { BlockWriter } from './BlockWriter.js'
 import { abortResponse, writeLocalReply, writeForwardedHead, type ResponseMetadata } from './CallerResponse.js'
 import type { DeadlineTimer, Expirable } from './DeadlineTimer.js'
 import { mayResend } from './mayResend.js'
@@ -62,7 +63,7 @@
   readonly response: ServerResponse
   private readonly context: ExchangeContext
   private readonly startedAtMs = performance.now()
-  private readonly onDrain = (): void => { this.running?.attempt.resume() }
+  private writer: BlockWriter | undefined
   private stage: Stage = 'reading'
   private parsed: CallerRequest | undefined
   private deadlineAtMs = 0
@@ -173,9 +174,8 @@
       this.coalescedBody = chunk
       return true
     }
-    if (this.response.write(chunk)) return true
-    this.response.once('drain', this.onDrain)
-    return false
+    this.writer ??= new BlockWriter({ destination: this.response, onRoom: () => this.running?.attempt.resume() })
+    return this.writer.write(chunk)
   }
 
   /** @internal */
@@ -299,6 +299,7 @@
     this.recordOutcome(reason)
     // Node combines a string, but not a buffer, with the head in one write.
     if (isComplete && this.coalescedBody !== undefined) this.response.end(this.coalescedBody.toString('latin1'), 'latin1')
+    else if (isComplete && this.writer !== undefined) this.writer.end()
     else if (isComplete) this.response.end()
     else abortResponse(this.response)
     this.discardRequestBody()
