Hold back a response at its connection instead of pausing undici's parser

Callers saw: the front process ended, and the requests of all others with it, when a target closed or reset a connection while a response on it waited for its caller (response with Connection: close or without framing, over 256 KiB, caller that reads slowly or an earlier response that is pending on its connection). Cause: Attempt paused undici's parser; if the connection ends then, undici's Parser.finish fails its assertion that the parser is not paused, in an event handler. Change: TargetSocket holds back what the parser has not read yet; the parser is never paused.

--- a/packages/daemon/src/front/testing/byteShapes.ts
+++ b/packages/daemon/src/front/testing/byteShapes.ts
@@ -11,6 +11,10 @@
 const DEADLINE_MS = 60_000
 const SEGMENT_BYTES = 65_536
 const ONE_BYTE_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(Math.floor(SEGMENT_BYTES / 6)))
+/** Parts of a response that ends: one that is buffered, one with which streaming begins, and one that has to wait. */
+const PARTS_BYTES = { end: [262_044, 200, 1_000], reset: [262_044, 200, 70_000] }
+/** Time between the parts of a response that ends, in which the parts before have been read. */
+const PART_INTERVAL_MS = 100
 const LARGE_CHUNKS = Buffer.from(`10000\r\n${'x'.repeat(65_536)}\r\n`)
 
 /**
@@ -28,6 +32,8 @@
   endsAfterBytes?: number
   /** Whether the side that receives the bytes reads them. */
   isRead: boolean
+  /** How the target ends the connection after a part of the response that the front process can't pass on yet. */
+  ending?: 'end' | 'reset'
 }
 
 /** Shapes of bytes by name. @internal */
@@ -38,7 +44,9 @@
   'requests of 65,000 one-byte chunks': { callers: 24, direction: 'request', piece: ONE_BYTE_CHUNKS, endsAfterBytes: 390_000, isRead: true },
   'endless requests, one-byte chunks, target reads': { callers: 24, direction: 'request', piece: ONE_BYTE_CHUNKS, isRead: true },
   'endless requests, one-byte chunks, target does not read': { callers: 24, direction: 'request', piece: ONE_BYTE_CHUNKS, isRead: false },
-  'endless requests, 64 KiB chunks, target does not read': { callers: 24, direction: 'request', piece: LARGE_CHUNKS, isRead: false }
+  'endless requests, 64 KiB chunks, target does not read': { callers: 24, direction: 'request', piece: LARGE_CHUNKS, isRead: false },
+  'response that the target ends while it waits for an earlier one': { callers: 4, direction: 'response', piece: LARGE_CHUNKS, isRead: true, ending: 'end' },
+  'response that the target resets while it waits for an earlier one': { callers: 4, direction: 'response', piece: LARGE_CHUNKS, isRead: true, ending: 'reset' }
 }
 
 /** What was seen while a shape was played. @internal */
@@ -59,13 +67,16 @@
  * Starts a front process, plays a shape of bytes for `durationMs` and sends requests to a sound service meanwhile.
  * @internal
  */
-export async function playByteShape ({ callers, direction, piece, endsAfterBytes = Infinity, isRead }: ByteShape, { durationMs, bundleDirectory = 'target' }: { durationMs: number, bundleDirectory?: string }): Promise<ByteShapeResult> {
+export async function playByteShape ({ callers, direction, piece, endsAfterBytes = Infinity, isRead, ending }: ByteShape, { durationMs, bundleDirectory = 'target' }: { durationMs: number, bundleDirectory?: string }): Promise<ByteShapeResult> {
   const store = new StandInPlatformStore()
   const sockets: Socket[] = []
   const faulty = new RawTarget(request => {
     if (answerProbe(request)) return
     const { socket, head } = request
-    if (direction === 'response') {
+    if (head.includes('/faulty/silent')) return
+    if (ending !== undefined) {
+      sendAndClose(socket, headerOf(head, ID_HEADER) ?? '', ending)
+    } else if (direction === 'response') {
       socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n${ID_HEADER}: ${headerOf(head, ID_HEADER) ?? ''}\r\n\r\n`)
       pour(socket, piece)
     } else {
@@ -98,7 +109,7 @@
     for (let warmUp = 0; warmUp < 10; warmUp += 1) await front.call('/sound/1', { requestId: `warm-up-${warmUp}` })
     const idleMemoryBytes = front.peakMemoryBytes() ?? 0
     let peakMemoryBytes = idleMemoryBytes
-    for (let caller = 0; caller < callers; caller += 1) sockets.push(openCaller(front.port, caller, { direction, piece, endsAfterBytes, isRead }))
+    for (let caller = 0; caller < callers; caller += 1) sockets.push(openCaller(front.port, caller, { direction, piece, endsAfterBytes, isRead, hasEarlierRequest: ending !== undefined }))
     const endsAtMs = performance.now() + durationMs
     const others: Array<ReturnType<FrontProcess['call']>> = []
     while (performance.now() < endsAtMs && front.isRunning()) {
@@ -129,11 +140,12 @@
   return true
 }
 
-function openCaller (port: number, caller: number, { direction, piece, endsAfterBytes, isRead }: Required<Pick<ByteShape, 'direction' | 'piece' | 'endsAfterBytes' | 'isRead'>>): Socket {
+function openCaller (port: number, caller: number, { direction, piece, endsAfterBytes, isRead, hasEarlierRequest }: Required<Pick<ByteShape, 'direction' | 'piece' | 'endsAfterBytes' | 'isRead'>> & { hasEarlierRequest: boolean }): Socket {
   const socket = connect(port, '127.0.0.1')
   socket.on('error', () => {})
   const headers = Object.entries(callerHeaders({ host: HOST, requestId: `faulty-${caller}`, deadlineMs: DEADLINE_MS })).map(([name, value]) => `${name}: ${value}\r\n`).join('')
   if (direction === 'response') {
+    if (hasEarlierRequest) socket.write(`GET /faulty/silent HTTP/1.1\r\n${headers}\r\n`)
     socket.write(`GET /faulty/1 HTTP/1.1\r\n${headers}\r\n`)
     if (isRead) socket.resume()
   } else {
@@ -144,6 +156,16 @@
   return socket
 }
 
+/** Sends a response that ends with its connection, in parts. */
+function sendAndClose (socket: Socket, requestId: string, ending: 'end' | 'reset'): void {
+  socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n${ID_HEADER}: ${requestId}\r\n\r\n`)
+  const steps = [
+    ...PARTS_BYTES[ending].map(sizeBytes => () => { socket.write('x'.repeat(sizeBytes)) }),
+    () => { if (ending === 'end') socket.end(); else socket.resetAndDestroy() }
+  ]
+  for (const [index, step] of steps.entries()) setTimeout(step, index * PART_INTERVAL_MS)
+}
+
 /** Writes a piece again and again, as fast as it is read. */
 function pour (socket: Socket, piece: Buffer, endsAfterBytes = Infinity): void {
   let sentBytes = 0
--- a/packages/proxy/src/Attempt.test.ts
+++ b/packages/proxy/src/Attempt.test.ts
@@ -15,6 +15,7 @@
       notRunStatuses: [],
       sink: { takeHead: () => true, takeData: () => true, onAttemptEnd: (_attempt, result) => { results.push(result) } },
       checkBeforeSend: () => undefined,
+      setReading: () => {},
       ...options
     })
     attempt.start(client)
@@ -55,7 +56,7 @@
     const results: AttemptResult[] = []
     const attempt = attemptWith(results)
     attempt.onConnect(() => {})
-    attempt.onHeaders(200, [Buffer.from('content-length'), Buffer.from('10')], () => {})
+    attempt.onHeaders(200, [Buffer.from('content-length'), Buffer.from('10')])
     attempt.onData(Buffer.alloc(9))
     attempt.onComplete()
     expect(results[0]).to.include({ verdict: 'may-have-run', reason: 'truncated-response', isComplete: false, isReusable: false })
--- a/packages/proxy/src/Attempt.ts
+++ b/packages/proxy/src/Attempt.ts
@@ -30,7 +30,7 @@
 export interface ResponseSink {
   /** Receives the response head. Returns whether the sink accepts the response; otherwise its body is read and discarded. */
   takeHead (head: ResponseHead, verdict: Verdict): boolean
-  /** Receives a chunk of the body; returning `false` pauses the response until `Attempt.resume` is called. */
+  /** Receives a chunk of the body; returning `false` stops reading from the connection, except for what has been read already, until `Attempt.resume` is called. */
   takeData (chunk: Buffer): boolean
   /** Called once at the end of the attempt. */
   onAttemptEnd (attempt: Attempt, result: AttemptResult): void
@@ -49,6 +49,8 @@
   /** Response statuses that mean the target did not run the request. */
   notRunStatuses: readonly number[]
   sink: ResponseSink
+  /** Stops or continues to read from the connection. */
+  setReading: (isReading: boolean) => void
   /** Called in the event-loop tick that writes the head; a returned reason prevents the request from being sent. */
   checkBeforeSend: () => Reason | undefined
   /** Parses response heads; defaults to carobpitch's own protocol. */
@@ -90,10 +92,11 @@
   private readonly options: AttemptOptions
   private verdict: Verdict = 'not-run'
   private abortConnection: ((error?: Error) => void) | undefined
-  private resumeConnection: (() => void) | undefined
   private failure: Pick<AttemptResult, 'reason' | 'kind'> | undefined
   private isForwarding = false
   private bodyBytes = 0
+  private isHeldBySink = false
+  private isReading = true
   private isEnded = false
 
   constructor (options: AttemptOptions) {
@@ -113,7 +116,8 @@
 
   /** Resumes a paused response. */
   resume (): void {
-    this.resumeConnection?.()
+    this.isHeldBySink = false
+    this.updateReading()
   }
 
   /** @internal */
@@ -141,11 +145,10 @@
   }
 
   /** @internal */
-  onHeaders (status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+  onHeaders (status: number, rawHeaders: Buffer[]): boolean {
     if (status < 200) return true
     // A response that arrives before its request is written belongs to another request.
     if (this.headWrittenAtMs === undefined) return this.fail('mismatched-response', 'failed')
-    this.resumeConnection = resume
     const { method, requestId, notRunStatuses, sink, readHead = readResponseHead, connectionState } = this.options
     const head = readHead(method, status, rawHeaders)
     const isRefusal = head.reportsNotRun === true || notRunStatuses.includes(status)
@@ -160,8 +163,9 @@
   /** @internal */
   onData (chunk: Buffer): boolean {
     this.bodyBytes += chunk.length
-    if (this.isForwarding) return this.options.sink.takeData(chunk)
-    if (this.bodyBytes > DISCARDED_BODY_MAX_BYTES) this.fail('refused-by-target', 'refused')
+    if (this.isForwarding) this.isHeldBySink = !this.options.sink.takeData(chunk)
+    else if (this.bodyBytes > DISCARDED_BODY_MAX_BYTES) this.fail('refused-by-target', 'refused')
+    this.updateReading()
     return true
   }
 
@@ -188,6 +192,14 @@
     this.end({ verdict: this.verdict, reason, kind, isComplete: false, isReusable: false })
   }
 
+  /** A connection that has been released may carry another attempt, so that it is left alone. */
+  private updateReading (): void {
+    const isReading = !this.isHeldBySink
+    if (this.isEnded || isReading === this.isReading) return
+    this.isReading = isReading
+    this.options.setReading(isReading)
+  }
+
   /** Whether a response without a request id may repeat the response to an earlier request on the same connection. */
   private mayBelongToEarlierRequest (isRefusal: boolean): boolean {
     const { isConnectionReused, missingRequestId = 'refusal-rejected' } = this.options
@@ -241,6 +253,7 @@
   private end (result: AttemptResult): void {
     if (this.isEnded) return
     this.isEnded = true
+    if (!this.isReading) this.options.setReading(true)
     this.options.sink.onAttemptEnd(this, result)
   }
 }
--- a/packages/proxy/src/Connector.ts
+++ b/packages/proxy/src/Connector.ts
@@ -1,5 +1,6 @@
-import { connect, type Socket } from 'node:net'
+import type { SocketConstructorOpts } from 'node:net'
 import type { DeadlineTimer, Expirable } from './DeadlineTimer.js'
+import { TargetSocket } from './TargetSocket.js'
 
 /**
  * Passed to the callback when a connection to a target is not established in time.
@@ -10,7 +11,7 @@
 }
 
 /** Receives the connected socket or an error. @internal */
-export type ConnectCallback = (error: Error | null, socket: Socket | null) => void
+export type ConnectCallback = (error: Error | null, socket: TargetSocket | null) => void
 
 /**
  * Host and port of a target.
@@ -26,8 +27,9 @@
  * which is too coarse for timeouts of 300 ms. The callback is called once, never synchronously.
  * @internal
  */
-export function openConnection (address: TargetAddress, timeoutMs: number, timer: DeadlineTimer, callback: ConnectCallback): Socket {
-  const socket = connect({ ...address, noDelay: true, keepAlive: true })
+export function openConnection (address: TargetAddress, timeoutMs: number, timer: DeadlineTimer, callback: ConnectCallback): TargetSocket {
+  const socket = new TargetSocket({ noDelay: true, keepAlive: true } as SocketConstructorOpts)
+  socket.connect(address)
   let isSettled = false
   const settle = (error: Error | null): void => {
     if (isSettled) return
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -230,7 +230,8 @@
       notRunStatuses: serviceConfiguration.notRunStatuses,
       sink: this,
       checkBeforeSend: () => this.checkBeforeSend(grant),
-      isConnectionReused: () => connections.isReused(client)
+      isConnectionReused: () => connections.isReused(client),
+      setReading: isReading => connections.setReading(client, isReading)
     })
     this.stage = 'attempting'
     this.targetId = target.targetId
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -3,6 +3,7 @@
 import { openConnection, type ConnectCallback, type TargetAddress } from './Connector.js'
 import type { ConnectionState } from './Attempt.js'
 import type { DeadlineTimer, Expirable } from './DeadlineTimer.js'
+import type { TargetSocket } from './TargetSocket.js'
 
 /** Idle time after which a connection is closed; shorter than the 5 s after which many servers close idle connections. */
 const IDLE_TIMEOUT_MS = 4_000
@@ -38,7 +39,7 @@
 }
 
 interface SpareConnection extends Expirable {
-  socket: Socket
+  socket: TargetSocket
   key: number
 }
 
@@ -54,7 +55,7 @@
   private readonly busy = new Set<Client>()
   private readonly spares: SpareConnection[] = []
   private readonly opening = new Set<Socket>()
-  private readonly sockets = new WeakMap<Client, Socket>()
+  private readonly sockets = new WeakMap<Client, TargetSocket>()
   /** Connections that have carried an exchange. */
   private readonly reused = new WeakSet<Client>()
   /** Ids of the requests that the target has refused over a connection. */
@@ -100,6 +101,11 @@
     return socket.destroyed ? 'broken' : 'open'
   }
 
+  /** Stops or continues to read from a client's connection. */
+  setReading (client: Client, isReading: boolean): void {
+    this.sockets.get(client)?.setReading(isReading)
+  }
+
   /** Opens a connection in advance if there is none for the next request. */
   preconnect (): void {
     const spareCount = this.spares.length + this.opening.size
@@ -178,7 +184,7 @@
     else openConnection(this.address, this.options.connectTimeoutMs, this.options.timer, callback)
   }
 
-  private addSpare (socket: Socket): void {
+  private addSpare (socket: TargetSocket): void {
     if (this.isClosed) {
       socket.destroy()
       return
@@ -191,7 +197,7 @@
     this.spares.push(spare)
   }
 
-  private takeSpare (): Socket | undefined {
+  private takeSpare (): TargetSocket | undefined {
     for (let spare = this.spares.pop(); spare !== undefined; spare = this.spares.pop()) {
       const { socket, key } = spare
       this.options.timer.remove(spare, key)
--- a/packages/proxy/src/responseEnd.test.ts
+++ b/packages/proxy/src/responseEnd.test.ts
@@ -33,6 +33,7 @@
       requestId: 'r1',
       notRunStatuses: [],
       checkBeforeSend: () => undefined,
+      setReading: () => {},
       connectionState: () => connections.stateOf(client),
       sink: { takeHead: () => true, takeData: () => true, onAttemptEnd: (_attempt, ended) => resolve(ended) }
     })
