--- a/packages/daemon/src/front/byteShapes.test.ts
+++ b/packages/daemon/src/front/byteShapes.test.ts
@@ -12,6 +12,9 @@
   before(async () => { await run(process.execPath, ['scripts/bundle-front.mjs']) })
 
   for (const name of [
+    'endless response, one-byte chunks, callers read',
+    'requests of 65,000 one-byte chunks',
+    'endless requests, one-byte chunks, target does not read',
     'response that the target ends while it waits for an earlier one',
     'response that the target resets while it waits for an earlier one'
   ]) {
--- a/packages/proxy/src/Attempt.ts
+++ b/packages/proxy/src/Attempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from '@carobpitch/routing'
 import type { Verdict } from '@carobpitch/schema'
 import type { Reason } from './Reason.js'
+import { ReadControl } from './ReadControl.js'
 import { readResponseHead, type ResponseHead } from './responseHead.js'
 
 /** Largest body of a discarded response that is read to the end to keep its connection for reuse. */
@@ -90,17 +91,17 @@
   /** Head of the final response, once it has arrived. */
   head: ResponseHead | undefined
   private readonly options: AttemptOptions
+  private readonly readControl: ReadControl
   private verdict: Verdict = 'not-run'
   private abortConnection: ((error?: Error) => void) | undefined
   private failure: Pick<AttemptResult, 'reason' | 'kind'> | undefined
   private isForwarding = false
   private bodyBytes = 0
-  private isHeldBySink = false
-  private isReading = true
   private isEnded = false
 
   constructor (options: AttemptOptions) {
     this.options = options
+    this.readControl = new ReadControl(options.setReading)
   }
 
   /** Sends the request over a connection. */
@@ -116,8 +117,7 @@
 
   /** Resumes a paused response. */
   resume (): void {
-    this.isHeldBySink = false
-    this.updateReading()
+    this.readControl.setRoom(true)
   }
 
   /** @internal */
@@ -163,9 +163,9 @@
   /** @internal */
   onData (chunk: Buffer): boolean {
     this.bodyBytes += chunk.length
-    if (this.isForwarding) this.isHeldBySink = !this.options.sink.takeData(chunk)
+    if (this.isForwarding) this.readControl.setRoom(this.options.sink.takeData(chunk))
     else if (this.bodyBytes > DISCARDED_BODY_MAX_BYTES) this.fail('refused-by-target', 'refused')
-    this.updateReading()
+    this.readControl.countPiece(chunk.length)
     return true
   }
 
@@ -192,14 +192,6 @@
     this.end({ verdict: this.verdict, reason, kind, isComplete: false, isReusable: false })
   }
 
-  /** A connection that has been released may carry another attempt, so that it is left alone. */
-  private updateReading (): void {
-    const isReading = !this.isHeldBySink
-    if (this.isEnded || isReading === this.isReading) return
-    this.isReading = isReading
-    this.options.setReading(isReading)
-  }
-
   /** Whether a response without a request id may repeat the response to an earlier request on the same connection. */
   private mayBelongToEarlierRequest (isRefusal: boolean): boolean {
     const { isConnectionReused, missingRequestId = 'refusal-rejected' } = this.options
@@ -253,7 +245,7 @@
   private end (result: AttemptResult): void {
     if (this.isEnded) return
     this.isEnded = true
-    if (!this.isReading) this.options.setReading(true)
+    this.readControl.end()
     this.options.sink.onAttemptEnd(this, result)
   }
 }
--- a/packages/proxy/src/RequestBodyStream.ts
+++ b/packages/proxy/src/RequestBodyStream.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
-import type { Socket } from 'node:net'
 import { Readable } from 'node:stream'
 import type { ByteCollector } from '@carobpitch/kernel'
+import type { ReadControl } from './ReadControl.js'
 
 /** Bytes that may wait for the reader before the caller's connection is read no further. */
 const PENDING_MAX_BYTES = 65_536
@@ -14,6 +14,8 @@
   source: IncomingMessage
   /** What has been read of the body so far; further bytes wait in it. */
   collected: ByteCollector
+  /** Control of the caller's connection. */
+  readControl: ReadControl
   sizeMaxBytes: number
   /** Called when the body exceeds `sizeMaxBytes`. */
   onTooLarge: () => void
@@ -23,48 +25,45 @@
  * The body of a caller's request as a separate stream. Destroying it leaves the caller's connection open,
  * so that a failed attempt can still be reported to the caller.
  *
- * Bytes that wait for the reader are joined into one block. The connection is paused instead of the request, because a paused
- * request queues each chunk as a buffer of its own.
+ * Bytes that wait for the reader are joined into one block.
  * @internal
  */
 export class RequestBodyStream extends Readable {
   private readonly source: IncomingMessage
   private readonly pending: ByteCollector
+  private readonly readControl: ReadControl
   private readonly sizeMaxBytes: number
   private readonly onTooLarge: () => void
   private sizeBytes: number
   private isWanted = false
-  /** The connection while it is paused. */
-  private pausedSocket: Socket | undefined
   private readonly onData = (piece: Buffer): void => this.append(piece)
   private readonly onEnd = (): void => this.finish()
-  /** The request resumes its connection whenever it has room of its own. */
-  private readonly onSocketResume = (): void => { this.pausedSocket?.pause() }
 
-  constructor ({ source, collected, sizeMaxBytes, onTooLarge }: RequestBodyStreamOptions) {
+  constructor ({ source, collected, readControl, sizeMaxBytes, onTooLarge }: RequestBodyStreamOptions) {
     // At most one block waits in the stream itself.
     super({ highWaterMark: 1 })
     this.source = source
     this.pending = collected
+    this.readControl = readControl
     this.sizeMaxBytes = sizeMaxBytes
     this.onTooLarge = onTooLarge
     this.sizeBytes = collected.sizeBytes
     this.on('error', () => {})
     source.on('data', this.onData)
     source.on('end', this.onEnd)
-    this.pauseIfFull()
+    this.updateRoom()
   }
 
   override _read (): void {
     this.isWanted = true
     this.pushPending()
-    this.resumeSocket()
+    this.updateRoom()
   }
 
   override _destroy (error: Error | null, callback: (error: Error | null) => void): void {
     this.source.off('data', this.onData)
     this.source.off('end', this.onEnd)
-    this.resumeSocket()
+    this.readControl.end()
     callback(error)
   }
 
@@ -72,19 +71,21 @@
     this.sizeBytes += piece.length
     if (this.sizeBytes > this.sizeMaxBytes) {
       this.source.off('data', this.onData)
+      this.readControl.end()
       this.onTooLarge()
       return
     }
     this.pending.append(piece)
-    if (this.isWanted) this.pushPending()
-    else this.pauseIfFull()
+    this.pushPending()
+    this.updateRoom()
+    this.readControl.countPiece(piece.length)
   }
 
   private finish (): void {
     this.isWanted = true
     this.pushPending()
     this.push(null)
-    this.resumeSocket()
+    this.readControl.end()
   }
 
   private pushPending (): void {
@@ -93,18 +94,7 @@
     this.push(this.pending.take())
   }
 
-  private pauseIfFull (): void {
-    if (this.pausedSocket !== undefined || this.pending.sizeBytes < PENDING_MAX_BYTES) return
-    this.pausedSocket = this.source.socket
-    this.pausedSocket.pause()
-    this.pausedSocket.on('resume', this.onSocketResume)
-  }
-
-  private resumeSocket (): void {
-    const socket = this.pausedSocket
-    if (socket === undefined) return
-    this.pausedSocket = undefined
-    socket.off('resume', this.onSocketResume)
-    socket.resume()
+  private updateRoom (): void {
+    this.readControl.setRoom(this.pending.sizeBytes < PENDING_MAX_BYTES)
   }
 }
