Bound the responses of the store, and join the pieces of those of stores and peers

Seen: a response of the platform's store with 1 GiB announced was collected until its timeout; the new test ran into its 20 s. No run shows that this has ended a process. Cause: calls without a limit of their own had none, and all readers kept each piece as a buffer of its own; a watch of etcd copied its whole unfinished message for each piece. Change: PlatformStore, EtcdStore, WatchStream, peerFetch and trpcHandler use ByteCollector or collectBytes; responses of the platform's store are limited to 16 MiB and those of etcd to 64 MiB.

--- a/packages/membership/src/transport/peerFetch.ts
+++ b/packages/membership/src/transport/peerFetch.ts
@@ -1,4 +1,5 @@
 import { request, type Agent, type IncomingMessage } from 'node:http'
+import { collectBytes } from '@carobpitch/kernel'
 import { decodePeerBody } from './peerBody.js'
 
 /**
@@ -71,14 +72,9 @@
 }
 
 async function readText (incoming: IncomingMessage, sizeMaxBytes: number): Promise<string> {
-  const chunks: Buffer[] = []
-  let sizeBytes = 0
-  for await (const chunk of incoming) {
-    sizeBytes += (chunk as Buffer).length
-    if (sizeBytes > sizeMaxBytes) throw new Error(`peer response exceeds ${sizeMaxBytes} bytes`)
-    chunks.push(chunk as Buffer)
-  }
-  return decodePeerBody(Buffer.concat(chunks), incoming.headers['content-encoding'], sizeMaxBytes)
+  const body = await collectBytes(incoming, sizeMaxBytes)
+  if (body === undefined) throw new Error(`peer response exceeds ${sizeMaxBytes} bytes`)
+  return decodePeerBody(body, incoming.headers['content-encoding'], sizeMaxBytes)
 }
 
 function toResponse (status: number, text: string): PeerResponse {
--- a/packages/membership/src/transport/trpcHandler.ts
+++ b/packages/membership/src/transport/trpcHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { callTRPCProcedure, getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError, type AnyRouter, type TRPCProcedureType } from '@trpc/server'
 import { getHTTPStatusCodeFromError } from '@trpc/server/http'
+import { ByteCollector } from '@carobpitch/kernel'
 import { encodePeerBody } from './peerBody.js'
 
 /**
@@ -69,18 +70,16 @@
 async function readBody (request: IncomingMessage, sizeMaxBytes: number): Promise<string> {
   if (Number(request.headers['content-length'] ?? 0) > sizeMaxBytes) throw payloadTooLarge(sizeMaxBytes)
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = []
-    let sizeBytes = 0
+    const collected = new ByteCollector()
     request.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length
-      if (sizeBytes > sizeMaxBytes) {
+      if (collected.sizeBytes + chunk.length > sizeMaxBytes) {
         request.pause()
         reject(payloadTooLarge(sizeMaxBytes))
       } else {
-        chunks.push(chunk)
+        collected.append(chunk)
       }
     })
-    request.on('end', () => resolve(Buffer.concat(chunks).toString('utf8')))
+    request.on('end', () => resolve(collected.take().toString('utf8')))
     request.on('error', reject)
     request.on('close', () => {
       if (!request.complete) reject(new TRPCError({ code: 'CLIENT_CLOSED_REQUEST', message: 'peer closed the connection' }))
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -3,6 +3,7 @@
 import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
 import type { ChangeBatch, ChangesFailure, ChangesOptions, ChangeStore, ListOptions, RecordPage, StoreEntry } from '@carobpitch/gateway'
+import { collectBytes } from '@carobpitch/kernel'
 import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
 import { durationSchema, formatDuration } from './durations.js'
 import { STORE_PATHS } from './wire.js'
@@ -13,6 +14,8 @@
 const RESPONSE_TIMEOUT_MS = 1_000
 /** Timeout of the body after the head. A large configuration takes long over a slow link. */
 const TRANSFER_TIMEOUT_MS = 2_000
+/** Largest body of a response to a call without a limit of its own; pages hold about 1 MB. */
+const RESPONSE_SIZE_MAX_BYTES = 16_777_216
 /** Factor by which values grow when they are encoded as base64. */
 const BASE64_FACTOR = 4 / 3
 
@@ -97,7 +100,7 @@
     })
   }
 
-  async changesAfter (prefix: string, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs, sizeMaxBytes = Infinity }: ChangesOptions = {}): Promise<Result<ChangeBatch, ChangesFailure>> {
+  async changesAfter (prefix: string, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs, sizeMaxBytes = RESPONSE_SIZE_MAX_BYTES / BASE64_FACTOR }: ChangesOptions = {}): Promise<Result<ChangeBatch, ChangesFailure>> {
     const query = new URLSearchParams({ prefix, after: String(revision), 'wait-ms': String(waitMs) })
     const response = await this.call({
       name: 'changes',
@@ -152,7 +155,7 @@
   }
 
   /** Sends a call. A call without a response may have been executed, or may be executed later. */
-  private async call ({ name, method, path, body, timeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs = TRANSFER_TIMEOUT_MS, bodySizeMaxBytes = Infinity }: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
+  private async call ({ name, method, path, body, timeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs = TRANSFER_TIMEOUT_MS, bodySizeMaxBytes = RESPONSE_SIZE_MAX_BYTES }: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
     const controller = new AbortController()
     // Closes the connection as well, because a connection that has lost a response returns no further one.
     const abortAfter = (durationMs: number, what: string): NodeJS.Timeout => setTimeout(() => controller.abort(new Error(`no ${what} within ${durationMs} ms`)), durationMs)
@@ -182,14 +185,8 @@
 /** Reads a body. Returns `undefined` and closes the connection as soon as the body is known to exceed the limit. */
 async function readBody ({ headers, body }: Pick<Dispatcher.ResponseData, 'headers' | 'body'>, sizeMaxBytes: number): Promise<string | undefined> {
   const announcedBytes = Number(headers['content-length'] ?? 0)
-  const chunks: Buffer[] = []
-  let sizeBytes = 0
-  for await (const chunk of body) {
-    chunks.push(chunk as Buffer)
-    sizeBytes += (chunk as Buffer).length
-    if (Math.max(announcedBytes, sizeBytes) > sizeMaxBytes) return undefined
-  }
-  return Buffer.concat(chunks).toString('utf8')
+  const bytes = await collectBytes(body, announcedBytes > sizeMaxBytes ? 0 : sizeMaxBytes)
+  return bytes?.toString('utf8')
 }
 
 /** Returns a body that is not JSON as text; the status then indicates the result of the call. */
--- a/packages/store/src/EtcdStore.ts
+++ b/packages/store/src/EtcdStore.ts
@@ -1,5 +1,6 @@
 import { Result } from 'true-myth'
 import { Agent, Pool } from 'undici'
+import { collectBytes } from '@carobpitch/kernel'
 import type { z } from 'zod'
 import {
   encodeBase64, etcdEmptySchema, etcdKeepAliveSchema, etcdLeaseSchema, etcdRangeSchema, etcdTxnSchema, prefixRangeEnd
@@ -9,6 +10,8 @@
 } from './KeyValueStore.js'
 import { parseKeyValue, WatchStream } from './WatchStream.js'
 
+/** Largest body of a response. */
+const RESPONSE_SIZE_MAX_BYTES = 67_108_864
 const CONNECTIONS_MAX = 4
 /** Idle time after which a watch is reopened, because a connection can break without an error. */
 const WATCH_IDLE_TIMEOUT_MS = 60_000
@@ -179,7 +182,9 @@
         body: JSON.stringify(body),
         signal: AbortSignal.timeout(this.requestTimeoutMs)
       })
-      const text = await responseBody.text()
+      const bytes = await collectBytes(responseBody as AsyncIterable<Buffer>, RESPONSE_SIZE_MAX_BYTES)
+      if (bytes === undefined) throw new Error(`store response exceeds ${RESPONSE_SIZE_MAX_BYTES} bytes`)
+      const text = bytes.toString('utf8')
       if (statusCode !== 200) {
         return Result.err({ effect: isRejection(statusCode) ? 'none' : 'unknown', reason: `store responded with status ${statusCode}`, statusCode })
       }
--- a/packages/store/src/WatchStream.ts
+++ b/packages/store/src/WatchStream.ts
@@ -1,9 +1,10 @@
 import type { Dispatcher } from 'undici'
+import { ByteCollector } from '@carobpitch/kernel'
 import { decodeBase64, encodeBase64, etcdWatchSchema, prefixRangeEnd, type EtcdKeyValue } from './etcdMessages.js'
 import type { StoredValue, WatchListener } from './KeyValueStore.js'
 
 /** Larger than any event, since a value holds at most 1 MB before base64. */
-const LINE_SIZE_MAX_CHARACTERS = 4_194_304
+const LINE_SIZE_MAX_BYTES = 4_194_304
 
 /**
  * Options of `WatchStream`.
@@ -61,12 +62,16 @@
     })
     try {
       if (statusCode !== 200) throw new Error(`store responded with status ${statusCode}`)
-      let pending = ''
-      for await (const chunk of body.setEncoding('utf8')) {
-        const lines = (pending + String(chunk)).split('\n')
-        pending = lines.pop() ?? ''
-        if (pending.length > LINE_SIZE_MAX_CHARACTERS) throw new Error('watch message is too large')
-        for (const line of lines) this.handleLine(line)
+      const pending = new ByteCollector()
+      for await (const chunk of body as AsyncIterable<Buffer>) {
+        let start = 0
+        for (let end = chunk.indexOf('\n'); end >= 0; end = chunk.indexOf('\n', start)) {
+          pending.append(chunk.subarray(start, end))
+          this.handleLine(pending.take().toString('utf8'))
+          start = end + 1
+        }
+        pending.append(chunk.subarray(start))
+        if (pending.sizeBytes > LINE_SIZE_MAX_BYTES) throw new Error('watch message is too large')
       }
     } finally {
       body.destroy()
