--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
-import { abortResponse, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { abortResponse, BlockWriter, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
@@ -52,6 +52,7 @@
   private sends = 0
   private verdict: Verdict = 'not-run'
   private isStreaming = false
+  private writer: BlockWriter | undefined
   private hasEnded = false
   private releaseBodyMemory: (() => void) | undefined
   private overdueCheck: OverdueCheck | undefined
@@ -131,7 +132,7 @@
   takeData (chunk: Buffer): boolean {
     const { buffered } = this.running ?? {}
     if (buffered === undefined || this.hasEnded) return true
-    if (this.isStreaming) return this.response.write(chunk) || this.pauseUntilDrained()
+    if (this.writer !== undefined) return this.writer.write(chunk)
     if (buffered.add(chunk)) return true
     this.beginStreaming(buffered)
     return true
@@ -312,7 +313,7 @@
       this.dispatch()
       return
     }
-    if (this.isStreaming) this.response.end()
+    if (this.writer !== undefined) this.writer.end()
     else this.writeBuffered(buffered)
     this.discardRequestBody()
     this.recordEnd('answered', buffered.head.status, running.grant.target.record.targetId)
@@ -333,12 +334,8 @@
     const headers = buffered.head.forwarded
     this.pushConnectionHeader(headers)
     this.response.writeHead(buffered.head.status, headers)
-    this.response.write(buffered.take())
-  }
-
-  private pauseUntilDrained (): false {
-    this.response.once('drain', () => this.running?.attempt.resume())
-    return false
+    this.writer = new BlockWriter({ destination: this.response, onRoom: () => this.running?.attempt.resume() })
+    this.writer.write(buffered.take())
   }
 
   private retryOrFinish (reason: FrontReason): void {
--- a/packages/proxy/src/Attempt.ts
+++ b/packages/proxy/src/Attempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from '@carobpitch/routing'
 import type { Verdict } from '@carobpitch/schema'
 import type { Reason } from './Reason.js'
+import { ReadControl } from './ReadControl.js'
 import { readResponseHead, type ResponseHead } from './responseHead.js'
 
 /** Largest body of a discarded response that is read to the end to keep its connection for reuse. */
@@ -30,7 +31,7 @@
 export interface ResponseSink {
   /** Receives the response head. Returns whether the sink accepts the response; otherwise its body is read and discarded. */
   takeHead (head: ResponseHead, verdict: Verdict): boolean
-  /** Receives a chunk of the body; returning `false` pauses the response until `Attempt.resume` is called. */
+  /** Receives a chunk of the body; returning `false` stops reading from the connection, except for what has been read already, until `Attempt.resume` is called. */
   takeData (chunk: Buffer): boolean
   /** Called once at the end of the attempt. */
   onAttemptEnd (attempt: Attempt, result: AttemptResult): void
@@ -49,6 +50,8 @@
   /** Response statuses that mean the target did not run the request. */
   notRunStatuses: readonly number[]
   sink: ResponseSink
+  /** Stops or continues to read from the connection. */
+  setReading: (isReading: boolean) => void
   /** Called in the event-loop tick that writes the head; a returned reason prevents the request from being sent. */
   checkBeforeSend: () => Reason | undefined
   /** Parses response heads; defaults to carobpitch's own protocol. */
@@ -88,9 +91,9 @@
   /** Head of the final response, once it has arrived. */
   head: ResponseHead | undefined
   private readonly options: AttemptOptions
+  private readonly readControl: ReadControl
   private verdict: Verdict = 'not-run'
   private abortConnection: ((error?: Error) => void) | undefined
-  private resumeConnection: (() => void) | undefined
   private failure: Pick<AttemptResult, 'reason' | 'kind'> | undefined
   private isForwarding = false
   private bodyBytes = 0
@@ -98,6 +101,7 @@
 
   constructor (options: AttemptOptions) {
     this.options = options
+    this.readControl = new ReadControl(options.setReading)
   }
 
   /** Sends the request over a connection. */
@@ -113,7 +117,7 @@
 
   /** Resumes a paused response. */
   resume (): void {
-    this.resumeConnection?.()
+    this.readControl.setRoom(true)
   }
 
   /** @internal */
@@ -141,11 +145,10 @@
   }
 
   /** @internal */
-  onHeaders (status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+  onHeaders (status: number, rawHeaders: Buffer[]): boolean {
     if (status < 200) return true
     // A response that arrives before its request is written belongs to another request.
     if (this.headWrittenAtMs === undefined) return this.fail('mismatched-response', 'failed')
-    this.resumeConnection = resume
     const { method, requestId, notRunStatuses, sink, readHead = readResponseHead, connectionState } = this.options
     const head = readHead(method, status, rawHeaders)
     const isRefusal = head.reportsNotRun === true || notRunStatuses.includes(status)
@@ -160,8 +163,9 @@
   /** @internal */
   onData (chunk: Buffer): boolean {
     this.bodyBytes += chunk.length
-    if (this.isForwarding) return this.options.sink.takeData(chunk)
-    if (this.bodyBytes > DISCARDED_BODY_MAX_BYTES) this.fail('refused-by-target', 'refused')
+    if (this.isForwarding) this.readControl.setRoom(this.options.sink.takeData(chunk))
+    else if (this.bodyBytes > DISCARDED_BODY_MAX_BYTES) this.fail('refused-by-target', 'refused')
+    this.readControl.countPiece(chunk.length)
     return true
   }
 
@@ -241,6 +245,7 @@
   private end (result: AttemptResult): void {
     if (this.isEnded) return
     this.isEnded = true
+    this.readControl.end()
     this.options.sink.onAttemptEnd(this, result)
   }
 }
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -6,6 +6,7 @@
 import type { AttemptOutcome, Refusal, Scheduler, TargetGrant, TargetView } from '@carobpitch/routing'
 import { combineVerdicts, type ConfigurationSource, type InstanceId, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { Attempt, type AttemptResult, type ResponseSink } from './Attempt.js'
+import { BlockWriter } from './BlockWriter.js'
 import type { CallerConnection, ConnectionEndedBy, ConnectionExchange } from './CallerConnection.js'
 import { abortResponse, writeLocalReply, writeForwardedHead, type ResponseMetadata } from './CallerResponse.js'
 import type { DeadlineTimer, Expirable } from './DeadlineTimer.js'
@@ -78,7 +79,7 @@
   private readonly connection: CallerConnection
   private readonly onClosed: () => void
   private readonly startedAtMs = performance.now()
-  private readonly onDrain = (): void => { this.running?.attempt.resume() }
+  private writer: BlockWriter | undefined
   private stage: Stage = 'reading'
   private parsed: CallerRequest | undefined
   private deadlineAtMs = 0
@@ -194,9 +195,8 @@
       this.coalescedBody = chunk
       return true
     }
-    if (this.response.write(chunk)) return true
-    this.response.once('drain', this.onDrain)
-    return false
+    this.writer ??= new BlockWriter({ destination: this.response, onRoom: () => this.running?.attempt.resume() })
+    return this.writer.write(chunk)
   }
 
   /** @internal */
@@ -257,7 +257,8 @@
       notRunStatuses: serviceConfiguration.notRunStatuses,
       sink: this,
       checkBeforeSend: () => this.checkBeforeSend(grant),
-      isConnectionReused: () => connections.isReused(client)
+      isConnectionReused: () => connections.isReused(client),
+      setReading: isReading => connections.setReading(client, isReading)
     })
     this.stage = 'attempting'
     this.targetId = target.targetId
@@ -326,6 +327,7 @@
     this.recordOutcome(reason)
     // Node combines a string, but not a buffer, with the head in one write.
     if (isComplete && this.coalescedBody !== undefined) this.response.end(this.coalescedBody.toString('latin1'), 'latin1')
+    else if (isComplete && this.writer !== undefined) this.writer.end()
     else if (isComplete) this.response.end()
     else abortResponse(this.response)
     this.discardRequestBody()
