Ask a caller that has closed its sending half while any of its requests needs it

The first order was at its target and is finished for whoever asked; the connection asked nothing until then, and the second one was dispatched before the failed response was noticed.

--- a/packages/proxy/src/CallerConnection.ts
+++ b/packages/proxy/src/CallerConnection.ts
@@ -67,7 +67,7 @@
   /** `last-call`: a request behind others is refused, so that a caller that always has one under way is told to close. */
   private stage: 'open' | 'last-call' | 'closed' = 'open'
   private isEnding = false
-  private callerEndedAtMs: number | undefined
+  private hasCallerEnded = false
   private probeTimer: NodeJS.Timeout | undefined
   private lingerTimer: NodeJS.Timeout | undefined
 
@@ -75,7 +75,7 @@
     this.options = options
     const { socket } = options
     socket.once('end', () => this.handleCallerEnd())
-    socket.on('error', () => { this.callerEndedAtMs ??= performance.now() })
+    socket.on('error', () => { this.hasCallerEnded = true })
     // Node emits no `close` for responses that wait for an earlier one.
     socket.once('close', () => this.handleClose())
     // Node calls this behind the last response and would close the connection with unread data, which resets it.
@@ -152,7 +152,7 @@
   }
 
   private handleCallerEnd (): void {
-    this.callerEndedAtMs ??= performance.now()
+    this.hasCallerEnded = true
     this.stage = 'closed'
     this.scheduleProbe(HALF_CLOSED_WAIT_MS)
   }
@@ -160,7 +160,7 @@
   private scheduleProbe (delayMs: number): void {
     if (this.exchanges.length === 0) return
     this.probeTimer = setTimeout(() => {
-      if (this.exchanges[0]?.needsCaller() === true) this.probeCaller()
+      if (this.exchanges.some(exchange => exchange.needsCaller())) this.probeCaller()
       this.scheduleProbe(RESET_WAIT_MS)
     }, delayMs)
   }
@@ -187,7 +187,7 @@
     if (index < 0) return
     this.exchanges.splice(index, 1)
     this.turnCallbacks.delete(exchange)
-    exchange.handleClose(this.callerEndedAtMs === undefined ? 'instance' : 'caller')
+    exchange.handleClose(this.hasCallerEnded ? 'caller' : 'instance')
     if (this.isEnding) return
     if (!exchange.request.complete) this.discardBody(exchange.request)
     if (this.exchanges.length === 0 && this.stage === 'closed') this.endAndLinger()
@@ -198,14 +198,9 @@
     const callback = this.turnCallbacks.get(exchange)
     if (callback === undefined || !this.isDue(exchange)) return
     this.turnCallbacks.delete(exchange)
-    const { callerEndedAtMs } = this
-    if (callerEndedAtMs === undefined || performance.now() - callerEndedAtMs < HALF_CLOSED_WAIT_MS) {
-      callback()
-      return
-    }
-    // The response before this request was the first write.
-    this.probeCaller()
-    setTimeout(() => { if (this.exchanges.includes(exchange)) callback() }, RESET_WAIT_MS)
+    // If the caller has left, the response before this request fails and ends the connection.
+    if (this.hasCallerEnded) setTimeout(() => { if (this.exchanges.includes(exchange)) callback() }, RESET_WAIT_MS)
+    else callback()
   }
 
   private isDue (exchange: ConnectionExchange): boolean {
