Leave an unreachable target only for another one that has room

Cause: the overdue check cancelled the attempt first and looked for another target afterwards; there was none, or the stopping process refused to dispatch again. A target with a closed listener or a full accept queue looks unreachable while it works.

The other target is acquired first and the attempt is cancelled only with its grant; a request that may outlast a stopping process stays.

--- a/packages/daemon/src/front/plannedStop.test.ts
+++ b/packages/daemon/src/front/plannedStop.test.ts
@@ -1,6 +1,7 @@
 import { Agent, request as httpRequest } from 'node:http'
 import { expect } from 'chai'
 import { callerHeaders, wireConfiguration, wireRoute, type StandInPlatformTarget } from '@carobpitch/platform'
+import { headerOf, RawTarget, rawResponse } from '@carobpitch/proxy'
 import type { FrontDaemon } from './FrontDaemon.js'
 import { FrontTestHarness, waitUntil } from './testing/FrontTestHarness.js'
 
@@ -99,4 +100,27 @@
       expect(target.receivedRequests.map(({ isAborted }) => isAborted)).to.deep.equal([false])
     })
   }
+
+  for (const [name, isStopping] of [['in a planned stop', true], ['while no other target is there', false]] as const) {
+    it(`guards against a request that is broken off at a target at work which takes no new connections, ${name}`, async () => {
+      const workMs = 1_300
+      const target = new RawTarget(({ head, socket }) => {
+        if (head.startsWith('GET /healthz')) {
+          socket.write(rawResponse('', ['x-carobpitch-instance-load: 0,0,3,100', 'x-carobpitch-instance-id: i-busy']))
+          return
+        }
+        target.stopListening()
+        setTimeout(() => { socket.write(rawResponse('the whole body', [`x-carobpitch-attempt-id: ${headerOf(head, 'x-carobpitch-attempt-id') ?? ''}`])) }, workMs)
+      })
+      await target.start()
+      harness.registerTarget('i-busy', target.url())
+      const front = await harness.addFront({ stopGraceMs: GRACE_MS, directoryTtlMaxMs: 400 })
+      const call = harness.call(front, { deadlineMs: 5_000 })
+      await waitUntil(() => target.requests.some(({ head }) => head.startsWith('GET /stock')))
+      if (isStopping) front.stopGracefully()
+      const { status, body } = await call
+      await target.stop()
+      expect({ status, body }).to.deep.equal({ status: 200, body: 'the whole body' })
+    })
+  }
 })
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
+import type { Result } from 'true-myth'
 import { abortResponse, BlockWriter, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
-import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
+import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import { createAttempt } from '../targets/createAttempt.js'
 import { BufferedResponse } from './BufferedResponse.js'
@@ -56,8 +57,8 @@
   private hasEnded = false
   private releaseBodyMemory: (() => void) | undefined
   private overdueCheck: OverdueCheck | undefined
-  /** Whether a retry has been taken from the budget for the attempt that is being cancelled. */
-  private hasRetry = false
+  /** Target that takes the request over from the attempt that is being cancelled. */
+  private nextGrant: DispatchGrant | undefined
 
   constructor ({ context, connection, request, response, onClosed }: FrontExchangeOptions) {
     this.context = context
@@ -232,16 +233,34 @@
   }
 
   private async dispatch (): Promise<void> {
-    const { matchedRoute: route, service } = this
-    if (this.hasEnded || route === undefined || service === undefined) return
-    const endsInMs = this.context.endsInMs()
-    // A request that may outlast this process is refused, and the caller retries at another instance.
-    if (endsInMs !== undefined && endsInMs < this.deadlineAtMs - performance.now()) {
+    if (this.hasEnded) return
+    const { nextGrant } = this
+    this.nextGrant = undefined
+    if (nextGrant !== undefined) {
+      this.send(nextGrant)
+      return
+    }
+    if (this.mayOutlastProcess()) {
       this.finish('stopping')
       return
     }
-    const granted = await this.context.dispatcher.acquire({
-      service,
+    const granted = await this.acquire()
+    if (granted.isErr) this.finish(granted.error.reason, granted.error.retryAfterMs)
+    else if (this.hasEnded) granted.value.release('cancelled', 0)
+    else this.send(granted.value)
+  }
+
+  /** A request that may outlast this process is refused, and the caller retries at another instance. */
+  private mayOutlastProcess (): boolean {
+    const endsInMs = this.context.endsInMs()
+    return endsInMs !== undefined && endsInMs < this.deadlineAtMs - performance.now()
+  }
+
+  /** Waits for a target that has not been tried. The route and the service of the request must be known. */
+  private async acquire (): Promise<Result<DispatchGrant, DispatchRefusal>> {
+    const route = this.matchedRoute as Route
+    return await this.context.dispatcher.acquire({
+      service: this.service as ServiceName,
       priority: route.priority,
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
@@ -249,9 +268,6 @@
       exclude: this.triedTargets,
       signal: this.abortController.signal
     })
-    if (granted.isErr) this.finish(granted.error.reason, granted.error.retryAfterMs)
-    else if (this.hasEnded) granted.value.release('cancelled', 0)
-    else this.send(granted.value)
   }
 
   private send (grant: DispatchGrant): void {
@@ -298,11 +314,17 @@
     const { target } = running.grant
     const isReachable = await target.connections.isReachable()
     const isStillWaiting = !this.hasEnded && this.running === running && running.attempt.head === undefined
-    if (isReachable || !isStillWaiting) return
-    this.addVerdict('may-have-run')
+    if (isReachable || !isStillWaiting || this.mayOutlastProcess()) return
+    // The target may still be at work, so it keeps the request until another one has room.
+    const granted = await this.acquire()
+    if (granted.isErr) return
+    const mayLeave = !this.hasEnded && this.running === running && running.attempt.head === undefined
     // The attempt is counted when it ends.
-    this.hasRetry = this.mayRetry(this.sends + 1)
-    if (!this.hasRetry) return
+    if (!mayLeave || !this.mayRetry(this.sends + 1)) {
+      granted.value.release('cancelled', 0)
+      return
+    }
+    this.nextGrant = granted.value
     this.context.log.info('attempt.unreachable', { requestId: this.requestId, targetId: target.record.targetId, elapsedMs: Math.round(performance.now() - running.startedAtMs) })
     running.attempt.cancel('connection-lost', 'failed')
   }
@@ -339,9 +361,7 @@
   }
 
   private retryOrFinish (reason: FrontReason): void {
-    const mayRetry = this.hasRetry || this.mayRetry()
-    this.hasRetry = false
-    if (mayRetry) this.dispatch()
+    if (this.nextGrant !== undefined || this.mayRetry()) this.dispatch()
     else this.finish(reason)
   }
 
