--- a/packages/daemon/src/front/review29.test.ts
+++ b/packages/daemon/src/front/review29.test.ts
@@ -72,7 +72,7 @@
     expect([ids(), caller.statuses()]).to.deep.equal([['one', 'two'], [200, 200]])
   })
 
-  it('A2: HTTP/1.0 keep-alive: a POST behind a GET whose response has no body', async () => {
+  it('A2: HTTP/1.0 keep-alive: a parallel GET behind one whose response has no body', async () => {
     serve = ({ head, socket }) => { setTimeout(() => socket.write(idOf(head) === 'one' ? 'HTTP/1.1 204 No Content\r\nx-carobpitch-attempt-id: one\r\n\r\n' : answer(head, '(two)')), 100) }
     const old = (text: string): string => text.replace('HTTP/1.1', 'HTTP/1.0')
     const caller = open().send(old(get('one', ['connection: keep-alive'])) + old(get('two', ['connection: keep-alive'])))
