Close a connection for requests before those behind the last one are read

Cause: what ends a connection was still decided in several places and after later requests had been admitted. CallerConnection.open now decides when the head is read: a malformed head or an HTTP/1.0 request is the last one, a refused one too, and behind the last one only 16 requests are read. A body that is too long to be buffered is refused behind an unanswered request, because nothing else of the connection can be read while it waits. A caller of a response that rests is taken to have left when it ends its connection. 408 needs the verdict not-run.

--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import type { Result } from 'true-myth'
-import { abortResponse, BlockWriter, endToEndHeaders, haveValidNames, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { abortResponse, BlockWriter, endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
@@ -39,7 +39,7 @@
   private readonly arrivedAtMs = performance.now()
   private readonly abortController = new AbortController()
   private readonly triedTargets = new Set<TargetId>()
-  private requestId = ''
+  private readonly requestId: string
   private matchedRoute: Route | undefined
   private service: ServiceName | undefined
   private configurationVersion = 0
@@ -66,17 +66,13 @@
     this.request = request
     this.response = response
     this.onClosed = onClosed
+    this.requestId = context.callerProtocol.readFacts(request.headers).requestId ?? randomUUID()
   }
 
   /** Finds the request's route and starts to serve it. */
   start (): void {
     if (this.hasEnded) return
-    const { requestId, deadlineMs = DEADLINE_DEFAULT_MS } = this.context.callerProtocol.readFacts(this.request.headers)
-    this.requestId = requestId ?? randomUUID()
-    if (!haveValidNames(this.request.rawHeaders)) {
-      this.finish('malformed-request')
-      return
-    }
+    const { deadlineMs = DEADLINE_DEFAULT_MS } = this.context.callerProtocol.readFacts(this.request.headers)
     const state = this.context.routing()
     if (state === undefined) this.awaitConfiguration(deadlineMs)
     else this.route(state, deadlineMs)
@@ -221,6 +217,8 @@
       onReady: body => {
         this.body = body
         if (this.hasEnded) this.discardRequestBody()
+        // While its body waits, nothing else of the connection is read, not even its end.
+        else if (!Buffer.isBuffer(body) && !this.connection.isDue(this)) this.finish('queue-full')
         else this.dispatchInTurn()
       },
       onTooLarge: () => this.finish('body-too-large')
@@ -407,7 +405,7 @@
     this.discardRequestBody()
     if (this.response.destroyed) return
     const { headers, body } = localReply({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
-    this.pushConnectionHeader(headers, reason === 'malformed-request')
+    this.pushConnectionHeader(headers)
     this.response.writeHead(status, headers)
     this.response.end(body)
   }
@@ -424,8 +422,8 @@
     abortResponse(this.response)
   }
 
-  private pushConnectionHeader (headers: string[], mustClose = false): void {
-    if (this.connection.closesBehind(this, mustClose)) headers.push('connection', 'close')
+  private pushConnectionHeader (headers: string[]): void {
+    if (this.connection.decideClose(this)) headers.push('connection', 'close')
   }
 
   private recordEnd (outcome: FrontReason | 'answered', status: number | undefined, targetId?: TargetId): void {
--- a/packages/gateway/src/edge/FrontListener.ts
+++ b/packages/gateway/src/edge/FrontListener.ts
@@ -99,22 +99,12 @@
     return new CallerConnection({ socket, mustClose: mustCloseConnections, formatRefusal: reason => formatRefusal(reason, retryAfterHeader) })
   }
 
-  /** Serves a request as its connection admits it. */
   private openExchange (request: IncomingMessage, response: ServerResponse, serve: (exchange: FrontExchange) => void): void {
     const connection = this.connections.get(request.socket)
-    const admission = connection?.admit() ?? 'ignore'
-    if (connection === undefined || admission === 'ignore') {
-      request.resume()
-      return
-    }
-    const exchange = new FrontExchange({ context: this.options, connection, request, response, onClosed: () => { this.inFlight -= 1 } })
-    this.inFlight += 1
-    connection.add(exchange)
-    // What came in the same segment is read first: the rest of the request, and requests behind it.
-    process.nextTick(() => {
-      if (admission === 'serve') serve(exchange)
-      else exchange.refuse(admission === 'refuse-stopping' ? 'stopping' : 'queue-full')
-    })
+    connection?.open(request, () => {
+      this.inFlight += 1
+      return new FrontExchange({ context: this.options, connection, request, response, onClosed: () => { this.inFlight -= 1 } })
+    }, serve)
   }
 }
 
--- a/packages/proxy/src/CallerConnection.ts
+++ b/packages/proxy/src/CallerConnection.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { haveValidNames } from './haveValidNames.js'
 import { parserErrorReason, type ParserError } from './parserError.js'
 import type { Reason } from './Reason.js'
 
@@ -7,6 +8,8 @@
 const LINGER_MS = 1_000
 /** Largest number of requests of one connection that wait for their turn or their response. */
 const EXCHANGES_MAX = 16
+/** Number of requests behind the last one after which the connection is not read any more. */
+const IGNORED_MAX = 16
 /** Methods of requests that may be served in parallel although they came over one connection (RFC 9112, 9.3.2). */
 const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(['GET', 'HEAD', 'OPTIONS'])
 /** Largest declared body whose rest is read behind an early response to keep the connection. */
@@ -21,12 +24,8 @@
 /** Which side ended a connection first. @public */
 export type ConnectionEndedBy = 'caller' | 'instance'
 
-/**
- * What happens to a request that was read: it is served; it is refused as not run, and its response is the last one of the connection; or
- * it gets no response, because the last one has been decided.
- * @public
- */
-export type Admission = 'serve' | 'refuse-stopping' | 'refuse-queue-full' | 'ignore'
+/** Why a request is refused when it is read; its response is the last one of the connection. */
+type RefusalAtOnce = 'stopping' | 'queue-full' | 'malformed-request'
 
 /**
  * A request and its response, as the connection that carries them sees it.
@@ -35,6 +34,8 @@
 export interface ConnectionExchange {
   readonly request: IncomingMessage
   readonly response: ServerResponse
+  /** Responds with an error instead of serving the request. */
+  refuse(reason: RefusalAtOnce): void
   /** Called when the rest of the request cannot be read. */
   failRequest(reason: Reason): void
   /** Whether the request is of no use to anybody once its caller has left. */
@@ -55,6 +56,12 @@
   formatRefusal: (reason: Reason) => string
 }
 
+/**
+ * `last-call`: a request behind others is refused, so that a caller that always has one under way is told to close.
+ * `closed`: the last request has been read.
+ */
+type Stage = 'open' | 'last-call' | 'closed'
+
 /**
  * The life of a caller's connection. Requests are served in the order in which they were read, one after the other unless all of them
  * are safe. The connection ends behind the response to the last request that was admitted; what is read after that is not served.
@@ -64,10 +71,13 @@
   private readonly options: CallerConnectionOptions
   private readonly exchanges: ConnectionExchange[] = []
   private readonly turnCallbacks = new Map<ConnectionExchange, () => void>()
-  /** `last-call`: a request behind others is refused, so that a caller that always has one under way is told to close. */
-  private stage: 'open' | 'last-call' | 'closed' = 'open'
+  private stage: Stage = 'open'
+  /** Whether the last response has been sent. */
   private isEnding = false
+  private ignoredRequests = 0
   private hasCallerEnded = false
+  /** Bytes that had been written at the last look at whether the caller still reads. */
+  private probedBytes = 0
   private probeTimer: NodeJS.Timeout | undefined
   private lingerTimer: NodeJS.Timeout | undefined
 
@@ -82,19 +92,31 @@
     socket.destroySoon = () => this.endAndLinger()
   }
 
-  /** Decides what happens to a request that was read. */
-  admit (): Admission {
-    if (this.stage === 'closed') return 'ignore'
-    const isLastCall = this.stage === 'last-call' && this.exchanges.length > 0
-    if (!isLastCall && this.exchanges.length < EXCHANGES_MAX) return 'serve'
-    this.stage = 'closed'
-    return isLastCall ? 'refuse-stopping' : 'refuse-queue-full'
-  }
-
-  /** Adds the exchange of a request that was not ignored. */
-  add (exchange: ConnectionExchange): void {
+  /**
+   * Opens the exchange of a request that was read. It is served or refused after the rest of its segment has been read; behind the last
+   * request of the connection it gets no exchange.
+   */
+  open <E extends ConnectionExchange> (request: IncomingMessage, createExchange: () => E, serve: (exchange: E) => void): void {
+    if (this.stage === 'closed') {
+      this.ignore(request)
+      return
+    }
+    const refusal = this.refusalOf(request)
+    // An HTTP/1.0 response without a length ends with its connection.
+    if (refusal !== undefined || request.httpVersionMinor === 0) this.stage = 'closed'
+    const exchange = createExchange()
     this.exchanges.push(exchange)
     exchange.response.once('close', () => this.remove(exchange))
+    process.nextTick(() => {
+      if (refusal === undefined) serve(exchange)
+      else exchange.refuse(refusal)
+    })
+  }
+
+  /** Whether all earlier requests have been answered, or may be served in parallel. */
+  isDue (exchange: ConnectionExchange): boolean {
+    const index = this.exchanges.indexOf(exchange)
+    return index === 0 || this.exchanges.slice(0, index + 1).every(({ request }) => SAFE_METHODS.has(request.method))
   }
 
   /** Calls back when it is the request's turn, at once if it is. */
@@ -103,14 +125,11 @@
     else this.turnCallbacks.set(exchange, callback)
   }
 
-  /**
-   * Whether the response of an exchange closes the connection. Called once, when its head is written.
-   * @param mustClose whether the bytes behind the request cannot be trusted
-   */
-  closesBehind (exchange: ConnectionExchange, mustClose = false): boolean {
+  /** Decides whether the response of an exchange closes the connection. Must be called once, when its head is written. */
+  decideClose (exchange: ConnectionExchange): boolean {
     const isLast = this.exchanges.at(-1) === exchange
     const isClosing = this.stage === 'closed' || this.options.mustClose()
-    if (mustClose || (isLast && (isClosing || !isBodyDiscardable(exchange.request)))) {
+    if (isLast && (isClosing || !isBodyDiscardable(exchange.request))) {
       this.stage = 'closed'
       return true
     }
@@ -125,6 +144,7 @@
       if (!socket.writableEnded) socket.destroy()
       return
     }
+    // The request before these bytes is answered; what is behind them cannot be read.
     if (this.exchanges.at(-1)?.request.complete === true) {
       this.stage = 'closed'
       return
@@ -161,17 +181,23 @@
     if (this.exchanges.length === 0) return
     this.probeTimer = setTimeout(() => {
       if (this.exchanges.some(exchange => exchange.needsCaller())) this.probeCaller()
-      this.scheduleProbe(RESET_WAIT_MS)
+      if (!this.options.socket.destroyed) this.scheduleProbe(RESET_WAIT_MS)
     }, delayMs)
   }
 
   /**
    * Finds out whether a caller that sends nothing more still reads. The connection of one that has left fails at the second write, and with
-   * it its requests end. An interim response is the only message that a caller accepts at any time before its response.
+   * it its requests end. An interim response is the only message that a caller accepts at any time before its response. Behind the head of
+   * a response only its body can be written; a caller of a response that rests is taken to have left.
    */
   private probeCaller (): void {
+    const { socket } = this.options
     const [first] = this.exchanges
-    if (first !== undefined && !first.response.headersSent && first.request.httpVersionMinor > 0) first.response.writeContinue()
+    const hasWritten = socket.bytesWritten > this.probedBytes || socket.writableLength > 0
+    this.probedBytes = socket.bytesWritten
+    if (first === undefined || first.request.httpVersionMinor === 0) return
+    if (!first.response.headersSent) first.response.writeContinue()
+    else if (!hasWritten) socket.destroy()
   }
 
   private handleClose (): void {
@@ -203,9 +229,24 @@
     else callback()
   }
 
-  private isDue (exchange: ConnectionExchange): boolean {
-    const index = this.exchanges.indexOf(exchange)
-    return index === 0 || this.exchanges.slice(0, index + 1).every(({ request }) => SAFE_METHODS.has(request.method))
+  private refusalOf ({ rawHeaders }: IncomingMessage): RefusalAtOnce | undefined {
+    // The bytes behind a head with such a name may be read differently by others.
+    if (!haveValidNames(rawHeaders)) return 'malformed-request'
+    if (this.stage === 'last-call' && this.exchanges.length > 0) return 'stopping'
+    return this.exchanges.length < EXCHANGES_MAX ? undefined : 'queue-full'
+  }
+
+  /** Node keeps each request until the responses before it are sent, so that only a few are read. */
+  private ignore (request: IncomingMessage): void {
+    const { socket } = this.options
+    this.ignoredRequests += 1
+    if (this.ignoredRequests < IGNORED_MAX) request.resume()
+    else if (this.isEnding) socket.destroy()
+    else if (this.ignoredRequests === IGNORED_MAX) {
+      socket.pause()
+      // Node resumes the connection for each body that is read.
+      socket.on('resume', () => socket.pause())
+    }
   }
 
   /** Reads the rest of a body behind an early response, so that the next request can be read. */
@@ -223,6 +264,7 @@
     this.isEnding = true
     this.lingerTimer = setTimeout(() => socket.destroy(), LINGER_MS)
     this.lingerTimer.unref()
+    if (this.ignoredRequests >= IGNORED_MAX) socket.destroy()
     socket.end()
     socket.resume()
   }
--- a/packages/proxy/src/CallerListener.ts
+++ b/packages/proxy/src/CallerListener.ts
@@ -183,32 +183,30 @@
     })
   }
 
-  /** Serves a request as its connection admits it. */
   private openExchange (request: IncomingMessage, response: ServerResponse, serve: (exchange: Exchange) => void): void {
     const connection = this.connections.get(request.socket)
-    const admission = connection?.admit() ?? 'ignore'
-    if (connection === undefined || admission === 'ignore') {
-      request.resume()
-      return
-    }
-    const exchange = new Exchange({ context: this.context, connection, request, response, onClosed: () => { this.inFlight -= 1 } })
-    this.inFlight += 1
-    connection.add(exchange)
-    // What came in the same segment is read first: the rest of the request, and requests behind it.
-    process.nextTick(() => {
-      if (admission === 'serve') serve(exchange)
-      else exchange.refuse(admission === 'refuse-stopping' ? 'stopping' : 'queue-full')
-    })
+    connection?.open(request, () => {
+      this.inFlight += 1
+      return new Exchange({ context: this.context, connection, request, response, onClosed: () => { this.inFlight -= 1 } })
+    }, serve)
   }
 
   /** Serves one of carobpitch's own routes. */
   private serveOwnRoute (request: IncomingMessage, response: ServerResponse, ownRoutes: (request: IncomingMessage, response: ServerResponse) => void): void {
     const connection = this.connections.get(request.socket)
-    request.resume()
-    if (connection === undefined || connection.admit() === 'ignore') return
-    const exchange: ConnectionExchange = { request, response, failRequest: () => {}, needsCaller: () => true, handleClose: () => {} }
-    connection.add(exchange)
-    ownRoutes(request, response)
+    const createExchange = (): ConnectionExchange => ({
+      request,
+      response,
+      refuse: reason => this.sendLocalReply(response, reason),
+      failRequest: () => {},
+      needsCaller: () => true,
+      handleClose: () => {}
+    })
+    connection?.open(request, createExchange, exchange => {
+      request.resume()
+      if (connection.decideClose(exchange)) response.setHeader('connection', 'close')
+      ownRoutes(request, response)
+    })
   }
 
   private sendLocalReply (response: ServerResponse, reason: Reason): void {
--- a/packages/proxy/src/Exchange.ts
+++ b/packages/proxy/src/Exchange.ts
@@ -98,7 +98,6 @@
   private willResend = false
   private framing: ResponseFraming | undefined
   private coalescedBody: Buffer | undefined
-  private mustClose = false
   /** Reason from outside the attempt that ends the request and rules out further attempts. */
   private interruption: Reason | undefined
 
@@ -117,7 +116,6 @@
     const { request } = this
     const parsed = parseCallerRequest(request, configuration.current(), bodySizeMaxBytes)
     if (parsed.isErr) {
-      this.mustClose = parsed.error === 'malformed-request'
       this.finish(parsed.error)
       return
     }
@@ -141,8 +139,10 @@
       sizeMaxBytes: bodySizeMaxBytes,
       onReady: body => {
         this.body = body
-        if (this.stage === 'reading') this.queueInTurn()
-        else this.discardRequestBody()
+        if (this.stage !== 'reading') this.discardRequestBody()
+        // While its body waits, nothing else of the connection is read, not even its end.
+        else if (!Buffer.isBuffer(body) && !this.connection.isDue(this)) this.finish('queue-full')
+        else this.queueInTurn()
       },
       onTooLarge: () => this.interrupt('body-too-large')
     })
@@ -155,7 +155,6 @@
 
   /** @internal */
   failRequest (reason: Reason): void {
-    this.mustClose = true
     this.interrupt(reason)
   }
 
@@ -360,6 +359,6 @@
 
   private responseMetadata (verdict: Verdict, reason: Reason | undefined): ResponseMetadata {
     const { instanceId } = this.context
-    return { verdict, reason, instanceId, targetId: this.targetId, attempts: this.attempts, closesConnection: this.connection.closesBehind(this, this.mustClose) }
+    return { verdict, reason, instanceId, targetId: this.targetId, attempts: this.attempts, closesConnection: this.connection.decideClose(this) }
   }
 }
--- a/packages/proxy/src/Reason.ts
+++ b/packages/proxy/src/Reason.ts
@@ -1,4 +1,5 @@
 import type { RefusalReason } from '@carobpitch/routing'
+import type { Verdict } from '@carobpitch/schema'
 
 /**
  * Why a request did not get a target's complete response. Sent to callers in `carobpitch-reason`.
@@ -20,8 +21,8 @@
   | 'connect-failed' | 'connect-timeout' | 'connection-lost' | 'truncated-response' | 'malformed-response'
   | 'unframed-response' | 'mismatched-response' | 'refused-by-target' | 'target-withdrawn'
 
-/** Returns the HTTP status of a response that carobpitch generates for a reason. @public */
-export function statusOf (reason: Reason): number {
+/** Returns the HTTP status of a response that carobpitch generates for a reason. 408 promises that the request has not run. @public */
+export function statusOf (reason: Reason, verdict: Verdict = 'not-run'): number {
   switch (reason) {
     case 'unknown-path':
     case 'unknown-service': return 404
@@ -36,7 +37,7 @@
     case 'malformed-request': return 400
     case 'head-too-large': return 431
     case 'body-too-large': return 413
-    case 'slow-sender': return 408
+    case 'slow-sender': return verdict === 'not-run' ? 408 : 504
     case 'unknown-method': return 501
     case 'method-not-forwarded': return 405
     case 'unsupported-expectation': return 417
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,4 +1,4 @@
-export { CallerConnection, type Admission, type CallerConnectionOptions, type ConnectionEndedBy, type ConnectionExchange } from './CallerConnection.js'
+export { CallerConnection, type CallerConnectionOptions, type ConnectionEndedBy, type ConnectionExchange } from './CallerConnection.js'
 export { CallerListener, type CallerListenerOptions } from './CallerListener.js'
 export { type AddressList, type ListedInstance } from './addressList.js'
 export { statusOf, type Reason } from './Reason.js'
