--- a/packages/daemon/src/front/soak/SoakCaller.ts
+++ b/packages/daemon/src/front/soak/SoakCaller.ts
@@ -1,4 +1,4 @@
-import { CallerConnection } from './CallerConnection.js'
+import { SoakConnection } from './SoakConnection.js'
 import type { LinkProxy } from './LinkProxy.js'
 import { ANSWER_FRAMINGS, contentOf, requestPath } from './requestContent.js'
 import type { SeededRandom } from './SeededRandom.js'
@@ -58,7 +58,7 @@
     const isKept = kind === 'kept' || kind === 'pipelined' || kind === 'slow-head' || kind === 'slow-body' || kind === 'slow-reader'
     while (!this.isStopped) {
       const front = random.pick(fronts)
-      const connection = await CallerConnection.open({ proxy: front.proxy, onSurplusAnswer: status => { if (kind !== 'trailing' || status !== 400) onSurplusAnswer(front.name) }, readPauseMs: kind === 'slow-reader' ? random.between(5, 40) : 0 })
+      const connection = await SoakConnection.open({ proxy: front.proxy, onSurplusAnswer: status => { if (kind !== 'trailing' || status !== 400) onSurplusAnswer(front.name) }, readPauseMs: kind === 'slow-reader' ? random.between(5, 40) : 0 })
       if (connection === undefined) {
         await pause(RECONNECT_MS)
         continue
@@ -77,7 +77,7 @@
     this.isStopped = true
   }
 
-  private async useOnce (connection: CallerConnection, front: string): Promise<void> {
+  private async useOnce (connection: SoakConnection, front: string): Promise<void> {
     const { kind, random } = this.options
     const isIdempotent = kind === 'slow-body' ? random.next() < 0.3 : random.next() < 0.5
     const workMs = random.pick([0, 5, 30, 100, 300, 300, 700])
@@ -123,17 +123,17 @@
     return { record, head, body: isChunked ? inChunks(contentOf(requestId, bodyBytes)) : contentOf(requestId, bodyBytes), answerBytes }
   }
 
-  private async sendTogether (connection: CallerConnection, requests: PlannedRequest[], trailing = Buffer.alloc(0)): Promise<void> {
+  private async sendTogether (connection: SoakConnection, requests: PlannedRequest[], trailing = Buffer.alloc(0)): Promise<void> {
     const ended = requests.map(async ({ record, head, body, answerBytes }) => await connection.expect(record, head.length + body.length, answerBytes))
     connection.write(Buffer.concat([...requests.flatMap(({ head, body }) => [head, body]), trailing]))
     await Promise.all(ended)
   }
 
-  private async sendSlowly (connection: CallerConnection, request: PlannedRequest): Promise<void> {
+  private async sendSlowly (connection: SoakConnection, request: PlannedRequest): Promise<void> {
     await this.sendInPieces(connection, request, Buffer.concat([request.head, request.body]), { pieces: BODY_PIECES, waitMs: this.options.random.pick([0, 5, 20, 80]) })
   }
 
-  private async sendInPieces (connection: CallerConnection, { record, answerBytes }: PlannedRequest, bytes: Buffer, { pieces, waitMs }: { pieces: number, waitMs: number }): Promise<void> {
+  private async sendInPieces (connection: SoakConnection, { record, answerBytes }: PlannedRequest, bytes: Buffer, { pieces, waitMs }: { pieces: number, waitMs: number }): Promise<void> {
     const ended = connection.expect(record, bytes.length, answerBytes)
     const pieceBytes = Math.ceil(bytes.length / pieces)
     for (let at = 0; at < bytes.length && !connection.isClosing; at += pieceBytes) {
--- a/packages/daemon/src/front/soak/CallerConnection.ts
+++ b/packages/daemon/src/front/soak/SoakConnection.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * Options of `CallerConnection`.
+ * Options of `SoakConnection`.
  * @internal
  */
 export interface CallerConnectionOptions {
@@ -32,7 +32,7 @@
  * Connection of a caller on a raw socket. It matches answers to requests by their order.
  * @internal
  */
-export class CallerConnection {
+export class SoakConnection {
   /** Whether the connection takes no further request: it has ended, or an answer said that it will. */
   isClosing = false
   private readonly options: Required<CallerConnectionOptions>
@@ -55,11 +55,11 @@
   }
 
   /** Connects; `undefined` if the front cannot be reached. */
-  static async open (options: CallerConnectionOptions): Promise<CallerConnection | undefined> {
+  static async open (options: CallerConnectionOptions): Promise<SoakConnection | undefined> {
     const socket = connect({ port: options.proxy.port(), host: '127.0.0.1', allowHalfOpen: true, noDelay: true })
     return await new Promise(resolve => {
       socket.once('error', () => resolve(undefined))
-      socket.once('connect', () => resolve(new CallerConnection(options, socket)))
+      socket.once('connect', () => resolve(new SoakConnection(options, socket)))
     })
   }
 
--- a/packages/daemon/src/front/soak/SoakFleet.ts
+++ b/packages/daemon/src/front/soak/SoakFleet.ts
@@ -1,6 +1,6 @@
 import { mkdirSync } from 'node:fs'
 import { STORE_KEYS, StandInPlatformStore, wireConfiguration, wireRoute } from '@carobpitch/platform'
-import { FrontProcess } from './FrontProcess.js'
+import { SoakFrontProcess } from './SoakFrontProcess.js'
 import { LinkProxy } from './LinkProxy.js'
 import type { Disturbance, TargetRecord } from './SoakHistory.js'
 import { SoakTarget } from './SoakTarget.js'
@@ -26,7 +26,7 @@
 /** Front with the link that callers reach it through. @internal */
 export interface SoakFront {
   name: string
-  process: FrontProcess
+  process: SoakFrontProcess
   proxy: LinkProxy
   /** Whether a restart or freeze is in progress. */
   isBusy: boolean
@@ -64,7 +64,7 @@
     }
     for (let index = 1; index <= frontCount; index += 1) {
       const seeds = this.fronts.slice(0, 2).map(({ process }) => process.controlAddress)
-      const process = await FrontProcess.create({ name: `front-${index}`, folder: this.folder, storeAddress, seeds })
+      const process = await SoakFrontProcess.create({ name: `front-${index}`, folder: this.folder, storeAddress, seeds })
       const proxy = new LinkProxy(process.frontPort)
       await proxy.start()
       this.fronts.push({ name: process.name, process, proxy, isBusy: false })
--- a/packages/daemon/src/front/soak/FrontProcess.ts
+++ b/packages/daemon/src/front/soak/SoakFrontProcess.ts
@@ -3,17 +3,17 @@
 import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs'
 import { request } from 'node:http'
 import { join } from 'node:path'
-import { findFreePort } from './findFreePort.js'
+import { findFreePort } from '../testing/findFreePort.js'
 
 const START_MAX_MS = 20_000
 const READY_CHECK_MS = 50
 const LISTENERS = ['front', 'ready', 'control', 'directory', 'metrics'] as const
 
 /**
- * Options of `FrontProcess`.
+ * Options of `SoakFrontProcess`.
  * @internal
  */
-export interface FrontProcessOptions {
+export interface SoakFrontProcessOptions {
   name: string
   folder: string
   storeAddress: string
@@ -25,7 +25,7 @@
  * The front program of the deploy file as a process of its own.
  * @internal
  */
-export class FrontProcess {
+export class SoakFrontProcess {
   readonly name: string
   readonly logPath: string
   /** Settings that take part in the next write of the file. */
@@ -37,7 +37,7 @@
   readonly controlAddress: string
   private child: ChildProcess | undefined
 
-  private constructor ({ name, folder, storeAddress, seeds }: FrontProcessOptions, ports: Record<typeof LISTENERS[number], number>) {
+  private constructor ({ name, folder, storeAddress, seeds }: SoakFrontProcessOptions, ports: Record<typeof LISTENERS[number], number>) {
     this.name = name
     this.logPath = join(folder, `${name}.log`)
     this.settingsPath = join(folder, `${name}.conf`)
@@ -49,9 +49,9 @@
   }
 
   /** Chooses free ports for a front; it does not start. */
-  static async create (options: FrontProcessOptions): Promise<FrontProcess> {
+  static async create (options: SoakFrontProcessOptions): Promise<SoakFrontProcess> {
     const ports = Object.fromEntries(await Promise.all(LISTENERS.map(async use => [use, await findFreePort()]))) as Record<typeof LISTENERS[number], number>
-    return new FrontProcess(options, ports)
+    return new SoakFrontProcess(options, ports)
   }
 
   /** Starts the process and waits until it is ready. Rejects if it is not ready within 20 s. */
--- a/packages/daemon/src/front/testing/FrontProcess.ts
+++ b/packages/daemon/src/front/testing/FrontProcess.ts
@@ -1,10 +1,10 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { readFileSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import { callerHeaders, callerProtocol } from '@carobpitch/platform'
 import { request } from 'undici'
+import { findFreePort } from './findFreePort.js'
 
 const START_MAX_MS = 10_000
 const POLL_MS = 50
@@ -122,12 +122,3 @@
     return 0
   }
 }
-
-async function findFreePort (): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
