--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -169,6 +169,8 @@
     stopGraceMs: 1_000,
     directoryTtlMaxMs: 100,
     probesPerTargetAndS: 60,
+    allowanceLimits: undefined,
+    rolloutLimits: undefined,
     retryLimits: { share: 0.2, slack: 56, windowMs: 10_000 },
     ...settings
   }
--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -20,6 +20,7 @@
     port: 1,
     failureDomain: 'zone-a' as FailureDomainId,
     slots: 3,
+    version: undefined,
     isDraining: value === 'draining',
     coldForMs: 0,
     bornAtEpochMs: 1
--- a/packages/gateway/src/deployment/testing/SimulatedFleet.ts
+++ b/packages/gateway/src/deployment/testing/SimulatedFleet.ts
@@ -212,6 +212,7 @@
     port: 8_000 + index,
     failureDomain: 'zone-0' as FailureDomainId,
     slots: 6,
+    version: undefined,
     isDraining: false,
     coldForMs: 0,
     bornAtEpochMs: 1_700_000_000_000 + index
--- a/packages/gateway/src/model/FrontSettings.ts
+++ b/packages/gateway/src/model/FrontSettings.ts
@@ -2,6 +2,31 @@
 import type { InstanceCapacity } from './InstanceCapacity.js'
 import type { PropagationBounds } from '../deployment/propagationBudget.js'
 
+/**
+ * Bounds on the requests of an account over all instances.
+ * @public
+ */
+export interface AllowanceLimits {
+  windowMs: number
+  /** Share by which the sum may exceed the allowance. */
+  excessShare: number
+  /** Requests by which the sum may exceed the allowance in addition. */
+  slackRequests: number
+}
+
+/**
+ * Bounds on the requests that a new version of a service receives.
+ * @public
+ */
+export interface RolloutLimits {
+  /** Largest share of the service's requests between the order and its end that a bad version may receive. */
+  exposureShare: number
+  /** Requests that a bad version may receive in addition. */
+  exposureSlackRequests: number
+  /** Time from clear evidence against a version until it receives no requests. */
+  rollbackMs: number
+}
+
 /**
  * Settings of one front process.
  * @public
@@ -36,6 +61,10 @@
   directoryTtlMaxMs: number
   /** Probes per target and second that all instances together may send. */
   probesPerTargetAndS: number
+  /** Window in which the sum of an account's requests over all instances is bounded; `undefined` where none is set. */
+  allowanceLimits: AllowanceLimits | undefined
+  /** How much a new version may receive before it has proved itself; `undefined` where none is set. */
+  rolloutLimits: RolloutLimits | undefined
   /** Limit on the retries that all instances together may send, per service. */
   retryLimits: {
     share: number
--- a/packages/gateway/src/model/Route.ts
+++ b/packages/gateway/src/model/Route.ts
@@ -1,4 +1,5 @@
 import type { ServiceName, Violation } from '@carobpitch/schema'
+import type { ClientAccount } from '../accounts/ClientAccount.js'
 
 /**
  * Share of a route's requests that goes to one service.
@@ -31,6 +32,8 @@
   attemptsMax: number
   /** 0 is the most urgent. */
   priority: number
+  /** Whether callers need no account. */
+  isPublic: boolean
 }
 
 /**
@@ -70,6 +73,8 @@
   hasUnmatchableRoutes: boolean
   services: ReadonlyMap<ServiceName, ServicePolicy>
   callerLimits: CallerLimits
+  /** `undefined` if the configuration has no client accounts; callers then need no key. */
+  accounts: readonly ClientAccount[] | undefined
   /** Parts of the operators' document that could not be read or are not known. */
   faults: readonly Violation[]
 }
--- a/packages/gateway/src/model/TargetRecord.ts
+++ b/packages/gateway/src/model/TargetRecord.ts
@@ -1,4 +1,4 @@
-import type { FailureDomainId, ServiceName, TargetId } from '@carobpitch/schema'
+import type { FailureDomainId, ServiceName, TargetId, TargetVersion } from '@carobpitch/schema'
 
 /**
  * Record that one incarnation of a target has registered.
@@ -12,6 +12,8 @@
   failureDomain: FailureDomainId
   /** Number of requests that the target processes concurrently. */
   slots: number
+  /** Version of the target's software; `undefined` if its record names none. */
+  version: TargetVersion | undefined
   isDraining: boolean
   /** Time for which the target stays cold, counted from the record. */
   coldForMs: number
--- a/packages/gateway/src/model/model.test.ts
+++ b/packages/gateway/src/model/model.test.ts
@@ -15,6 +15,7 @@
     objectiveMs: 600,
     attemptsMax: 2,
     priority: 1,
+    isPublic: false,
     ...fields
   }
 }
--- a/packages/gateway/src/targets/TargetRegistry.test.ts
+++ b/packages/gateway/src/targets/TargetRegistry.test.ts
@@ -15,7 +15,7 @@
 /** Decodes `configuration` as a table with one service and all other keys as targets whose value is their start time. */
 function decode (key: string, value: string): Result<DeploymentRecord, string> {
   if (key === 'configuration') return Result.ok({ kind: 'configuration', table: { version: 1, routes: [], services: new Map([[SERVICE, POLICY]]), faults: [] } as unknown as RoutingTable })
-  const target = { targetId: key as TargetId, service: SERVICE, host: '127.0.0.1', port: 1, failureDomain: 'zone-a' as FailureDomainId, slots: 3, isDraining: false, coldForMs: 0, bornAtEpochMs: Number(value) }
+  const target = { targetId: key as TargetId, service: SERVICE, host: '127.0.0.1', port: 1, failureDomain: 'zone-a' as FailureDomainId, slots: 3, version: undefined, isDraining: false, coldForMs: 0, bornAtEpochMs: Number(value) }
   return Result.ok({ kind: 'target', target })
 }
 
--- a/packages/gateway/src/targets/limiters.test.ts
+++ b/packages/gateway/src/targets/limiters.test.ts
@@ -19,6 +19,7 @@
       port: 1,
       failureDomain: 'zone-a' as FailureDomainId,
       slots: 3,
+      version: undefined,
       isDraining: false,
       coldForMs: 60_000,
       bornAtEpochMs: 1
--- a/packages/platform/src/decodeConfiguration.ts
+++ b/packages/platform/src/decodeConfiguration.ts
@@ -32,6 +32,8 @@
   /** Maximum number of targets that a request is sent to, not of retries. */
   'max-attempts': z.int().min(1),
   priority: z.number(),
+  /** Whether callers need no key. */
+  public: z.boolean().default(false),
   service: serviceNameSchema.optional(),
   'traffic-split': z.array(z.object({ service: serviceNameSchema, weight: z.number().min(0).max(COUNT_MAX) })).max(SPLIT_MAX_PARTS).optional()
 })
@@ -76,6 +78,7 @@
       hasUnmatchableRoutes: routes.includes(undefined),
       services,
       callerLimits: decodeLimits(document.limits, faults),
+      accounts: undefined,
       faults
     }
   })
@@ -118,13 +121,14 @@
     timeoutMs: parsed.value.timeout,
     objectiveMs: parsed.value['target-latency'],
     attemptsMax: parsed.value['max-attempts'],
-    priority: parsed.value.priority
+    priority: parsed.value.priority,
+    isPublic: parsed.value.public
   }
 }
 
 /** A route without services, whose requests are refused instead of being handled as if the route did not exist. */
 function refusingRoute (name: string, { host, prefix }: z.infer<typeof routeMatchSchema>): Route {
-  return { name, host, pathPrefix: prefix, isIdempotent: false, shares: [], timeoutMs: undefined, objectiveMs: 0, attemptsMax: 1, priority: 0 }
+  return { name, host, pathPrefix: prefix, isIdempotent: false, shares: [], timeoutMs: undefined, objectiveMs: 0, attemptsMax: 1, priority: 0, isPublic: false }
 }
 
 function decodeServices (entries: object, faults: Violation[]): Map<ServiceName, ServicePolicy> {
--- a/packages/platform/src/decodeRecord.ts
+++ b/packages/platform/src/decodeRecord.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth'
 import * as z from 'zod'
 import { instanceCapacitySchema, type DeploymentRecord } from '@carobpitch/gateway'
-import { failureDomainIdSchema, instanceIdSchema, memberRecordSchema, parseJsonWith, serviceNameSchema, targetIdSchema, type Violation } from '@carobpitch/schema'
+import { failureDomainIdSchema, instanceIdSchema, memberRecordSchema, parseJsonWith, serviceNameSchema, targetIdSchema, targetVersionSchema, type Violation } from '@carobpitch/schema'
 import { addressSchema } from './addresses.js'
 import { decodeConfiguration } from './decodeConfiguration.js'
 import { durationSchema } from './durations.js'
@@ -15,6 +15,8 @@
   address: addressSchema,
   zone: failureDomainIdSchema,
   slots: z.int().min(1).max(SLOTS_MAX),
+  /** A version of another form only means that the target takes part in no roll-out. */
+  version: targetVersionSchema.optional().catch(undefined),
   state: z.enum(['ready', 'draining']),
   /** Time until the target is warm. */
   'warmup-left': durationSchema,
@@ -58,6 +60,7 @@
       port: entry.address.port,
       failureDomain: entry.zone,
       slots: entry.slots,
+      version: entry.version,
       isDraining: entry.state === 'draining',
       coldForMs: entry['warmup-left'],
       bornAtEpochMs: entry.born
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -72,6 +72,8 @@
     leaseMinMs: fields['platform.ttl-min'],
     stopGraceMs: fields['bounds.grace-period'],
     directoryTtlMaxMs: fields['bounds.ttl_max'],
+    allowanceLimits: undefined,
+    rolloutLimits: undefined,
     probesPerTargetAndS: fields['bounds.probes-per-s'],
     retryLimits: {
       share: fields['bounds.retry-budget-ratio'],
--- a/packages/schema/src/ids.ts
+++ b/packages/schema/src/ids.ts
@@ -33,3 +33,13 @@
 export const changeIdSchema = z.string().regex(ID_PATTERN, ID_RULE).brand<'ChangeId'>()
 /** Identifies a configuration change, from plan to adoption. @public */
 export type ChangeId = z.infer<typeof changeIdSchema>
+
+/** Validator of the names of client accounts. @public */
+export const accountNameSchema = z.string().regex(ID_PATTERN, ID_RULE).brand<'AccountName'>()
+/** Names a client account of the operators' configuration. @public */
+export type AccountName = z.infer<typeof accountNameSchema>
+
+/** Validator of target versions. @public */
+export const targetVersionSchema = z.string().regex(ID_PATTERN, ID_RULE).brand<'TargetVersion'>()
+/** Version of the software that a target runs. @public */
+export type TargetVersion = z.infer<typeof targetVersionSchema>
