--- a/packages/gateway/src/dispatch/DispatchRequest.ts
+++ b/packages/gateway/src/dispatch/DispatchRequest.ts
@@ -1,5 +1,6 @@
 import type { AttemptOutcome } from '@carobpitch/routing'
-import type { ServiceName, TargetId } from '@carobpitch/schema'
+import type { AccountName, ServiceName, TargetId } from '@carobpitch/schema'
+import type { TargetRecord } from '../model/TargetRecord.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 
 /**
@@ -8,6 +9,12 @@
  */
 export interface DispatchRequest {
   service: ServiceName
+  /** Name of the request's route, by which the work that it needs is estimated. */
+  route: string
+  /** Client account of the caller, if the deployment has accounts. */
+  account: AccountName | undefined
+  /** Whether a target may run the request; a roll-out binds each request to one version. */
+  accepts: (target: TargetRecord) => boolean
   /** 0 is the most urgent. */
   priority: number
   arrivedAtMs: number
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -164,7 +164,7 @@
     const targets = registry.ofService(service)
     const ranked: Candidate[] = []
     targets.forEach(target => {
-      if (probed.has(target) || target.failures.isBackingOff() || target.restsForMs() > 0) return
+      if (probed.has(target) || !this.waiters.some(({ request }) => request.accepts(target.record)) || target.failures.isBackingOff() || target.restsForMs() > 0) return
       const domainFactor = target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_RANK_FACTOR
       ranked.push({ target, factor: this.factorOf(target) * (1 + this.rankOf(targets, target)) * domainFactor })
     })
@@ -258,7 +258,7 @@
   /** Returns the target with a free slot that is expected to respond first: by fresh reports, else by old ones, else by this instance's own request counts. */
   private best (request: DispatchRequest, isSuitable: (candidate: Candidate) => boolean = () => true): Candidate | undefined {
     const usable = this.options.registry.ofService(this.options.service)
-      .filter(target => !request.exclude.has(target.record.targetId) && target.restsForMs() === 0 && target.freeSlots() > 0 && this.mayReceive(target))
+      .filter(target => !request.exclude.has(target.record.targetId) && request.accepts(target.record) && target.restsForMs() === 0 && target.freeSlots() > 0 && this.mayReceive(target))
     const notBackingOff = usable.filter(target => !target.failures.isBackingOff())
     const pool = notBackingOff.length > 0 ? notBackingOff : usable
     const fresh = pool.filter(target => target.reportAgeMs() <= REPORT_FRESH_MS + REPORT_WAIT_MS)
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -259,6 +259,9 @@
     const route = this.matchedRoute as Route
     return await this.context.dispatcher.acquire({
       service: this.service as ServiceName,
+      route: route.name,
+      account: undefined,
+      accepts: () => true,
       priority: route.priority,
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
