Follow a store that comes back from an older copy

Callers saw nothing yet; a store that gives out its revisions again would have left instances with what was lost, or a position that names another change. A position now joins the era of the store (header Store-Era) and the revision within it, so that every comparison of revisions knows the era: a read after a position of an earlier era starts anew. Leases carry their era, since an older copy gives their ids to others. Evacuations, draining targets and the configuration don't go back: what was in force stays for 3 s, in which operators and targets write it again; a target that is missing counts as lapsed. The stand-in store learns to take and return from a copy.

--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -8,10 +8,12 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
 import { DeploymentCache } from './DeploymentCache.js'
+import { positionOf } from './storePosition.js'
 
 /** Decodes `configuration` keys as versions and all others as targets; the value `bad` cannot be decoded. */
 function decode (key: string, value: string): Result<DeploymentRecord, string> {
   if (value === 'bad') return Result.err('bad')
+  if (key.startsWith('evacuation/')) return Result.ok({ kind: 'evacuation', failureDomain: key.slice('evacuation/'.length) as FailureDomainId })
   if (key === 'configuration') return Result.ok({ kind: 'configuration', table: { version: Number(value), routes: [], services: new Map(), faults: [] } as unknown as RoutingTable })
   const target: TargetRecord = {
     targetId: key as TargetId,
@@ -154,4 +156,65 @@
       expect(targetIds()).to.deep.equal(['t1'])
     })
   })
+
+  describe('a store that comes back from an older copy', () => {
+    const GRACE_MS = 3_100
+    const again = (revision: number): number => positionOf(1, revision)
+    const isDraining = (): boolean | undefined => cache.targets()[0]?.isDraining
+
+    beforeEach(() => {
+      cache.apply(3, { events: [put('t1', 'draining', 4), put('evacuation/zone-a', '', 5), put('configuration', '9', 6)], revision: 6 }, 'store')
+    })
+
+    const returnFromCopy = (): void => cache.replace({ records: [{ key: 'configuration', value: '7', modRevision: again(2) }, { key: 't1', value: 'ready', modRevision: again(3) }], revision: again(3) }, 'store', false)
+
+    it('guards against a configuration that goes back', () => {
+      returnFromCopy()
+      expect(cache.routingTable()?.version).to.equal(9)
+    })
+
+    it('guards against requests to a target that was draining', async () => {
+      returnFromCopy()
+      await clock.tickAsync(GRACE_MS)
+      expect(isDraining()).to.equal(true)
+    })
+
+    it('guards against an evacuation that ends before the operator had time to state it again', async () => {
+      returnFromCopy()
+      expect([...cache.evacuatedDomains()]).to.deep.equal(['zone-a'])
+      cache.apply(again(3), { events: [put('evacuation/zone-a', '', again(4))], revision: again(4) }, 'store')
+      await clock.tickAsync(GRACE_MS)
+      expect([...cache.evacuatedDomains()]).to.deep.equal(['zone-a'])
+    })
+
+    it('guards against an evacuation that has ended and returns with the copy', async () => {
+      cache.apply(6, { events: [{ kind: 'delete', key: 'evacuation/zone-a', modRevision: 7 }], revision: 7 }, 'store')
+      cache.replace({ records: [{ key: 'evacuation/zone-a', value: '', modRevision: again(5) }], revision: again(5) }, 'store', false)
+      expect([...cache.evacuatedDomains()]).to.deep.equal([])
+      cache.apply(again(5), { events: [{ kind: 'delete', key: 'evacuation/zone-a', modRevision: again(6) }], revision: again(6) }, 'store')
+      await clock.tickAsync(GRACE_MS)
+      expect([...cache.evacuatedDomains()]).to.deep.equal([])
+    })
+
+    it('guards against an empty service: a target that the copy does not have may register again', async () => {
+      cache.apply(6, { events: [put('t2', 'ready', 7)], revision: 7 }, 'store')
+      returnFromCopy()
+      expect(targetIds()).to.include('t2')
+      await clock.tickAsync(GRACE_MS)
+      expect(targetIds()).not.to.include('t2')
+    })
+
+    it('guards against an instance that keeps the lost records because it follows another one', async () => {
+      const follower = new DeploymentCache({ decode, log: new EventLog({ silent: true }) })
+      follower.replace(cache.snapshot(), 'peer', false)
+      const before = follower.revision()
+      returnFromCopy()
+      follower.apply(before, cache.changesAfter(before) ?? { events: [], revision: 0 }, 'peer')
+      expect(follower.revision()).to.equal(again(3))
+      expect([...follower.evacuatedDomains()]).to.deep.equal(['zone-a'])
+      await clock.tickAsync(GRACE_MS)
+      expect([...follower.evacuatedDomains()]).to.deep.equal([])
+      follower.stop()
+    })
+  })
 })
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -7,6 +7,8 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
 import type { ChangeBatch } from './ChangeStore.js'
+import { RewriteGrace } from './RewriteGrace.js'
+import { eraOf } from './storePosition.js'
 
 /** Time within which targets whose records lapsed during an outage of the store register again; the platform specifies about 2 s. */
 const LAPSE_GRACE_MS = 2_000
@@ -59,6 +61,8 @@
   /** Capacities of the instances, kept as long as `memberList`. */
   private capacityMap: ReadonlyMap<InstanceId, InstanceCapacity> | undefined
   private lapseTimer: NodeJS.Timeout | undefined
+  private readonly rewriteGrace = new RewriteGrace()
+  private rewriteTimer: NodeJS.Timeout | undefined
 
   constructor (options: DeploymentCacheOptions) {
     this.options = options
@@ -82,7 +86,7 @@
       if (untilMs > nowMs) targets.set(target.targetId, target)
     }
     for (const { decoded } of this.records.values()) {
-      if (decoded.kind === 'target') targets.set(decoded.target.targetId, decoded.target)
+      if (decoded.kind === 'target') targets.set(decoded.target.targetId, this.rewriteGrace.apply(decoded.target))
     }
     return [...targets.values()]
   }
@@ -93,7 +97,7 @@
     for (const { decoded } of this.records.values()) {
       if (decoded.kind === 'evacuation') domains.add(decoded.failureDomain)
     }
-    return domains
+    return this.rewriteGrace.evacuatedDomains(domains)
   }
 
   /** Registered instances. */
@@ -126,6 +130,7 @@
    */
   replace ({ records, revision }: DeploymentSnapshot, source: ChangeSource, isAfterOutage: boolean): void {
     if (revision < this.currentRevision) return
+    const isReturn = this.followReturn(revision, source)
     const kept = new Set(records.map(({ key }) => key))
     const events: WatchEvent[] = records
       .filter(({ key, modRevision }) => (this.records.get(key)?.raw.modRevision ?? 0) < modRevision)
@@ -136,7 +141,7 @@
     }
     events.sort((first, second) => revisionOf(first) - revisionOf(second))
     const isFirstRead = this.currentRevision === 0
-    for (const event of events) this.applyEvent(event, source, isAfterOutage)
+    for (const event of events) this.applyEvent(event, source, isAfterOutage || isReturn)
     if (isFirstRead) this.historyStartRevision = revision
     else this.appendHistory(events)
     this.advance(revision)
@@ -147,9 +152,10 @@
   /** Applies the changes after a revision. Returns whether they follow the cached revision without a gap. */
   apply (after: number, { events, revision }: ChangeBatch, source: ChangeSource, isAfterOutage = false): boolean {
     if (after > this.currentRevision) return false
+    const isReturn = this.followReturn(revision, source)
     const newEvents = events.filter(event => revisionOf(event) > this.currentRevision)
     for (const event of newEvents) {
-      this.applyEvent(event, source, isAfterOutage)
+      this.applyEvent(event, source, isAfterOutage || isReturn)
       this.options.log.info('knowledge.changed', { source, key: keyOf(event), kind: event.kind, revision: revisionOf(event) })
     }
     this.appendHistory(newEvents)
@@ -179,6 +185,7 @@
   /** Stops the timer of lapsed records. */
   stop (): void {
     clearTimeout(this.lapseTimer)
+    clearTimeout(this.rewriteTimer)
   }
 
   /** Revisions and records for the state dump. */
@@ -193,6 +200,19 @@
     }
   }
 
+  /** Retains what is in force if the store has come back from an older copy. Returns whether it has. */
+  private followReturn (revision: number, source: ChangeSource): boolean {
+    const previous = eraOf(this.currentRevision)
+    if (this.currentRevision === 0 || eraOf(revision) <= previous) return false
+    this.rewriteGrace.begin({ evacuated: this.evacuatedDomains(), targets: this.targets() })
+    const graceMs = this.rewriteGrace.remainingMs()
+    this.options.log.warn('store.returned', { source, era: eraOf(revision), previous, graceMs: Math.round(graceMs) })
+    clearTimeout(this.rewriteTimer)
+    this.rewriteTimer = setTimeout(() => this.notify(), graceMs + 1)
+    this.rewriteTimer.unref()
+    return true
+  }
+
   private applyEvent (event: WatchEvent, source: ChangeSource, isAfterOutage: boolean): void {
     if (event.kind === 'put') this.storeRecord(event.value, source)
     else if ((this.records.get(event.key)?.raw.modRevision ?? 0) <= event.modRevision) this.removeRecord(event.key, isAfterOutage)
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -6,11 +6,13 @@
   let standIn: StandInPlatformStore
   let store: PlatformStore
   let counts: string[]
+  let storeUrl: string
 
   beforeEach(async () => {
     standIn = new StandInPlatformStore()
     counts = []
-    store = new PlatformStore({ url: await standIn.start(), countCall: (call, result) => counts.push(`${call} ${result}`) })
+    storeUrl = await standIn.start()
+    store = new PlatformStore({ url: storeUrl, countCall: (call, result) => counts.push(`${call} ${result}`) })
   })
 
   afterEach(async () => {
@@ -91,4 +93,43 @@
     await store.listPage('')
     expect(counts).to.deep.equal(['list 200', 'list 503'])
   })
+
+  describe('a store that comes back from an older copy', () => {
+    const revisionOf = async (): Promise<number> => (await store.listPage('')).unwrapOrElse(({ reason }) => { throw new Error(reason) }).revision
+
+    it('guards against changes after a revision that has been given out again', async () => {
+      standIn.takeCopy()
+      standIn.put('op/config', 'lost')
+      const before = await revisionOf()
+      standIn.returnFromCopy()
+      standIn.put('op/config', 'written again')
+      standIn.put('op/config', 'written later')
+      const changes = await store.changesAfter('', before, 100)
+      expect(changes.isErr && changes.error.kind).to.equal('history-lost')
+      expect(await revisionOf()).to.be.greaterThan(before)
+    })
+
+    it('guards against a watch that waits for a revision of the lost history', async () => {
+      standIn.takeCopy()
+      standIn.put('op/config', 'lost')
+      const waiting = store.changesAfter('', await revisionOf(), 5_000)
+      standIn.returnFromCopy()
+      const changes = await waiting
+      expect(changes.isErr && changes.error.kind).to.equal('history-lost')
+    })
+
+    it('guards against the renewal of a lease whose id was given to another instance', async () => {
+      standIn.takeCopy()
+      const lost = (await store.grantLease(5_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      standIn.returnFromCopy()
+      const other = new PlatformStore({ url: storeUrl })
+      const given = (await other.grantLease(5_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      expect(given.leaseId).not.to.equal(lost.leaseId)
+      expect((await store.renewLease(lost.leaseId)).unwrapOr({ leaseId: '', ttlMs: -1 }).ttlMs).to.equal(0)
+      expect((await other.renewLease(given.leaseId)).unwrapOr({ leaseId: '', ttlMs: -1 }).ttlMs).to.equal(5_000)
+      const written = await store.put([{ key: 'carobpitch/members/a', value: 'x' }], lost.leaseId)
+      expect(written.isErr && written.error.effect).to.equal('none')
+      await other.close()
+    })
+  })
 })
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -2,11 +2,11 @@
 import { Result } from 'true-myth'
 import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
-import type { ChangeBatch, ChangesFailure, ChangesOptions, ChangeStore, ListOptions, RecordPage, StoreEntry } from '@carobpitch/gateway'
+import { eraOf, positionOf, revisionIn, type ChangeBatch, type ChangesFailure, type ChangesOptions, type ChangeStore, type ListOptions, type RecordPage, type StoreEntry } from '@carobpitch/gateway'
 import { collectBytes } from '@carobpitch/kernel'
 import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
 import { durationSchema, formatDuration } from './durations.js'
-import { STORE_PATHS } from './wire.js'
+import { STORE_ERA_HEADER, STORE_PATHS } from './wire.js'
 
 /** Number of connections to the store: one each for a long poll of changes, a lease renewal and a write, and one spare. */
 const CONNECTIONS_MAX = 4
@@ -18,6 +18,10 @@
 const RESPONSE_SIZE_MAX_BYTES = 16_777_216
 /** Factor by which values grow when they are encoded as base64. */
 const BASE64_FACTOR = 4 / 3
+/** Between the era and the store's id of a lease. */
+const ERA_SEPARATOR = '/'
+/** Largest era whose positions are safe integers. */
+const ERA_MAX = 8_000
 
 const itemSchema = z.object({
   key: z.string(),
@@ -59,6 +63,8 @@
 
 interface StoreResponse {
   status: number
+  /** Rises each time the store comes back from an older copy; 0 if the store doesn't tell. */
+  era: number
   /** `undefined` if the body exceeded the size limit of the call. */
   body: unknown
 }
@@ -81,6 +87,8 @@
 export class PlatformStore implements ChangeStore {
   private readonly options: PlatformStoreOptions
   private readonly pool: Pool
+  /** Era of the newest response. */
+  private era = 0
 
   constructor (options: PlatformStoreOptions) {
     this.options = options
@@ -94,14 +102,14 @@
     const page = pageSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !page.success) return Result.err(unexpectedResponse(response.value))
     return Result.ok({
-      records: page.data.items.map(toStoredValue),
-      revision: page.data['current-rev'],
+      records: page.data.items.map(item => toStoredValue(item, response.value.era)),
+      revision: positionOf(response.value.era, page.data['current-rev']),
       hasMore: page.data['more-pages']
     })
   }
 
   async changesAfter (prefix: string, revision: number, waitMs: number, { responseTimeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs, sizeMaxBytes = RESPONSE_SIZE_MAX_BYTES / BASE64_FACTOR }: ChangesOptions = {}): Promise<Result<ChangeBatch, ChangesFailure>> {
-    const query = new URLSearchParams({ prefix, after: String(revision), 'wait-ms': String(waitMs) })
+    const query = new URLSearchParams({ prefix, after: String(revisionIn(revision)), 'wait-ms': String(waitMs) })
     const response = await this.call({
       name: 'changes',
       method: 'GET',
@@ -111,14 +119,17 @@
       bodySizeMaxBytes: sizeMaxBytes * BASE64_FACTOR
     })
     if (response.isErr) return Result.err({ kind: 'unavailable', reason: response.error.reason })
-    if (response.value.status === 410) return Result.err({ kind: 'history-lost' })
+    // A revision of an earlier era may be another change in this one, also where the store still has it.
+    const { era } = response.value
+    if (response.value.status === 410 || era !== eraOf(revision)) return Result.err({ kind: 'history-lost' })
     if (response.value.status === 200 && response.value.body === undefined) return Result.err({ kind: 'too-large' })
     const batch = batchSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !batch.success) return Result.err({ kind: 'unavailable', reason: unexpectedResponse(response.value).reason })
-    return Result.ok({ events: batch.data.events.map(toEvent), revision: batch.data['current-rev'] })
+    return Result.ok({ events: batch.data.events.map(event => toEvent(event, era)), revision: positionOf(era, batch.data['current-rev']) })
   }
 
   async put (entries: readonly StoreEntry[], leaseId: string): Promise<Result<void, StoreFailure>> {
+    if (eraOfLease(leaseId) < this.era) return Result.err({ effect: 'none', reason: 'the lease was granted before the store came back from an older copy' })
     const lease = toWireLeaseId(leaseId)
     const body = { puts: entries.map(({ key, value }) => ({ key, value: Buffer.from(value).toString('base64'), lease })) }
     const response = await this.call({ name: 'write', method: 'POST', path: STORE_PATHS.write, body })
@@ -131,20 +142,21 @@
     if (response.isErr) return Result.err(response.error)
     const lease = leaseSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !lease.success) return Result.err(unexpectedResponse(response.value))
-    return Result.ok({ leaseId: String(lease.data.lease), ttlMs: lease.data.ttl_time })
+    return Result.ok({ leaseId: formatLeaseId(response.value.era, lease.data.lease), ttlMs: lease.data.ttl_time })
   }
 
   async renewLease (leaseId: string): Promise<Result<Lease, StoreFailure>> {
-    const response = await this.call({ name: 'renewLease', method: 'POST', path: `${STORE_PATHS.renewLease}${leaseId}`, body: {} })
+    const response = await this.call({ name: 'renewLease', method: 'POST', path: `${STORE_PATHS.renewLease}${toWireLeaseId(leaseId)}`, body: {} })
     if (response.isErr) return Result.err(response.error)
-    if (response.value.status === 404) return Result.ok({ leaseId, ttlMs: 0 })
+    // An older copy may have given the id of a lease that it lost to another instance.
+    if (response.value.status === 404 || (response.value.status === 200 && response.value.era !== eraOfLease(leaseId))) return Result.ok({ leaseId, ttlMs: 0 })
     const renewal = renewalSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !renewal.success || renewal.data.ttl_time === undefined) return Result.err(unexpectedResponse(response.value))
     return Result.ok({ leaseId, ttlMs: renewal.data.ttl_time })
   }
 
   async revokeLease (leaseId: string): Promise<Result<void, StoreFailure>> {
-    const response = await this.call({ name: 'endLease', method: 'DELETE', path: `${STORE_PATHS.endLease}${leaseId}` })
+    const response = await this.call({ name: 'endLease', method: 'DELETE', path: `${STORE_PATHS.endLease}${toWireLeaseId(leaseId)}` })
     if (response.isErr) return Result.err(response.error)
     return response.value.status === 200 || response.value.status === 204 || response.value.status === 404 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpectedResponse(response.value))
   }
@@ -171,8 +183,10 @@
       clearTimeout(timer)
       timer = abortAfter(transferTimeoutMs, 'complete response')
       const bodyText = await readBody(response, bodySizeMaxBytes)
+      const era = readEra(response.headers[STORE_ERA_HEADER])
+      this.era = Math.max(this.era, era)
       this.options.countCall?.(name, String(response.statusCode))
-      return Result.ok({ status: response.statusCode, body: bodyText === undefined ? undefined : parseBody(bodyText) })
+      return Result.ok({ status: response.statusCode, era, body: bodyText === undefined ? undefined : parseBody(bodyText) })
     } catch (error) {
       this.options.countCall?.(name, 'no-answer')
       return Result.err({ effect: 'unknown', reason: (error as Error).message })
@@ -203,16 +217,33 @@
   return { effect: isRefused ? 'none' : 'unknown', reason: isRefused ? `status ${status}` : `unreadable response: ${inspect(body, { depth: 2, breakLength: Infinity }).slice(0, 200)}` }
 }
 
-function toStoredValue ({ key, value, revision }: z.infer<typeof itemSchema>): StoredValue {
-  return { key, value: Buffer.from(value, 'base64').toString('utf8'), modRevision: revision }
+function toStoredValue ({ key, value, revision }: z.infer<typeof itemSchema>, era: number): StoredValue {
+  return { key, value: Buffer.from(value, 'base64').toString('utf8'), modRevision: positionOf(era, revision) }
 }
 
-function toEvent (event: z.infer<typeof batchSchema>['events'][number]): WatchEvent {
-  if ('deleted' in event) return { kind: 'delete', key: event.key, modRevision: event.revision }
-  return { kind: 'put', value: toStoredValue(event) }
+function toEvent (event: z.infer<typeof batchSchema>['events'][number], era: number): WatchEvent {
+  if ('deleted' in event) return { kind: 'delete', key: event.key, modRevision: positionOf(era, event.revision) }
+  return { kind: 'put', value: toStoredValue(event, era) }
 }
 
-/** Converts a lease id to a number if the store issued it as a number. */
+/** Joins the era in which a lease was granted and its id at the store, because an older copy gives out ids again. */
+function formatLeaseId (era: number, wireLeaseId: string | number): string {
+  return era === 0 ? String(wireLeaseId) : `${era}${ERA_SEPARATOR}${wireLeaseId}`
+}
+
+function eraOfLease (leaseId: string): number {
+  const separatorIndex = leaseId.indexOf(ERA_SEPARATOR)
+  return separatorIndex < 0 ? 0 : Number(leaseId.slice(0, separatorIndex))
+}
+
+/** Returns the store's own id of a lease, as a number if the store issued it as one. */
 function toWireLeaseId (leaseId: string): string | number {
-  return /^\d{1,15}$/.test(leaseId) ? Number(leaseId) : leaseId
+  const wireLeaseId = leaseId.slice(leaseId.indexOf(ERA_SEPARATOR) + 1)
+  return /^\d{1,15}$/.test(wireLeaseId) ? Number(wireLeaseId) : wireLeaseId
+}
+
+/** A header that cannot be read counts as that of a store that never came back. */
+function readEra (header: string | string[] | undefined): number {
+  const era = Number(header ?? 0)
+  return Number.isSafeInteger(era) && era >= 0 && era <= ERA_MAX ? era : 0
 }
--- a/packages/platform/src/testing/StandInPlatformStore.ts
+++ b/packages/platform/src/testing/StandInPlatformStore.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import { text } from 'node:stream/consumers'
 import polka from 'polka'
-import { STORE_PATHS } from '../wire.js'
+import { STORE_ERA_HEADER, STORE_PATHS } from '../wire.js'
 
 /** Maximum number of items on one page of a list. */
 const PAGE_SIZE = 50
@@ -23,6 +23,14 @@
   timer: NodeJS.Timeout
 }
 
+/** What a copy of the store holds. */
+interface StoreCopy {
+  items: Map<string, Item>
+  leases: ReadonlyMap<number, number>
+  revision: number
+  lastLease: number
+}
+
 /** How the store handles a call. @public */
 export type CallBehaviour = 'serve' | 'busy' | 'many' | 'reset' | 'silent' | 'lose-answer'
 
@@ -43,6 +51,8 @@
   private historyStart = 0
   private revision = 1
   private lastLease = 0
+  private era = 1
+  private copy: StoreCopy | undefined
 
   constructor () {
     const app = polka()
@@ -97,6 +107,29 @@
     this.historyStart = this.revision
   }
 
+  /** Copies what the store holds now. */
+  takeCopy (): void {
+    const leases = new Map([...this.leases].map(([lease, { ttlMs }]): [number, number] => [lease, ttlMs]))
+    this.copy = { items: new Map(this.items), leases, revision: this.revision, lastLease: this.lastLease }
+  }
+
+  /** Comes back from the last copy: what was written since is gone, and its revisions and lease ids are given out again. */
+  returnFromCopy (): void {
+    const { copy } = this
+    if (copy === undefined) throw new Error('the store has no copy')
+    for (const { timer } of this.leases.values()) clearTimeout(timer)
+    this.items.clear()
+    this.leases.clear()
+    for (const [key, item] of copy.items) this.items.set(key, item)
+    for (const [lease, ttlMs] of copy.leases) this.leases.set(lease, { ttlMs, timer: this.scheduleLeaseEnd(lease, ttlMs) })
+    this.revision = copy.revision
+    this.lastLease = copy.lastLease
+    this.events = []
+    this.historyStart = copy.revision
+    this.era += 1
+    for (const wake of [...this.waiting]) wake()
+  }
+
   private record (event: StoreEvent): void {
     this.events.push(event)
     for (const wake of [...this.waiting]) wake()
@@ -105,6 +138,7 @@
   private handleCall (request: IncomingMessage, response: ServerResponse, handler: (request: IncomingMessage, response: ServerResponse) => void): void {
     const path = request.url ?? ''
     this.calls.push(path)
+    response.setHeader(STORE_ERA_HEADER, String(this.era))
     const behaviour = this.behaviourFor(path)
     switch (behaviour) {
       case 'serve': return handler(request, response)
@@ -133,9 +167,11 @@
 
   private async changes (query: URLSearchParams, response: ServerResponse): Promise<void> {
     const after = Number(query.get('after'))
-    if (after < this.historyStart) return respond(response, 410, {})
-    await this.wait(() => this.revision > after, Number(query.get('wait-ms')))
-    if (after < this.historyStart) return respond(response, 410, {})
+    const { era } = this
+    if (after < this.historyStart || after > this.revision) return respond(response, 410, {})
+    await this.wait(() => this.revision > after || this.era !== era, Number(query.get('wait-ms')))
+    if (era !== this.era) response.setHeader(STORE_ERA_HEADER, String(this.era))
+    if (era !== this.era || after < this.historyStart) return respond(response, 410, {})
     const prefix = query.get('prefix') ?? ''
     const events = this.events.filter(event => event.revision > after && event.key.startsWith(prefix))
     respond(response, 200, { events, 'current-rev': this.revision })
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -22,6 +22,9 @@
   retryAfterS: 'retry-after'
 } as const
 
+/** Header of all responses of the store; its number rises each time the store comes back from an older copy. */
+export const STORE_ERA_HEADER = 'store-era'
+
 /** Paths of the gateway's own endpoints. */
 export const GATEWAY_PATHS = {
   readiness: '/carobpitch/readyz',
