--- a/packages/platform/src/decodeRecord.test.ts
+++ b/packages/platform/src/decodeRecord.test.ts
@@ -4,8 +4,7 @@
 import { decodeRecord } from './decodeRecord.js'
 import { wireConfiguration, wireRoute } from './testing/configurations.js'
 
-const ENTRY = { service: 'menzaiko', address: '10.128.0.9:8080', zone: 'fukuoka', version: 'v1', slots: 3,
-        version: 'v1', state: 'ready', 'warmup-left': '1500ms', sequence: 4, born: 1_789_000_000_000 }
+const ENTRY = { service: 'menzaiko', address: '10.128.0.9:8080', zone: 'fukuoka', version: 'v1', slots: 3, state: 'ready', 'warmup-left': '1500ms', sequence: 4, born: 1_789_000_000_000 }
 
 function decoded (key: string, value: string): DeploymentRecord | string {
   return decodeRecord(key, value).match<DeploymentRecord | string>({ Ok: record => record, Err: error => error })
@@ -31,6 +30,7 @@
         port: 8080,
         failureDomain: 'fukuoka',
         slots: 3,
+        version: 'v1',
         isDraining: false,
         coldForMs: 1_500,
         bornAtEpochMs: 1_789_000_000_000
