Know client accounts by their keys

What callers saw: keys went to targets, callers without a known key were served, and no target learned whose request it ran. Requests on routes that are not public now need the key of an account (401 otherwise, 503 where an account could not be read); targets get the account's name and never the key, whatever the caller sent. The priority of an account goes before that of the route. Only configurations with accounts are affected.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -8,7 +8,7 @@
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { MemberRecord } from '@carobpitch/schema'
-import type { Result } from 'true-myth'
+import { Result } from 'true-myth'
 import { LiveSettings } from './LiveSettings.js'
 import { MetricsListener } from './MetricsListener.js'
 
@@ -149,6 +149,7 @@
       waitForRouting: async waitMs => await routing.waitForConfiguration(waitMs),
       roundRobin: routing.roundRobin,
       dispatcher,
+      allowances: { take: () => Result.ok({ giveBack: () => {} }) },
       isEligible: target => targets.isEligible(target),
       observer,
       callerProtocol,
--- /dev/null
+++ b/packages/gateway/src/accounts/admitCaller.ts
@@ -0,0 +1,48 @@
+import { Result } from 'true-myth'
+import type { AccountIndex } from './AccountIndex.js'
+import type { AllowanceGate, AllowanceTicket } from './AllowanceGate.js'
+import type { ClientAccount } from './ClientAccount.js'
+
+/**
+ * A caller whose request may be served, with its account if it has one.
+ * @internal
+ */
+export interface AdmittedCaller {
+  account?: ClientAccount
+  ticket?: AllowanceTicket
+}
+
+/**
+ * A caller whose request may not be served.
+ * @internal
+ */
+export interface RejectedCaller {
+  reason: 'unknown-key' | 'unreadable-account' | 'over-allowance'
+  retryAfterMs?: number
+}
+
+/**
+ * Options of `admitCaller`.
+ * @internal
+ */
+export interface AdmitCallerOptions {
+  /** `undefined` if the configuration has no client accounts. */
+  accounts: AccountIndex | undefined
+  allowances: AllowanceGate
+  key: string | undefined
+  isPublicRoute: boolean
+}
+
+/** Finds the account of a request and counts it towards the account's allowance. @internal */
+export function admitCaller ({ accounts, allowances, key, isPublicRoute }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
+  if (accounts === undefined) return Result.ok({})
+  const owner = accounts.ownerOf(key)
+  if (owner.kind === 'account') {
+    const { account } = owner
+    return allowances.take(account)
+      .map((ticket): AdmittedCaller => ({ account, ticket }))
+      .mapErr(({ retryAfterMs }): RejectedCaller => ({ reason: 'over-allowance', retryAfterMs }))
+  }
+  if (isPublicRoute) return Result.ok({})
+  return Result.err({ reason: owner.kind === 'unknown' ? 'unknown-key' : 'unreadable-account' })
+}
--- a/packages/gateway/src/edge/CallerProtocol.ts
+++ b/packages/gateway/src/edge/CallerProtocol.ts
@@ -8,6 +8,8 @@
 export interface CallerMetadata {
   /** Identifies one attempt of the caller; each of its retries has its own id. */
   requestId: string | undefined
+  /** Key of the caller's account, if the request carries one. */
+  accountKey: string | undefined
   /** Time that the caller waits; `undefined` if its header is missing or invalid. */
   deadlineMs: number | undefined
 }
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'true-myth'
 import { abortResponse, BlockWriter, endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
+import { admitCaller, type AdmittedCaller } from '../accounts/admitCaller.js'
 import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import { createAttempt } from '../targets/createAttempt.js'
@@ -41,6 +42,7 @@
   private readonly triedTargets = new Set<TargetId>()
   private readonly requestId: string
   private matchedRoute: Route | undefined
+  private caller: AdmittedCaller = {}
   private service: ServiceName | undefined
   private configurationVersion = 0
   private deadlineAtMs = 0
@@ -166,8 +168,8 @@
     else this.route(state, deadlineMs)
   }
 
-  private route ({ table, index }: RoutingState, deadlineMs: number): void {
-    const { targetProtocol, roundRobin, dispatcher, timer } = this.context
+  private route ({ table, index, accounts }: RoutingState, deadlineMs: number): void {
+    const { targetProtocol, callerProtocol, roundRobin, dispatcher, allowances, timer } = this.context
     const route = index.find(this.request.headers.host ?? '', this.request.url ?? '')
     this.configurationVersion = table.version
     if (route === undefined) {
@@ -179,6 +181,13 @@
       this.finish('unreadable-route')
       return
     }
+    const { accountKey: key } = callerProtocol.readFacts(this.request.headers)
+    const caller = admitCaller({ accounts, allowances, key, isPublicRoute: route.isPublic })
+    if (caller.isErr) {
+      this.finish(caller.error.reason, caller.error.retryAfterMs)
+      return
+    }
+    this.caller = caller.value
     if (headSizeBytes(this.request) > table.callerLimits.headSizeMaxBytes) {
       this.finish('head-too-large')
       return
@@ -187,7 +196,7 @@
     dispatcher.recordRequest(this.service)
     this.deadlineAtMs = this.arrivedAtMs + Math.min(deadlineMs, route.timeoutMs ?? Infinity)
     this.timerKey = timer.add(this, this.deadlineAtMs)
-    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, targetProtocol.headersSetPerAttempt)
+    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, table.accounts === undefined ? targetProtocol.headersSetPerAttempt : targetProtocol.headersSetWithAccounts)
     this.receive(table.callerLimits.bodySizeMaxBytes)
   }
 
@@ -260,9 +269,9 @@
     return await this.context.dispatcher.acquire({
       service: this.service as ServiceName,
       route: route.name,
-      account: undefined,
+      account: this.caller.account?.name,
       accepts: () => true,
-      priority: route.priority,
+      priority: this.caller.account?.priority ?? route.priority,
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
       deadlineAtMs: this.deadlineAtMs,
@@ -278,7 +287,7 @@
     const client = target.connections.acquire(this.requestId)
     this.attempts += 1
     this.triedTargets.add(targetId)
-    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId }))
+    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId, account: this.caller.account?.name }))
     const attempt = createAttempt(target, client, targetProtocol, {
       method: this.request.method ?? 'GET',
       path: this.request.url ?? '/',
@@ -435,6 +444,7 @@
     this.abortController.abort()
     this.overdueCheck?.cancel()
     this.releaseBodyMemory?.()
+    if (this.verdict === 'not-run') this.caller.ticket?.giveBack()
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
     metrics.recordRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
@@ -442,6 +452,6 @@
   }
 
   private logFields (): LoggedRequest {
-    return { requestId: this.requestId, service: this.service, attempts: this.attempts }
+    return { requestId: this.requestId, service: this.service, account: this.caller.account?.name, attempts: this.attempts }
   }
 }
--- a/packages/gateway/src/edge/FrontExchangeContext.ts
+++ b/packages/gateway/src/edge/FrontExchangeContext.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { EventLog } from '@carobpitch/kernel'
 import type { CallerConnection, DeadlineTimer } from '@carobpitch/proxy'
+import type { AllowanceGate } from '../accounts/AllowanceGate.js'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { WeightedRoundRobin } from '../model/WeightedRoundRobin.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
@@ -21,6 +22,7 @@
   waitForRouting: (waitMs: number) => Promise<RoutingState | undefined>
   roundRobin: WeightedRoundRobin
   dispatcher: Dispatcher
+  allowances: AllowanceGate
   isEligible: (target: GatewayTarget) => boolean
   observer: ResponseObserver
   callerProtocol: CallerProtocol
--- a/packages/gateway/src/edge/FrontReason.ts
+++ b/packages/gateway/src/edge/FrontReason.ts
@@ -2,7 +2,7 @@
 import type { DispatchRefusalReason } from '../dispatch/DispatchRequest.js'
 
 /** Why a request did not get a target's response. @public */
-export type FrontReason = Reason | DispatchRefusalReason | 'no-configuration' | 'unknown-route' | 'unreadable-route' | 'no-memory' | 'target-failed'
+export type FrontReason = Reason | DispatchRefusalReason | 'no-configuration' | 'unknown-route' | 'unreadable-route' | 'unknown-key' | 'unreadable-account' | 'over-allowance' | 'no-memory' | 'target-failed'
 
 /**
  * Status of a local reply. 408, 429 and 503 guarantee that the request has not run and never will.
@@ -12,6 +12,8 @@
   switch (reason) {
     case 'unknown-route':
     case 'unknown-path': return 404
+    case 'unknown-key': return 401
+    case 'over-allowance': return 429
     case 'malformed-request':
     case 'invalid-request':
     case 'invalid-request-target':
--- a/packages/gateway/src/edge/RoutingHolder.ts
+++ b/packages/gateway/src/edge/RoutingHolder.ts
@@ -1,3 +1,4 @@
+import { AccountIndex } from '../accounts/AccountIndex.js'
 import type { DeploymentCache } from '../deployment/DeploymentCache.js'
 import type { RoutingTable } from '../model/Route.js'
 import { RouteIndex } from '../model/RouteIndex.js'
@@ -10,6 +11,8 @@
 export interface RoutingState {
   table: RoutingTable
   index: RouteIndex
+  /** `undefined` if callers need no account. */
+  accounts: AccountIndex | undefined
 }
 
 /**
@@ -29,7 +32,7 @@
   current (): RoutingState | undefined {
     const table = this.deploymentCache.routingTable()
     if (table !== undefined && table !== this.state?.table) {
-      this.state = { table, index: new RouteIndex(table.routes) }
+      this.state = { table, index: new RouteIndex(table.routes), accounts: indexAccounts(table) }
       this.roundRobin.retain(table.routes)
     }
     return this.state
@@ -50,3 +53,7 @@
     return this.current()
   }
 }
+
+function indexAccounts ({ accounts, hasUnreadableAccounts: hasUnreadable }: RoutingTable): AccountIndex | undefined {
+  return accounts === undefined ? undefined : new AccountIndex({ accounts, hasUnreadable })
+}
--- a/packages/gateway/src/edge/exchangeLog.ts
+++ b/packages/gateway/src/edge/exchangeLog.ts
@@ -1,7 +1,7 @@
 /** Log lines of one request. */
 import type { EventLog } from '@carobpitch/kernel'
 import type { Attempt, AttemptResult } from '@carobpitch/proxy'
-import type { ServiceName, TargetId, Verdict } from '@carobpitch/schema'
+import type { AccountName, ServiceName, TargetId, Verdict } from '@carobpitch/schema'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import type { FrontReason } from './FrontReason.js'
@@ -16,6 +16,8 @@
 export interface LoggedRequest {
   requestId: string
   service: ServiceName | undefined
+  /** Account of the caller, if the deployment has accounts. */
+  account: AccountName | undefined
   /** Number of attempts so far. */
   attempts: number
 }
@@ -64,11 +66,12 @@
 }
 
 /** Logs the end of a request and the response to the caller. @internal */
-export function logEnd (log: EventLog, { requestId, service, attempts }: LoggedRequest, end: LoggedEnd): void {
+export function logEnd (log: EventLog, { requestId, service, account, attempts }: LoggedRequest, end: LoggedEnd): void {
   log.info('request.ended', {
     requestId,
     route: end.route?.name,
     service,
+    account,
     outcome: end.outcome,
     status: end.status,
     verdict: end.verdict,
--- a/packages/gateway/src/edge/localReply.ts
+++ b/packages/gateway/src/edge/localReply.ts
@@ -33,6 +33,7 @@
   const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
   const usualS = reason === 'no-room' ? RETRY_AFTER_NO_ROOM_S : RETRY_AFTER_S
   const retryAfterS = retryAfterMs === undefined ? usualS : Math.ceil(retryAfterMs / 10) / 100
+  if (status === 401) headers.push('www-authenticate', 'Bearer')
   if (status === 503 || status === 429) headers.push(retryAfterHeader, String(retryAfterS))
   return { headers, body }
 }
--- a/packages/gateway/src/model/Route.ts
+++ b/packages/gateway/src/model/Route.ts
@@ -75,6 +75,8 @@
   callerLimits: CallerLimits
   /** `undefined` if the configuration has no client accounts; callers then need no key. */
   accounts: readonly ClientAccount[] | undefined
+  /** Whether some accounts could not be read, so that the owners of some keys are not known. */
+  hasUnreadableAccounts: boolean
   /** Parts of the operators' document that could not be read or are not known. */
   faults: readonly Violation[]
 }
--- a/packages/platform/src/decodeConfiguration.ts
+++ b/packages/platform/src/decodeConfiguration.ts
@@ -6,6 +6,7 @@
 import * as z from 'zod'
 import type { CallerLimits, Route, RoutingTable, ServicePolicy } from '@carobpitch/gateway'
 import { parseJsonWith, parseWith, serviceNameSchema, type ServiceName, type Violation } from '@carobpitch/schema'
+import { decodeAccounts } from './decodeAccounts.js'
 import { durationSchema } from './durations.js'
 
 /** Bound of counts and rates, above which a value is an error of its writer. */
@@ -63,7 +64,9 @@
   /** Routes by name. */
   routes: z.custom<object>(isTable, 'must be an object'),
   services: z.custom<object>(isTable, 'must be an object'),
-  limits: z.unknown()
+  limits: z.unknown(),
+  /** Client accounts by name. */
+  tenants: z.unknown()
 })
 
 /** Reads a configuration. Fails only if its version, or the tables of routes and services as a whole, cannot be read. */
@@ -71,6 +74,7 @@
   return parseJsonWith(documentSchema, text).map(document => {
     const faults: Violation[] = []
     const services = decodeServices(document.services, faults)
+    const accounts = document.tenants === undefined ? undefined : decodeAccounts(document.tenants, faults)
     const routes = Object.entries(document.routes).map(([name, value]) => decodeRoute(name, value, faults))
     return {
       version: document.version,
@@ -78,7 +82,8 @@
       hasUnmatchableRoutes: routes.includes(undefined),
       services,
       callerLimits: decodeLimits(document.limits, faults),
-      accounts: undefined,
+      accounts: accounts?.accounts,
+      hasUnreadableAccounts: accounts?.hasUnreadable === true,
       faults
     }
   })
--- a/packages/platform/src/targetProtocol.ts
+++ b/packages/platform/src/targetProtocol.ts
@@ -12,9 +12,11 @@
 /** Protocol between the gateway and the platform's targets. */
 export const targetProtocol: TargetProtocol = {
   headersSetPerAttempt: new Set([WIRE_HEADERS.remainingMs, WIRE_HEADERS.expectedTarget]),
-  attemptHeaders: ({ remainingMs, targetId }) => [
+  headersSetWithAccounts: new Set([WIRE_HEADERS.remainingMs, WIRE_HEADERS.expectedTarget, WIRE_HEADERS.accountKey, WIRE_HEADERS.account]),
+  attemptHeaders: ({ remainingMs, targetId, account }) => [
     WIRE_HEADERS.remainingMs, String(Math.max(1, Math.floor(remainingMs))),
-    WIRE_HEADERS.expectedTarget, targetId
+    WIRE_HEADERS.expectedTarget, targetId,
+    ...(account === undefined ? [] : [WIRE_HEADERS.account, account])
   ],
   missingRequestId: 'rejected',
   readOwnHeader: (head, key, value) => {
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -7,6 +7,10 @@
   requestId: 'x-carobpitch-attempt-id',
   /** Time for which the sender waits for the response, in milliseconds. */
   remainingMs: 'x-carobpitch-deadline-ms',
+  /** Bearer key of a client account. */
+  accountKey: 'authorization',
+  /** Name of the client account, towards targets. */
+  account: 'x-carobpitch-tenant',
   /** Target that a request is meant for. */
   expectedTarget: 'x-carobpitch-expect-instance',
   /** Target that responds. In this header, "instance" means a target, not an instance of the gateway. */
--- a/packages/schema/src/parse.ts
+++ b/packages/schema/src/parse.ts
@@ -30,8 +30,9 @@
   let value: unknown
   try {
     value = JSON.parse(text)
-  } catch (error) {
-    return Result.err([{ path: '', message: `not valid JSON: ${(error as Error).message}` }])
+  } catch {
+    // The parser's own message quotes the text, which may hold secrets.
+    return Result.err([{ path: '', message: 'not valid JSON' }])
   }
   return parseWith(schema, value)
 }
