--- a/packages/platform/src/decodeConfiguration.ts
+++ b/packages/platform/src/decodeConfiguration.ts
@@ -66,7 +66,7 @@
   services: z.custom<object>(isTable, 'must be an object'),
   limits: z.unknown(),
   /** Client accounts by name. */
-  tenants: z.unknown()
+  tenants: z.unknown().optional()
 })
 
 /** Reads a configuration. Fails only if its version, or the tables of routes and services as a whole, cannot be read. */
