Keep accounts within their allowance by the sum over all instances

Callers of one account could send any multiple of its rate: no instance saw more than a few of its requests. Instances now exchange rows of counters over the readers of their failure domain, and each admits the share of its own requests that keeps the sum right.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,14 +1,14 @@
 import type { Registry } from 'prom-client'
 import {
-  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
+  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createExchangePeerSelector, createFleetExchangeClient, createFleetExchangeRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FleetAllowances, FLEET_EXCHANGE_ROUTER, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, SharedFleetCounters, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { MemberRecord } from '@carobpitch/schema'
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
 import { LiveSettings } from './LiveSettings.js'
 import { MetricsListener } from './MetricsListener.js'
 
@@ -21,6 +21,7 @@
     registration: Registration
     'peer-feed': PeerServer
     'feed-links': PeerLinks
+    'fleet-counters': SharedFleetCounters
     targets: TargetRegistry
     dispatcher: Dispatcher
     front: FrontListener
@@ -100,6 +101,31 @@
       capacity: settings.capacity === undefined ? undefined : { key: keys.capacity, value: settings.capacity },
       log
     })
+    const fleetSelf = {
+      members: () => cache.members(),
+      capacities: () => cache.capacities(),
+      instanceId: settings.instanceId,
+      failureDomain: settings.failureDomain
+    }
+    const fleetCounters = new SharedFleetCounters({
+      instanceId: settings.instanceId,
+      incarnation: this.incarnation,
+      isNeeded: () => this.needsFleetCounters(),
+      peers: createExchangePeerSelector(fleetSelf),
+      exchange: createFleetExchangeClient(peerLinks),
+      memberCount: () => this.instanceCount(),
+      log
+    })
+    peerServer.mount(FLEET_EXCHANGE_ROUTER, createFleetExchangeRouter(request => fleetCounters.serve(request)))
+    const allowances = new FleetAllowances({
+      counters: fleetCounters,
+      accounts: () => cache.routingTable()?.accounts ?? [],
+      exchangeIntervalMs: () => fleetCounters.intervalMs(),
+      memberCount: () => this.instanceCount(),
+      limits: () => live.current().allowanceLimits,
+      log,
+      registry
+    })
     const targets = new TargetRegistry({ deploymentCache: cache, timer, log })
     const observer: ResponseObserver = { onMisplaced: target => targets.markMisplaced(target), onLeaving: target => targets.markLeaving(target) }
 
@@ -108,7 +134,8 @@
       cacheAgeMs: () => kernel.get('follower').ageMs(),
       services: () => kernel.get('dispatcher').stats(),
       routingTable: () => cache.routingTable(),
-      settings: () => live.status()
+      settings: () => live.status(),
+      fleet: () => fleetCounters.stats()
     })
     const loadProber = new LoadProber({
       protocol: targetProtocol,
@@ -149,7 +176,7 @@
       waitForRouting: async waitMs => await routing.waitForConfiguration(waitMs),
       roundRobin: routing.roundRobin,
       dispatcher,
-      allowances: { take: () => Result.ok({ giveBack: () => {} }) },
+      allowances,
       isEligible: target => targets.isEligible(target),
       observer,
       callerProtocol,
@@ -171,12 +198,7 @@
       budget,
       isFleetKnown: () => cache.members().length > 0,
       peerUrls: () => this.peerUrls(),
-      relays: createRelaySelector({
-        members: () => cache.members(),
-        capacities: () => cache.capacities(),
-        instanceId: settings.instanceId,
-        failureDomain: settings.failureDomain
-      }),
+      relays: createRelaySelector(fleetSelf),
       log,
       onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
@@ -192,6 +214,7 @@
     }))
     kernel.register('peer-feed', peerServer)
     kernel.register('feed-links', peerLinks)
+    kernel.register('fleet-counters', fleetCounters)
     kernel.register('targets', targets)
     kernel.register('dispatcher', dispatcher)
     kernel.register('front-metrics', new MetricsListener({ listen: settings.metricsListen, registry, dump: () => kernel.dump() }))
@@ -258,6 +281,12 @@
     return this.isReady() ? [this.ownRecord(), ...others] : others
   }
 
+  /** Whether something in force reads the counters of all instances. */
+  private needsFleetCounters (): boolean {
+    const accounts = this.deploymentCache.routingTable()?.accounts ?? []
+    return this.liveSettings.current().allowanceLimits !== undefined && accounts.some(({ allowance }) => allowance !== undefined)
+  }
+
   private instanceCount (): number {
     return Math.max(1, this.deploymentCache.members().length)
   }
--- a/packages/daemon/src/front/LiveSettings.ts
+++ b/packages/daemon/src/front/LiveSettings.ts
@@ -2,7 +2,7 @@
 import type { FrontSettings, SettingsStatus } from '@carobpitch/gateway'
 
 /** Settings that are read at each use, so that a change takes effect at once. All others are fixed at the start of the process. */
-const LIVE: ReadonlySet<keyof FrontSettings> = new Set(['bodyMemoryBytes', 'seedPeerUrls', 'leaseMinMs', 'stopGraceMs', 'directoryTtlMaxMs', 'probesPerTargetAndS', 'retryLimits'])
+const LIVE: ReadonlySet<keyof FrontSettings> = new Set(['bodyMemoryBytes', 'seedPeerUrls', 'leaseMinMs', 'stopGraceMs', 'directoryTtlMaxMs', 'probesPerTargetAndS', 'retryLimits', 'allowanceLimits'])
 /** Settings that differ between the instances of a fleet. */
 const OWN: ReadonlySet<keyof FrontSettings> = new Set([
   'instanceId', 'failureDomain', 'capacity', 'bodyMemoryBytes', 'callerListen', 'readinessListen', 'directoryListen', 'peerListen', 'metricsListen', 'seedPeerUrls'
--- a/packages/gateway/src/deployment/selectRelays.ts
+++ b/packages/gateway/src/deployment/selectRelays.ts
@@ -107,8 +107,8 @@
   return [...readers.slice(firstIndex), ...readers.slice(0, firstIndex)]
 }
 
-/** Selects the readers and substitutes among the members of a failure domain. Equal machines are ordered by rendezvous hashing. */
-function rolesOf (instanceIds: readonly InstanceId[], capacities: ReadonlyMap<InstanceId, InstanceCapacity>): { readers: InstanceId[], substitutes: InstanceId[] } {
+/** Selects the readers and substitutes among the members of a failure domain. Equal machines are ordered by rendezvous hashing. @internal */
+export function rolesOf (instanceIds: readonly InstanceId[], capacities: ReadonlyMap<InstanceId, InstanceCapacity>): { readers: InstanceId[], substitutes: InstanceId[] } {
   const readerCount = Math.ceil(instanceIds.length / GROUP_SIZE)
   const ranked = rankByRendezvous(STORE_READER_KEY, instanceIds)
     .map(instanceId => ({ instanceId, costMs: responseCostMs(capacities.get(instanceId)) }))
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -2,6 +2,7 @@
 import type { ServiceName, Verdict } from '@carobpitch/schema'
 import type { PropagationStep } from '../deployment/PropagationWaits.js'
 import type { ServiceStats } from '../dispatch/Dispatcher.js'
+import type { FleetStats } from '../fleet/SharedFleetCounters.js'
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
@@ -20,6 +21,8 @@
   routingTable: () => RoutingTable | undefined
   /** The settings in force. */
   settings: () => SettingsStatus
+  /** The counters of all instances. */
+  fleet: () => FleetStats
 }
 
 /**
@@ -48,7 +51,7 @@
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
 
-  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings }: FrontMetricsSources) {
+  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings, fleet }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
     this.latency = new Histogram({ name: 'carobpitch_front_request_seconds', help: 'Time from the arrival of a request to its response.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
@@ -85,6 +88,21 @@
     })
     const adoptedAt: Gauge = new Gauge({ name: 'carobpitch_settings_adopted_seconds', help: 'Unix time at which the settings took effect.', registers, collect: () => adoptedAt.set(settings().adoptedAtEpochMs / 1_000) })
     const restartNeeded: Gauge = new Gauge({ name: 'carobpitch_settings_restart_needed', help: 'Changed settings that take effect at the next start.', registers, collect: () => restartNeeded.set(settings().needsRestart.length) })
+    const fleetAge: Gauge = new Gauge({ name: 'carobpitch_fleet_age_seconds', help: 'Time since the counters of other instances were last refreshed; infinite before the first time.', registers, collect: () => fleetAge.set(fleet().ageMs / 1_000) })
+    const fleetRows: Gauge = new Gauge({ name: 'carobpitch_fleet_rows', help: 'Rows of counters that are known, including those of instances that are gone.', registers, collect: () => fleetRows.set(fleet().rows) })
+    const fleetInstances: Gauge = new Gauge({ name: 'carobpitch_fleet_instances', help: 'Instances whose counters were refreshed recently.', registers, collect: () => fleetInstances.set(fleet().instances) })
+    const fleetSent: Gauge = new Gauge({ name: 'carobpitch_fleet_sent_bytes', help: 'Bytes of counters sent since the start, before compression.', registers, collect: () => fleetSent.set(fleet().sentBytes) })
+    const fleetExchanges: Gauge = new Gauge({
+      name: 'carobpitch_fleet_exchanges',
+      help: 'Exchanges of counters begun since the start, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+      collect: () => {
+        const { exchanges, failures } = fleet()
+        fleetExchanges.set({ outcome: 'failed' }, failures)
+        fleetExchanges.set({ outcome: 'other' }, exchanges - failures)
+      }
+    })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
--- /dev/null
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -0,0 +1,275 @@
+import type { EventLog, Service } from '@carobpitch/kernel'
+import type { InstanceId } from '@carobpitch/schema'
+import { CounterRows, RowsMirror, sizeBytesOf, type RowsCursor, type RowsDelta } from './CounterRows.js'
+import type { FleetCounters } from './FleetCounters.js'
+import type { ExchangeWithPeer, FleetExchangeRequest, FleetExchangeResponse } from './FleetExchange.js'
+import type { FleetGrowth } from './FleetGrowth.js'
+import type { ExchangePeers } from './selectExchangePeers.js'
+
+const INTERVAL_MS = 250
+/** Instances up to which the interval holds; beyond, it grows in proportion, so that the bytes on the links of an instance stay the same. */
+const INSTANCES_AT_INTERVAL = 400
+/** Exchanges that a reader begins per interval, so that counters pass through several readers about as fast as through one. */
+const READER_EXCHANGES_PER_INTERVAL = 2
+/** Share of the interval by which it varies, so that instances don't call all at once. */
+const JITTER = 0.2
+/** An instance without changes tells that it is alive at every second exchange. */
+const BEATS_PER_SIGN_OF_LIFE = 2
+/** Intervals after which a row without changes is taken for one that is cut off: two signs of life over three links. */
+const INTERVALS_UNTIL_STALE = 5
+/** Samples of the counters, one an interval, over which rates are taken: about 1.5 s. */
+const SAMPLES = 6
+const RATE_WINDOW_MIN_MS = 1_000
+/** Time for which the rows of instances that are gone stay in the totals. */
+const ROW_RETENTION_MS = 600_000
+/** Time after which a peer that preceded the present one is tried again. */
+const PREFERENCE_RETRY_MS = 5_000
+/** Time after which the tables of a peer that doesn't call any more are dropped. */
+const MIRROR_RETENTION_MS = 60_000
+
+const NO_CURSOR: RowsCursor = { epoch: 0, names: 0, rows: 0, position: 0 }
+
+/**
+ * Figures on the exchange of counters.
+ * @public
+ */
+export interface FleetStats {
+  rows: number
+  instances: number
+  ageMs: number
+  exchanges: number
+  failures: number
+  /** Size of the messages sent, before compression. */
+  sentBytes: number
+}
+
+/**
+ * Options of `SharedFleetCounters`.
+ * @public
+ */
+export interface SharedFleetCountersOptions {
+  instanceId: InstanceId
+  /** Rises with each start of this instance. */
+  incarnation: number
+  /** Whether something in force reads the counters; otherwise nothing is sent. */
+  isNeeded: () => boolean
+  /** Peers that are called in each interval. */
+  peers: () => ExchangePeers
+  exchange: ExchangeWithPeer
+  /** Number of instances that are registered. */
+  memberCount: () => number
+  log: EventLog
+  random?: () => number
+}
+
+/** Link to one of a list of peers. */
+interface ExchangeLink {
+  candidates: readonly string[]
+  index: number
+  movedAtMs: number
+  isBusy: boolean
+  hasFailed: boolean
+}
+
+/** What is known of a peer that this instance calls, or that calls it. */
+interface PeerState {
+  mirror: RowsMirror
+  /** What the peer has of this instance's rows. */
+  cursor: RowsCursor
+  usedAtMs: number
+}
+
+/**
+ * Fleet counters that travel from instance to instance in short intervals, over the readers of each failure domain. Nothing waits for an
+ * exchange: what is known is read from memory, with its age.
+ * @public
+ */
+export class SharedFleetCounters implements FleetCounters, FleetGrowth, Service {
+  private readonly options: Required<SharedFleetCountersOptions>
+  private readonly rows: CounterRows
+  private readonly links = new Map<string, ExchangeLink>()
+  private readonly peersByUrl = new Map<string, PeerState>()
+  private readonly callers = new Map<InstanceId, PeerState>()
+  private readonly listeners = new Set<() => void>()
+  private samples: Array<{ atMs: number, growth: number[] }> = []
+  private timer: NodeJS.Timeout | undefined
+  private refreshedAtMs = -Infinity
+  private aliveCount = 1
+  private beats = 0
+  private beatAtMs = -Infinity
+  private exchanges = 0
+  private failures = 0
+  private sentBytes = 0
+
+  constructor (options: SharedFleetCountersOptions) {
+    const { instanceId, incarnation, log } = options
+    this.options = { random: Math.random, ...options }
+    this.rows = new CounterRows({ instanceId, incarnation, onFull: name => log.warn('fleet.counters-full', { firstName: name, counters: this.rows.nameCount() }) })
+  }
+
+  async start (): Promise<void> {
+    this.schedule()
+  }
+
+  async stop (): Promise<void> {
+    clearTimeout(this.timer)
+    this.timer = undefined
+  }
+
+  add (name: string, amount: number): void {
+    this.rows.add(name, amount)
+  }
+
+  total (name: string): number {
+    return this.rows.total(name)
+  }
+
+  growth (name: string): number {
+    return this.rows.growth(name)
+  }
+
+  ratePerS (name: string): number {
+    const index = this.rows.indexOfKnown(name)
+    const [oldest] = this.samples
+    if (index === undefined || oldest === undefined) return 0
+    // The first requests after a start would otherwise seem to be many.
+    const elapsedMs = Math.max(RATE_WINDOW_MIN_MS, performance.now() - oldest.atMs)
+    return (this.rows.growth(name) - (oldest.growth[index] ?? 0)) * 1_000 / elapsedMs
+  }
+
+  ageMs (): number {
+    return performance.now() - this.refreshedAtMs
+  }
+
+  instanceCount (): number {
+    return this.aliveCount
+  }
+
+  /** Time between two exchanges in a fleet of the present size. */
+  intervalMs (): number {
+    return INTERVAL_MS * Math.max(1, this.options.memberCount() / INSTANCES_AT_INTERVAL)
+  }
+
+  onRefresh (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  /** Answers another instance that exchanges with this one. */
+  serve ({ from, cursor, delta }: FleetExchangeRequest): FleetExchangeResponse {
+    const state = this.callers.get(from) ?? { mirror: new RowsMirror(), cursor, usedAtMs: 0 }
+    this.callers.set(from, state)
+    state.usedAtMs = performance.now()
+    this.receive(delta, state)
+    return { cursor: state.mirror.cursor(), delta: this.deltaFor(cursor, state.mirror) }
+  }
+
+  dump (): unknown {
+    const now = performance.now()
+    return {
+      ageMs: Math.round(this.ageMs()),
+      instances: this.aliveCount,
+      counters: this.rows.nameCount(),
+      exchanges: this.exchanges,
+      failures: this.failures,
+      links: [...this.links.values()].map(({ candidates, index, hasFailed }) => ({ peerUrl: candidates[index], hasFailed })),
+      rows: this.rows.all().map(({ instanceId, incarnation, sequence, refreshedAtMs }) => ({ instanceId, incarnation, sequence, ageMs: Math.round(now - refreshedAtMs) }))
+    }
+  }
+
+  /** Figures for metrics. */
+  stats (): FleetStats {
+    const { exchanges, failures, sentBytes } = this
+    return { rows: this.rows.all().length, instances: this.aliveCount, ageMs: this.ageMs(), exchanges, failures, sentBytes }
+  }
+
+  private schedule (): void {
+    const perInterval = this.options.peers().isReader ? READER_EXCHANGES_PER_INTERVAL : 1
+    const waitMs = this.intervalMs() / perInterval * (1 + JITTER * (this.options.random() - 0.5))
+    this.timer = setTimeout(() => {
+      if (this.options.isNeeded()) this.exchangeWithPeers()
+      this.schedule()
+    }, waitMs).unref()
+  }
+
+  private exchangeWithPeers (): void {
+    const now = performance.now()
+    if (now - this.beatAtMs >= this.intervalMs() * (1 - JITTER)) this.beat(now)
+    this.updateLinks()
+    for (const link of this.links.values()) if (!link.isBusy) this.exchangeOver(link, now)
+  }
+
+  private beat (now: number): void {
+    this.beatAtMs = now
+    this.beats += 1
+    this.rows.beat(now, this.beats % BEATS_PER_SIGN_OF_LIFE === 0)
+    this.samples.push({ atMs: now, growth: this.rows.growthSample() })
+    if (this.samples.length > SAMPLES) this.samples.shift()
+    const dropped = this.rows.dropUnchangedSince(now - ROW_RETENTION_MS)
+    if (dropped > 0) this.options.log.info('fleet.rows-dropped', { rows: dropped })
+    for (const peers of [this.peersByUrl, this.callers] as Array<Map<string, PeerState>>) {
+      for (const [key, { usedAtMs }] of peers) if (now - usedAtMs > MIRROR_RETENTION_MS) peers.delete(key)
+    }
+    this.countAlive(now)
+    // Time passes for those that read the counters, also when no other instance answers.
+    for (const listener of this.listeners) listener()
+  }
+
+  private updateLinks (): void {
+    const lists = this.options.peers().links.filter(candidates => candidates.length > 0)
+    const keys = new Set(lists.map(candidates => candidates.join(' ')))
+    for (const key of this.links.keys()) if (!keys.has(key)) this.links.delete(key)
+    for (const candidates of lists) {
+      const key = candidates.join(' ')
+      if (!this.links.has(key)) this.links.set(key, { candidates, index: 0, movedAtMs: 0, isBusy: false, hasFailed: false })
+    }
+  }
+
+  private async exchangeOver (link: ExchangeLink, now: number): Promise<void> {
+    const { instanceId, exchange, log } = this.options
+    if (link.index > 0 && now - link.movedAtMs > PREFERENCE_RETRY_MS) link.index = 0
+    const peerUrl = link.candidates[link.index] as string
+    const state = this.peersByUrl.get(peerUrl) ?? { mirror: new RowsMirror(), cursor: NO_CURSOR, usedAtMs: now }
+    this.peersByUrl.set(peerUrl, state)
+    state.usedAtMs = now
+    link.isBusy = true
+    this.exchanges += 1
+    const result = await exchange(peerUrl, { from: instanceId, cursor: state.mirror.cursor(), delta: this.deltaFor(state.cursor, state.mirror) })
+    link.isBusy = false
+    if (result.isErr) {
+      this.failures += 1
+      if (!link.hasFailed) log.warn('fleet.exchange-failed', { peerUrl, error: result.error })
+      link.hasFailed = true
+      link.index = (link.index + 1) % link.candidates.length
+      link.movedAtMs = performance.now()
+      return
+    }
+    if (link.hasFailed) log.info('fleet.exchange-restored', { peerUrl })
+    link.hasFailed = false
+    state.cursor = result.value.cursor
+    this.receive(result.value.delta, state)
+  }
+
+  private deltaFor (cursor: RowsCursor, mirror: RowsMirror): RowsDelta {
+    const delta = this.rows.deltaFor(cursor, mirror)
+    this.sentBytes += sizeBytesOf(delta)
+    return delta
+  }
+
+  private receive (delta: RowsDelta, state: PeerState): void {
+    const now = performance.now()
+    // A peer that has restarted no longer has what came from it.
+    if (state.mirror.epoch !== 0 && state.mirror.epoch !== delta.epoch) state.mirror = new RowsMirror()
+    this.rows.merge(delta, state.mirror, now)
+    this.refreshedAtMs = now
+    this.countAlive(now)
+    for (const listener of this.listeners) listener()
+  }
+
+  private countAlive (now: number): void {
+    const staleMs = INTERVALS_UNTIL_STALE * this.intervalMs()
+    const alive = new Set<InstanceId>([this.options.instanceId])
+    for (const { instanceId, refreshedAtMs } of this.rows.all()) if (now - refreshedAtMs <= staleMs) alive.add(instanceId)
+    this.aliveCount = alive.size
+  }
+}
--- a/packages/platform/src/readSettings.test.ts
+++ b/packages/platform/src/readSettings.test.ts
@@ -43,6 +43,15 @@
     })
   })
 
+  describe('the bounds on accounts', () => {
+    const limitsOf = (lines: readonly string[]): unknown => readSettings([...LINES, ...lines].join('\n')).map(({ allowanceLimits }) => allowanceLimits).unwrapOr(undefined)
+
+    it('are those of the settings file; without a window there are none', () => {
+      expect(limitsOf(['bounds.quota-window=5s', 'bounds.quota-overshoot=0.1', 'bounds.quota-slack=20'])).to.deep.equal({ windowMs: 5_000, excessShare: 0.1, slackRequests: 20 })
+      expect(limitsOf([])).to.equal(undefined)
+    })
+  })
+
   describe('the capacity of the machine', () => {
     const capacityOf = (lines: readonly string[]): unknown => readSettings([...LINES, ...lines].join('\n')).match<unknown>({ Ok: ({ capacity }) => capacity, Err: error => error.map(({ path }) => path) })
 
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -50,6 +50,10 @@
   'bounds.retry-budget-ratio': numberSchema,
   'bounds.retry-budget-slack': numberSchema,
   'bounds.budget-window': durationSchema,
+  /** Set where the configuration bounds the requests of accounts. */
+  'bounds.quota-window': durationSchema.optional(),
+  'bounds.quota-overshoot': numberSchema.default(0),
+  'bounds.quota-slack': numberSchema.default(0),
   /** Not set by the platform; its deploy file names the port of the metrics endpoint. */
   'metrics.port': numberSchema.default(DEFAULT_METRICS_PORT)
 })
@@ -72,7 +76,7 @@
     leaseMinMs: fields['platform.ttl-min'],
     stopGraceMs: fields['bounds.grace-period'],
     directoryTtlMaxMs: fields['bounds.ttl_max'],
-    allowanceLimits: undefined,
+    allowanceLimits: allowanceLimitsOf(fields),
     rolloutLimits: undefined,
     probesPerTargetAndS: fields['bounds.probes-per-s'],
     retryLimits: {
@@ -94,6 +98,12 @@
   return linkMbps > 0 && cores > 0 ? { linkMbps, cores } : undefined
 }
 
+/** Returns the bounds on the requests of an account, or `undefined` if the file has none. */
+function allowanceLimitsOf (fields: Pick<z.infer<typeof settingsSchema>, 'bounds.quota-window' | 'bounds.quota-overshoot' | 'bounds.quota-slack'>): FrontSettings['allowanceLimits'] {
+  const { 'bounds.quota-window': windowMs, 'bounds.quota-overshoot': excessShare, 'bounds.quota-slack': slackRequests } = fields
+  return windowMs === undefined || windowMs === 0 ? undefined : { windowMs, excessShare, slackRequests }
+}
+
 function parseLines (text: string): Record<string, string> {
   const fields: Record<string, string> = {}
   for (const line of text.split('\n')) {
