Refuse nothing within an allowance while all instances restart

Instances without requests told that they live half a second later than those with some, so that a restarted fleet took the first requests for too many: 1 to 28 of 100 were refused in the first second (paused clock, 125 and 311 instances).

--- a/packages/gateway/src/accounts/FleetAllowances.test.ts
+++ b/packages/gateway/src/accounts/FleetAllowances.test.ts
@@ -88,6 +88,14 @@
         expect(load.largestSum(WINDOW_MS)).to.be.at.most(boundOf(requestsPerS))
       })
 
+      it('refuses nothing that is within it when all instances restart', async () => {
+        const load = await inForce(requestsPerS)
+        await send(load, 0.5, 3_000)
+        for (let index = 0; index < INSTANCES; index++) await fleet.restart(index, 2)
+        await send(load, 0.5, 3_000)
+        expect(load.refusedAtMs).to.deep.equal([])
+      })
+
       it('answers a flood through a restart of all instances', async () => {
         const load = await inForce(requestsPerS)
         await send(load, 5, 6_000)
--- a/packages/gateway/src/fleet/SharedFleetCounters.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -201,8 +201,9 @@
 
   private beat (now: number): void {
     this.beatAtMs = now
-    this.beats += 1
+    // The first beat is told, so that instances without requests are known as early as others.
     this.rows.beat(now, this.beats % BEATS_PER_SIGN_OF_LIFE === 0)
+    this.beats += 1
     this.samples.push({ atMs: now, growth: this.rows.growthSample() })
     if (this.samples.length > SAMPLES) this.samples.shift()
     const dropped = this.rows.dropUnchangedSince(now - ROW_RETENTION_MS)
--- a/packages/gateway/src/fleet/testing/JoinedFleet.ts
+++ b/packages/gateway/src/fleet/testing/JoinedFleet.ts
@@ -7,6 +7,7 @@
 import { SharedFleetCounters } from '../SharedFleetCounters.js'
 import { createExchangePeerSelector } from '../selectExchangePeers.js'
 
+const URL_PREFIX = 'http://front-'
 const WAY_MS = 5
 const TIMEOUT_MS = 400
 
@@ -23,8 +24,8 @@
   readonly limits = { windowMs: 5_000, excessShare: 0.1, slackRequests: 20 }
   /** Accounts in force. */
   accounts: ClientAccount[] = []
-  /** Bytes of all messages as JSON, and their number. */
-  sent = { bytes: 0, calls: 0 }
+  /** Called with both messages of each exchange as JSON. */
+  onExchange: (request: string, response: string) => void = () => {}
   /** Whether two instances are out of touch. */
   isCut: (from: MemberRecord, to: MemberRecord) => boolean = () => false
   private readonly members: MemberRecord[]
@@ -33,7 +34,7 @@
   constructor ({ size, failureDomains = 3, random }: { size: number, failureDomains?: number, random: () => number }) {
     this.random = random
     this.members = Array.from({ length: size }, (_, index): MemberRecord => {
-      const url = `http://front-${index}`
+      const url = `${URL_PREFIX}${index}`
       return { instanceId: `front-${index}` as InstanceId, incarnation: 1, failureDomain: `zone-${index % failureDomains}` as FailureDomainId, callerUrl: url, peerUrl: url, state: 'serving', adoptedRevision: 0 }
     })
     this.instances = this.members.map(member => this.createInstance(member, 1))
@@ -74,18 +75,17 @@
   }
 
   private async exchange (from: MemberRecord, peerUrl: string, request: FleetExchangeRequest): Promise<Result<FleetExchangeResponse, string>> {
-    const to = this.instances.find(({ member }) => member.peerUrl === peerUrl) as JoinedInstance
+    const to = this.instances[Number(peerUrl.slice(URL_PREFIX.length))] as JoinedInstance
     if (this.isCut(from, to.member)) {
       await pause(TIMEOUT_MS)
       return Result.err('no answer')
     }
     await pause(WAY_MS)
     const response = to.counters.serve(request)
-    const texts = [JSON.stringify(request), JSON.stringify(response)]
-    this.sent.calls += 1
-    this.sent.bytes += texts.reduce((sum, { length }) => sum + length, 0)
+    const text = JSON.stringify(response)
+    this.onExchange(JSON.stringify(request), text)
     await pause(WAY_MS)
-    return Result.ok(JSON.parse(texts[1] as string) as FleetExchangeResponse)
+    return Result.ok(JSON.parse(text) as FleetExchangeResponse)
   }
 }
 
