--- a/packages/gateway/src/fleet/SharedFleetCounters.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -7,7 +7,7 @@
 import type { ExchangePeers } from './selectExchangePeers.js'
 
 const INTERVAL_MS = 250
-/** Instances up to which the interval holds; beyond, it grows in proportion, so that the bytes on the links of an instance stay the same. */
+/** Instances up to which the interval holds; beyond, it grows in proportion, so that readers encode fewer messages. */
 const INSTANCES_AT_INTERVAL = 400
 /** Exchanges that a reader begins per interval, so that counters pass through several readers about as fast as through one. */
 const READER_EXCHANGES_PER_INTERVAL = 2
