Take no growth from an instance that returns after its row was dropped

A row dropped after 10 minutes lost its mark as first seen with the next message of any other row, so its return counted in full and would have refused its accounts for up to a window. The new test fails without the change (growth 12 in place of 7).

--- a/packages/gateway/src/fleet/CounterRows.test.ts
+++ b/packages/gateway/src/fleet/CounterRows.test.ts
@@ -99,6 +99,21 @@
       expect(first.dropUnchangedSince(performance.now() + 1)).to.equal(1)
       expect([first.total('asked'), first.growth('asked')]).to.deep.equal([3, 7])
     })
+
+    it('guards against a jump when an instance is back whose row was dropped', () => {
+      const mirror = new RowsMirror()
+      pull(first, second, mirror)
+      first.dropUnchangedSince(performance.now() + 1)
+      pull(first, second, mirror)
+      second.add('asked', 1)
+      beat(second, 1)
+      pull(first, second, mirror)
+      expect([first.total('asked'), first.growth('asked')]).to.deep.equal([8, 7])
+      second.add('asked', 1)
+      beat(second, 1)
+      pull(first, second, mirror)
+      expect(first.growth('asked')).to.equal(8)
+    })
   })
 
   describe('their bounds', () => {
--- a/packages/gateway/src/fleet/CounterRows.ts
+++ b/packages/gateway/src/fleet/CounterRows.ts
@@ -83,6 +83,8 @@
   ownEpoch = 0
   names: Array<number | undefined> = []
   rows: Array<CounterRow | undefined> = []
+  /** Rows seen for the first time, of which the rest may follow with the next message. */
+  catchingUp = new Set<CounterRow>()
   position = 0
 
   /** Returns what is known of the other process. */
@@ -209,7 +211,7 @@
   /** Merges the changes of another process. Those that don't follow on what is known of it change nothing; its cursor then tells it where to start. */
   merge (delta: RowsDelta, mirror: RowsMirror, nowMs: number): void {
     if (delta.epoch !== mirror.epoch || mirror.ownEpoch !== this.epoch) {
-      Object.assign(mirror, { epoch: 0, ownEpoch: this.epoch, names: [], rows: [], position: 0 })
+      Object.assign(mirror, { epoch: 0, ownEpoch: this.epoch, names: [], rows: [], catchingUp: new Set(), position: 0 })
       if (delta.namesFrom > 0 || delta.rowsFrom > 0) return
       mirror.epoch = delta.epoch
     }
@@ -222,10 +224,14 @@
     })
     for (const [rowNumber = -1, sequence = 0, ...fields] of delta.changes) {
       const row = mirror.rows[rowNumber]
-      if (row !== undefined && row !== this.own) this.mergeRow({ row, sequence, fields, mirror, nowMs })
+      if (row === undefined || row === this.own) continue
+      if (row.isCatchingUp) mirror.catchingUp.add(row)
+      this.mergeRow({ row, sequence, fields, mirror, nowMs })
     }
     mirror.position = delta.position
-    if (!delta.hasMore) for (const row of mirror.rows) if (row !== undefined) row.isCatchingUp = false
+    if (delta.hasMore) return
+    for (const row of mirror.catchingUp) row.isCatchingUp = false
+    mirror.catchingUp.clear()
   }
 
   /** Drops the rows that didn't change since a time. Their counters leave the totals. Returns their number. */
