--- a/packages/gateway/src/fleet/SharedFleetCounters.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -213,7 +213,7 @@
     }
     this.countAlive(now)
     // Time passes for those that read the counters, also when no other instance answers.
-    for (const listener of this.listeners) listener()
+    this.notifyListeners()
   }
 
   private updateLinks (): void {
@@ -264,7 +264,18 @@
     this.rows.merge(delta, state.mirror, now)
     this.refreshedAtMs = now
     this.countAlive(now)
-    for (const listener of this.listeners) listener()
+    this.notifyListeners()
+  }
+
+  /** A listener that fails must not end the exchange. */
+  private notifyListeners (): void {
+    for (const listener of this.listeners) {
+      try {
+        listener()
+      } catch (error) {
+        this.options.log.error('fleet.listener-failed', { reason: (error as Error).message, stack: (error as Error).stack })
+      }
+    }
   }
 
   private countAlive (now: number): void {
