Send callers of urgent hosts to instances that are fast enough

Callers of the route with an objective of 104 ms were sent to every instance of their failure domain, also to those with 0.27 of a core, whose own processing of one request uses up a tenth of that objective. The directory's query now names the host, and a pure module selects the instances by their cores, the processor time of a request and the room that the host needs. Instances of equal size, long objectives, one host for all routes and unknown capacities get the answer they got before.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,7 +1,7 @@
 import type { Registry } from 'prom-client'
 import {
-  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
+  BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
@@ -184,10 +184,17 @@
     kernel.register('registration', registration)
     kernel.register('front', front)
     kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
+    const processingMeter = new ProcessingMeter({ requestCount: () => dispatcher.requestCount() })
+    const steering = new CallerSteering({
+      routingTable: () => cache.routingTable(),
+      capacities: () => cache.capacities(),
+      processingMs: () => processingMeter.processingMs()
+    })
     kernel.register('directory', new Directory({
       listen: settings.directoryListen,
       protocol: callerProtocol,
       serving: () => this.directoryMembers(),
+      select: (host, members, domains) => steering.select(host, members, domains),
       ttlMs: () => directoryTtlMs(live.current())
     }))
     kernel.register('peer-feed', peerServer)
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -40,6 +40,7 @@
   private readonly options: DispatcherOptions
   private readonly services = new Map<ServiceName, ServiceDispatcher>()
   private readonly budgets = new Map<ServiceName, RetryBudget>()
+  private recordedRequests = 0
 
   constructor (options: DispatcherOptions) {
     this.options = options
@@ -52,9 +53,15 @@
 
   /** Counts a caller's request towards the retry budget of its service. */
   recordRequest (service: ServiceName): void {
+    this.recordedRequests += 1
     this.budgetOf(service).recordRequest()
   }
 
+  /** Number of callers' requests since the start. */
+  requestCount (): number {
+    return this.recordedRequests
+  }
+
   /** Takes one retry from the retry budget of a service. Returns whether one was left. */
   tryTakeRetry (service: ServiceName): boolean {
     return this.budgetOf(service).tryTake()
--- a/packages/gateway/src/edge/CallerProtocol.ts
+++ b/packages/gateway/src/edge/CallerProtocol.ts
@@ -19,6 +19,8 @@
  * @public
  */
 export interface DirectoryQuery {
+  /** Host that the caller wants to send requests to. */
+  host: string | undefined
   failureDomain: FailureDomainId | undefined
 }
 
--- a/packages/gateway/src/edge/Directory.ts
+++ b/packages/gateway/src/edge/Directory.ts
@@ -19,6 +19,8 @@
   protocol: CallerProtocol
   /** Instances that callers may use, this one included if it serves. */
   serving: () => readonly MemberRecord[]
+  /** Selects the instances for a host, out of those of one failure domain; by default all of them. */
+  select?: (host: string | undefined, members: readonly MemberRecord[], domains: ReadonlySet<FailureDomainId>) => readonly MemberRecord[]
   /** Time for which callers may cache a response. */
   ttlMs: () => number
   random?: () => number
@@ -33,7 +35,7 @@
   private readonly server: Server
 
   constructor (options: DirectoryOptions) {
-    this.options = { random: Math.random, ...options }
+    this.options = { random: Math.random, select: (_host, members) => members, ...options }
     const { protocol } = options
     this.server = createPathServer({
       [protocol.directoryPath]: (request, response) => this.respond(request.query as Record<string, unknown>, response)
@@ -48,18 +50,19 @@
     await closeServer(this.server)
   }
 
-  /** Returns the addresses for a caller: those of its failure domain, and others when there are few. */
-  addressesFor (failureDomain: FailureDomainId | undefined): string[] {
-    const serving = this.options.serving()
+  /** Returns the addresses for a caller: those of its failure domain that are selected for the host, and all of all domains when there are few. */
+  addressesFor (failureDomain: FailureDomainId | undefined, host?: string): string[] {
+    const { serving: listServing, select } = this.options
+    const serving = listServing()
     const near = serving.filter(member => member.failureDomain === failureDomain)
-    const listed = near.length >= NEAR_ADDRESSES_MIN ? near : serving
+    const listed = near.length >= NEAR_ADDRESSES_MIN ? select(host, near, new Set(serving.map(member => member.failureDomain))) : serving
     return shuffle(listed.map(({ callerUrl }) => new URL(callerUrl).host), this.options.random).slice(0, ADDRESSES_MAX)
   }
 
   private respond (query: Record<string, unknown>, response: ServerResponse): void {
     const { protocol, ttlMs } = this.options
-    const { failureDomain } = protocol.readQuestion(query)
-    const addresses = this.addressesFor(failureDomain)
+    const { failureDomain, host } = protocol.readQuestion(query)
+    const addresses = this.addressesFor(failureDomain, host)
     if (addresses.length === 0) {
       response.writeHead(503, { 'content-length': 0 }).end()
       return
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,5 +38,8 @@
 export { frontStatusOf, type FrontReason } from './edge/FrontReason.js'
 export { createPathServer, type PathHandler } from './edge/createPathServer.js'
 export { Directory, type DirectoryOptions } from './edge/Directory.js'
+export { CallerSteering, type CallerSteeringOptions } from './steering/CallerSteering.js'
+export { ProcessingMeter, type ProcessingMeterOptions } from './steering/ProcessingMeter.js'
+export { selectInstances, type SelectableInstance, type SelectInstancesOptions } from './steering/selectInstances.js'
 export { Readiness, type ReadinessOptions } from './edge/Readiness.js'
 export { FrontShutdown, type FrontShutdownOptions } from './edge/FrontShutdown.js'
--- a/packages/platform/src/callerProtocol.ts
+++ b/packages/platform/src/callerProtocol.ts
@@ -14,6 +14,7 @@
   readinessPath: GATEWAY_PATHS.readiness,
   directoryPath: GATEWAY_PATHS.directory,
   readQuestion: query => ({
+    host: textOf(query.name),
     failureDomain: failureDomainIdSchema.safeParse(query.zone).data
   }),
   formatAddresses: (addresses, ttlMs) => JSON.stringify({ addresses, ttl: formatDuration(ttlMs) })
