Decide over all instances which requests give way when there is too little room

Half of the requests waited for nobody: each instance sees four to eight requests a second, so the order of its queue decided nothing, and urgent requests were refused as often as others. A pure module divides the room of a service by what all instances are asked: the more urgent priority first, inside a priority by weighted max-min fairness of the accounts. Requests above their share are turned away at their arrival, by error diffusion, long and less urgent work first, and callers are told when to return. Nothing gives way with sums older than a second, and nothing is counted where no routes of different priority share a service and there are no accounts. The sums need an implementation of FleetCounters; without it, only requests that cannot be served before their deadline are refused, at their arrival.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -133,7 +133,12 @@
       prober: loadProber,
       coldLimiter: coldRequestLimiter,
       retryLimits: () => live.current().retryLimits,
-      instanceCount: () => this.instanceCount()
+      instanceCount: () => this.instanceCount(),
+      admission: {
+        routingTable: () => cache.routingTable(),
+        onTurnAway: ({ service, priority }) => metrics.recordTurnedAway(service, priority),
+        log
+      }
     })
     this.shutdown = new FrontShutdown({
       lease,
--- /dev/null
+++ b/packages/gateway/src/admission/Admission.ts
@@ -0,0 +1,114 @@
+import type { EventLog } from '@carobpitch/kernel'
+import type { AccountName, ServiceName } from '@carobpitch/schema'
+import type { DispatchRefusal, DispatchRequest } from '../dispatch/DispatchRequest.js'
+import type { FleetCounters } from '../fleet/FleetCounters.js'
+import type { RoutingTable } from '../model/Route.js'
+import { routeRequestsCounter } from '../steering/CallerSteering.js'
+import type { GatewayTarget } from '../targets/GatewayTarget.js'
+import { measureRoom, type RoomTarget } from './measureRoom.js'
+import { ServiceAdmission, type ServiceClaimants } from './ServiceAdmission.js'
+
+/** Age up to which a report tells how fast the machine of a target is. */
+const REPORT_RECENT_MS = 2_000
+
+/**
+ * Options of `Admission`.
+ * @public
+ */
+export interface AdmissionOptions {
+  /** Sums over all instances; without them, nothing gives way. */
+  counters?: FleetCounters
+  routingTable: () => RoutingTable | undefined
+  /** Targets of a service that may get requests. */
+  targetsOf: (service: ServiceName) => readonly GatewayTarget[]
+  /** Time that a request takes at a target at its usual speed. */
+  expectedWorkMs: (request: DispatchRequest) => number
+  /** Called for each request that is turned away. */
+  onTurnAway?: (request: DispatchRequest, refusal: DispatchRefusal) => void
+  log: EventLog
+  random?: () => number
+}
+
+/**
+ * Turns requests away when the services have too little room for all. Takes effect for services that routes of different priority share, and
+ * for all services of a configuration with client accounts.
+ * @public
+ */
+export class Admission {
+  private readonly options: AdmissionOptions
+  private readonly services = new Map<ServiceName, ServiceAdmission>()
+  private claimants: { table: RoutingTable, byService: ReadonlyMap<ServiceName, ServiceClaimants> } | undefined
+
+  constructor (options: AdmissionOptions) {
+    this.options = options
+  }
+
+  /** Returns a refusal if a request is to give way. */
+  consider (request: DispatchRequest): DispatchRefusal | undefined {
+    const { counters, expectedWorkMs, onTurnAway } = this.options
+    if (this.claimantsOf(request.service) === undefined) return undefined
+    if (request.exclude.size === 0) counters?.add(routeRequestsCounter(request.route), 1)
+    const refusal = this.admissionOf(request.service).consider(request, expectedWorkMs(request))
+    if (refusal !== undefined) onTurnAway?.(request, refusal)
+    return refusal
+  }
+
+  dump (service: ServiceName): unknown {
+    return this.services.get(service)?.dump()
+  }
+
+  private admissionOf (service: ServiceName): ServiceAdmission {
+    const existing = this.services.get(service)
+    if (existing !== undefined) return existing
+    const { counters, log, targetsOf, random = Math.random } = this.options
+    const admission = new ServiceAdmission({
+      service,
+      counters,
+      claimants: () => this.claimantsOf(service) ?? { priorities: [], accounts: new Map() },
+      room: workMs => measureRoom(targetsOf(service).filter(isUsable).map(roomTargetOf), workMs),
+      log,
+      random
+    })
+    this.services.set(service, admission)
+    return admission
+  }
+
+  /** `undefined` for a service at which nobody can give way to anybody. */
+  private claimantsOf (service: ServiceName): ServiceClaimants | undefined {
+    const table = this.options.routingTable()
+    if (table === undefined) return undefined
+    if (this.claimants?.table !== table) this.claimants = { table, byService: findClaimants(table) }
+    return this.claimants.byService.get(service)
+  }
+}
+
+function findClaimants ({ routes, accounts }: RoutingTable): ReadonlyMap<ServiceName, ServiceClaimants> {
+  const priorities = new Map<ServiceName, Set<number>>()
+  for (const { shares, priority } of routes) {
+    for (const { service } of shares) priorities.set(service, (priorities.get(service) ?? new Set()).add(priority))
+  }
+  const ofAccounts = (accounts ?? []).flatMap(({ priority }) => priority ?? [])
+  const weights = weightsOf(accounts ?? [])
+  return new Map([...priorities]
+    .filter(([, each]) => accounts !== undefined || each.size > 1)
+    .map(([service, each]) => [service, { priorities: [...new Set([...each, ...ofAccounts])].sort((first, second) => first - second), accounts: weights }]))
+}
+
+/** An account's share of the room is weighted by the rate that it is allowed; one without a limit counts like the mean of the others. */
+function weightsOf (accounts: NonNullable<RoutingTable['accounts']>): ReadonlyMap<AccountName, number> {
+  const rates = accounts.flatMap(({ allowance }) => allowance === undefined ? [] : Math.max(1, allowance.requestsPerS))
+  const mean = rates.length === 0 ? 1 : rates.reduce((sum, rate) => sum + rate, 0) / rates.length
+  return new Map(accounts.map(({ name, allowance }) => [name, allowance === undefined ? mean : Math.max(1, allowance.requestsPerS)]))
+}
+
+function isUsable (target: GatewayTarget): boolean {
+  return !target.failures.isBackingOff() && target.restsForMs() === 0
+}
+
+function roomTargetOf (target: GatewayTarget): RoomTarget {
+  return {
+    slots: target.record.slots,
+    slowdown: target.reportAgeMs() <= REPORT_RECENT_MS ? target.report()?.slowdown : undefined,
+    coldRequestsPerS: target.isCold() ? target.policy.coldRequestsPerS : undefined
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/admission/ServiceAdmission.ts
@@ -0,0 +1,153 @@
+import type { EventLog } from '@carobpitch/kernel'
+import type { AccountName, ServiceName } from '@carobpitch/schema'
+import type { FleetCounters } from '../fleet/FleetCounters.js'
+import type { DispatchRefusal, DispatchRequest } from '../dispatch/DispatchRequest.js'
+import { decideAdmission } from './decideAdmission.js'
+import { ExcessBacklog } from './ExcessBacklog.js'
+import type { ServiceRoom } from './measureRoom.js'
+import { planAdmission, type AdmissionPlan } from './planAdmission.js'
+import { Thinning } from './Thinning.js'
+import { accountWorkCounter, priorityWorkCounter } from './workCounters.js'
+
+/** Time for which a plan is used. Sums of the other instances change no more often. */
+const PLAN_MS = 200
+/** Age of the sums from which on they say nothing about the present load. */
+const SUMS_OLD_MS = 1_000
+/** Steps of the admitted share that count as a change of the admission level. */
+const LEVEL_STEPS = 10
+const OPEN = 'open'
+
+/**
+ * Who may ask a service for work.
+ * @public
+ */
+export interface ServiceClaimants {
+  priorities: readonly number[]
+  /** Weights of the accounts' shares of the room. */
+  accounts: ReadonlyMap<AccountName, number>
+}
+
+/**
+ * Options of `ServiceAdmission`.
+ * @public
+ */
+export interface ServiceAdmissionOptions {
+  service: ServiceName
+  counters: FleetCounters | undefined
+  claimants: () => ServiceClaimants
+  /** Room for requests that need a mean work. */
+  room: (workMs: number) => ServiceRoom
+  log: EventLog
+  random: () => number
+}
+
+/**
+ * Decides which requests of one service this instance turns away, by what all instances are asked.
+ * @public
+ */
+export class ServiceAdmission {
+  private readonly options: ServiceAdmissionOptions
+  private readonly thinning: Thinning
+  private readonly backlog = new ExcessBacklog()
+  private plan: AdmissionPlan | undefined
+  private plannedAtMs = -Infinity
+  private slowdown = 1
+  private level = OPEN
+
+  constructor (options: ServiceAdmissionOptions) {
+    this.options = options
+    this.thinning = new Thinning(options.random)
+  }
+
+  /** Counts a request and returns a refusal if it is to give way. */
+  consider (request: DispatchRequest, workMs: number): DispatchRefusal | undefined {
+    const { random } = this.options
+    const { priority, account, objectiveMs, exclude } = request
+    const isFurtherAttempt = exclude.size > 0
+    if (!isFurtherAttempt) this.count(priority, account, workMs)
+    const nowMs = performance.now()
+    if (nowMs - this.plannedAtMs >= PLAN_MS) this.replan(nowMs, workMs)
+    const decision = decideAdmission({
+      request: {
+        priority,
+        account,
+        objectiveMs,
+        workMs,
+        isFurtherAttempt,
+        deadlineInMs: request.deadlineAtMs - nowMs,
+        objectiveInMs: request.arrivedAtMs + objectiveMs - nowMs
+      },
+      plan: this.plan,
+      slowdown: this.slowdown,
+      thinning: this.thinning,
+      backlog: this.backlog,
+      random
+    })
+    return decision.kind === 'admit' ? undefined : { reason: decision.reason, retryAfterMs: decision.returnAfterMs }
+  }
+
+  dump (): unknown {
+    return { level: this.level, askedMsPerS: this.plan?.askedMsPerS, roomMsPerS: this.plan?.roomMsPerS }
+  }
+
+  private count (priority: number, account: AccountName | undefined, workMs: number): void {
+    const { counters, service } = this.options
+    counters?.add(priorityWorkCounter(service, priority), workMs)
+    if (account !== undefined) counters?.add(accountWorkCounter(service, priority, account), workMs)
+  }
+
+  private replan (nowMs: number, workMs: number): void {
+    const { counters, claimants, room } = this.options
+    this.plannedAtMs = nowMs
+    const { roomMsPerS, slowdown } = room(workMs)
+    this.slowdown = slowdown
+    const ageMs = counters?.ageMs() ?? Infinity
+    // Without targets, the queue refuses by itself, and says so.
+    if (counters === undefined || ageMs > SUMS_OLD_MS || roomMsPerS === 0) this.plan = undefined
+    else {
+      this.plan = this.planFor(counters, claimants(), roomMsPerS)
+      this.backlog.update(this.plan, nowMs)
+    }
+    this.followLevel(ageMs)
+  }
+
+  private planFor (counters: FleetCounters, { priorities, accounts }: ServiceClaimants, roomMsPerS: number): AdmissionPlan {
+    const { service } = this.options
+    const withoutAccounts = priorities.map(priority => ({ priority, workMsPerS: counters.ratePerS(priorityWorkCounter(service, priority)), accounts: new Map<AccountName, number>() }))
+    const plan = planAdmission({ asked: withoutAccounts, roomMsPerS })
+    if (accounts.size === 0 || plan.priorities.every(({ share }) => share >= 1)) return plan
+    const asked = withoutAccounts.map(({ priority, workMsPerS }) => ({
+      priority,
+      workMsPerS,
+      accounts: new Map([...accounts.keys()].map(account => [account, counters.ratePerS(accountWorkCounter(service, priority, account))]))
+    }))
+    return planAdmission({ asked, roomMsPerS, weightOf: account => accounts.get(account) ?? 1 })
+  }
+
+  private followLevel (ageMs: number): void {
+    const next = levelOf(this.plan)
+    if (next === this.level) return
+    const { log, service } = this.options
+    log.info('admission.changed', {
+      service,
+      from: this.level,
+      to: next,
+      askedSlots: slotsOf(this.plan?.askedMsPerS),
+      roomSlots: slotsOf(this.plan?.roomMsPerS),
+      slowdown: Number(this.slowdown.toFixed(2)),
+      ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
+    })
+    this.level = next
+    if (next === OPEN) this.thinning.reset()
+  }
+}
+
+/** The most urgent priority that does not get all its room, and the share of its requests that is admitted. */
+function levelOf (plan: AdmissionPlan | undefined): string {
+  const reduced = plan?.priorities.find(({ share }) => share < 1)
+  return reduced === undefined ? OPEN : `priority ${reduced.priority}: ${Math.floor(reduced.share * LEVEL_STEPS) / LEVEL_STEPS}`
+}
+
+function slotsOf (workMsPerS: number | undefined): number | undefined {
+  return workMsPerS === undefined ? undefined : Number((workMsPerS / 1_000).toFixed(1))
+}
--- /dev/null
+++ b/packages/gateway/src/admission/admission.test.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict'
+import type { AccountName } from '@carobpitch/schema'
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { decideAdmission } from './decideAdmission.js'
+import { ExcessBacklog } from './ExcessBacklog.js'
+import { measureRoom } from './measureRoom.js'
+import { admittedShare, planAdmission } from './planAdmission.js'
+import { playLoad, type Stream, type StreamOutcome } from './testing/playLoad.js'
+import { Thinning } from './Thinning.js'
+
+const SLOTS = 20
+/** Requests per second of `REQUEST` that fill all slots. */
+const FULL_PER_S = 200
+const REQUEST = { workMs: 100, objectiveMs: 300, deadlineMs: 1_200, priority: 1 }
+const NO_ACCOUNTS = new Map<AccountName, number>()
+
+describe('requests that give way', () => {
+  let clock: Clock & { uninstall: () => void }
+  let state = 0
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ toFake: ['performance'] }) as never
+    state = 7
+  })
+  afterEach(() => clock.uninstall())
+
+  /** Repeatable generator of Park and Miller. */
+  function random (): number {
+    state = state * 48_271 % 2_147_483_647
+    return state / 2_147_483_647
+  }
+
+  function compare (streams: readonly Stream[], options: { weights?: ReadonlyMap<AccountName, number>, durationMs?: number } = {}): Record<'before' | 'now', (name: string) => StreamOutcome> {
+    const [before, now] = [false, true].map(givesWay => playLoad({ clock, streams, slots: SLOTS, random, givesWay, ...options }))
+    if (process.env.SHOW_LOADS !== undefined) console.log(before, now)
+    const pickFrom = (outcomes?: Map<string, StreamOutcome>) => (name: string) => outcomes?.get(name) as StreamOutcome
+    return { before: pickFrom(before), now: pickFrom(now) }
+  }
+
+  const servedShare = ({ served, asked }: StreamOutcome): number => served / asked
+  const inTime = ({ served, late }: StreamOutcome): number => served - late
+
+  describe('under load', () => {
+    it('answers a burst of the low priority: the high one is served as in calm', () => {
+      const { before, now } = compare([
+        { ...REQUEST, name: 'urgent', priority: 0, perS: 60 },
+        { ...REQUEST, name: 'usual', perS: 100 },
+        { ...REQUEST, name: 'burst', perS: 300, fromMs: 2_000, untilMs: 8_000 }
+      ])
+      assert.ok(servedShare(before('urgent')) < 0.9)
+      assert.ok(servedShare(now('urgent')) > 0.95)
+      assert.ok(inTime(now('urgent')) > inTime(before('urgent')))
+      assert.ok(now('urgent').turnedAway === 0)
+    })
+
+    it('answers a burst of the high priority: it is never served less than the low one', () => {
+      const { before, now } = compare([
+        { ...REQUEST, name: 'urgent', priority: 0, perS: 300, fromMs: 2_000, untilMs: 8_000 },
+        { ...REQUEST, name: 'usual', perS: 100 }
+      ])
+      assert.ok(servedShare(now('urgent')) > servedShare(before('urgent')))
+      assert.ok(inTime(now('urgent')) > inTime(before('urgent')))
+    })
+
+    it('answers a hot account: its flood costs that account only', () => {
+      const accounts = Array.from({ length: 10 }, (_, index) => `account-${index}` as AccountName)
+      const weights = new Map(accounts.map(account => [account, 1]))
+      const { before, now } = compare(accounts.map((account, index) => ({ ...REQUEST, name: account, account, perS: index === 0 ? 250 : 15 })), { weights })
+      for (const account of accounts.slice(1)) assert.ok(servedShare(now(account)) > 0.9, account)
+      assert.ok(accounts.slice(1).some(account => servedShare(before(account)) < 0.75))
+      assert.ok(servedShare(now('account-0')) > 0.2)
+    })
+
+    it('answers repeats that do not wait: they cost the account that sends them', () => {
+      const weights = new Map(['patient', 'pressing'].map(name => [name as AccountName, 1]))
+      const { before, now } = compare([
+        { ...REQUEST, name: 'patient', account: 'patient' as AccountName, perS: 90 },
+        { ...REQUEST, name: 'pressing', account: 'pressing' as AccountName, perS: 180, repeats: 8, isPatient: false }
+      ], { weights, durationMs: 20_000 })
+      assert.ok(servedShare(now('patient')) > 0.95)
+      assert.ok(servedShare(before('patient')) < 0.8)
+    })
+
+    it('answers a failure domain with the callers and without the targets: the same share gives way wherever callers arrive', () => {
+      const { now } = compare([
+        { ...REQUEST, name: 'many', perS: 250, repeats: 0, reaches: [0, 1, 2, 3] },
+        { ...REQUEST, name: 'few', perS: 50, repeats: 0, reaches: Array.from({ length: 16 }, (_, index) => index + 4) }
+      ])
+      assert.ok(Math.abs(servedShare(now('many')) - servedShare(now('few'))) < 0.1)
+    })
+
+    it('answers a service lent to an urgent route of short work: of the same priority, long work gives way first', () => {
+      const { before, now } = compare([
+        { ...REQUEST, name: 'lent', workMs: 36, objectiveMs: 104, deadlineMs: 521, perS: 100 },
+        { ...REQUEST, name: 'own', perS: 250 }
+      ])
+      assert.ok(servedShare(now('lent')) > servedShare(now('own')))
+      assert.ok(servedShare(now('lent')) > servedShare(before('lent')))
+      assert.ok(now('lent').served + now('own').served >= 0.95 * (before('lent').served + before('own').served))
+    })
+
+    it('changes nothing while the room suffices', () => {
+      const { before, now } = compare([{ ...REQUEST, name: 'urgent', priority: 0, perS: 60 }, { ...REQUEST, name: 'usual', perS: 100 }])
+      for (const name of ['urgent', 'usual']) {
+        assert.equal(now(name).turnedAway, 0)
+        assert.ok(now(name).served >= 0.99 * before(name).served)
+      }
+    })
+
+    it('leaves no room unused: as many are served as before', () => {
+      const { before, now } = compare([{ ...REQUEST, name: 'all', perS: 1.6 * FULL_PER_S, repeats: 0 }])
+      assert.ok(now('all').served >= 0.95 * before('all').served)
+    })
+  })
+
+  describe('the plan', () => {
+    it('never admits less of a priority than of a less urgent one, at any load', () => {
+      for (let run = 0; run < 500; run += 1) {
+        const asked = [0, 1, 2, 3].map(priority => ({ priority, workMsPerS: random() < 0.2 ? 0 : random() * 1_000, accounts: NO_ACCOUNTS }))
+        const shares = planAdmission({ asked, roomMsPerS: random() * 3_000 }).priorities.map(({ share }) => share)
+        assert.deepEqual(shares, [...shares].sort((first, second) => second - first))
+      }
+    })
+
+    it('weights the shares of accounts by what they were promised', () => {
+      const asked = [{ priority: 1, workMsPerS: 2_000, accounts: new Map([['large', 1_000], ['small', 1_000]] as Array<[AccountName, number]>) }]
+      const plan = planAdmission({ asked, roomMsPerS: 1_000, weightOf: account => account === 'large' ? 3 : 1 })
+      assert.ok(Math.abs(admittedShare(plan, 1, 'large' as AccountName) - 0.75) < 1e-9)
+      assert.ok(Math.abs(admittedShare(plan, 1, 'small' as AccountName) - 0.25) < 1e-9)
+    })
+
+    it('admits an account that asks for the first time during the overload of others', () => {
+      const asked = [{ priority: 1, workMsPerS: 2_000, accounts: new Map([['flood', 2_000]] as Array<[AccountName, number]>) }]
+      assert.equal(admittedShare(planAdmission({ asked, roomMsPerS: 1_000 }), 1, 'new' as AccountName), 1)
+    })
+
+    it('counts cold targets by the rate that they bear and slow ones by their slowdown', () => {
+      const targets = [{ slots: 2, slowdown: 2, coldRequestsPerS: undefined }, { slots: 2, slowdown: undefined, coldRequestsPerS: undefined }, { slots: 2, slowdown: 2, coldRequestsPerS: 5 }]
+      assert.deepEqual(measureRoom(targets, 100), { roomMsPerS: 1_000 + 1_000 + 500, slowdown: 2 })
+    })
+  })
+
+  describe('one request', () => {
+    const overloaded = planAdmission({ asked: [{ priority: 1, workMsPerS: 2_000, accounts: NO_ACCOUNTS }], roomMsPerS: 1_000 })
+    const request = { priority: 1, account: undefined, deadlineInMs: 1_000, objectiveInMs: 300, objectiveMs: 300, workMs: 100, isFurtherAttempt: false }
+    const decide = (changes: Partial<typeof request>, plan: typeof overloaded | undefined = overloaded, thinning = new Thinning(random)): ReturnType<typeof decideAdmission> =>
+      decideAdmission({ request: { ...request, ...changes }, plan, slowdown: 1, thinning, backlog: new ExcessBacklog(), random })
+
+    it('is refused at its arrival when no target could respond before its deadline', () => {
+      assert.deepEqual(decide({ deadlineInMs: 40 }), { kind: 'turn-away', reason: 'deadline-unreachable' })
+    })
+
+    it('gives way when it can no longer be in time and others can', () => {
+      assert.equal(decide({ objectiveInMs: 50, isFurtherAttempt: true }).kind, 'turn-away')
+      assert.equal(decide({ isFurtherAttempt: true }).kind, 'admit')
+    })
+
+    it('is admitted while the sums of the other instances are old or missing', () => {
+      const admitted = Array.from({ length: 100 }, () => decideAdmission({ request, plan: undefined, slowdown: 1, thinning: new Thinning(random), backlog: new ExcessBacklog(), random }).kind)
+      assert.ok(admitted.every(kind => kind === 'admit'))
+    })
+
+    it('is admitted with the share also where each instance sees only one', () => {
+      const admitted = Array.from({ length: 2_000 }, () => decide({})).filter(({ kind }) => kind === 'admit').length
+      assert.ok(Math.abs(admitted / 2_000 - 0.5) < 0.05)
+    })
+
+    it('is decided within 10 microseconds', () => {
+      clock.uninstall()
+      const thinning = new Thinning(random)
+      const batches = Array.from({ length: 20 }, () => {
+        const startMs = performance.now()
+        for (let index = 0; index < 2_000; index += 1) decide({ account: undefined }, overloaded, thinning)
+        return (performance.now() - startMs) / 2
+      })
+      assert.ok(Math.min(...batches) < 10, `${Math.min(...batches).toFixed(2)} microseconds`)
+    })
+  })
+
+  describe('the time after which a caller returns', () => {
+    const LATE = { share: 0.5, slackMs: 0 }
+    const planOf = (askedMsPerS: number): ReturnType<typeof planAdmission> => planAdmission({ asked: [{ priority: 1, workMsPerS: askedMsPerS, accounts: NO_ACCOUNTS }], roomMsPerS: 1_000 })
+
+    it('is when the room that is left in calm has worked off the excess', () => {
+      const backlog = new ExcessBacklog()
+      for (let atMs = 0; atMs <= 10_000; atMs += 200) backlog.update(planOf(600), atMs)
+      for (let atMs = 10_200; atMs <= 12_000; atMs += 200) backlog.update(planOf(1_400), atMs)
+      // 0.4 s of work a second for 2 s, at 0.4 of the room.
+      assert.ok(Math.abs(backlog.returnAfterMs(planOf(1_400), LATE, () => 0.5) - 2_000) <= 200)
+      for (let atMs = 12_200; atMs <= 14_000; atMs += 200) backlog.update(planOf(600), atMs)
+      assert.ok(backlog.returnAfterMs(planOf(1_101), LATE, () => 0.5) < 700)
+    })
+
+    it('is early enough to be in time while a part of the requests is admitted', () => {
+      const backlog = new ExcessBacklog()
+      for (const chance of [0, 0.5, 0.99]) assert.ok(backlog.returnAfterMs(planOf(1_400), { share: 0.5, slackMs: 200 }, () => chance) <= 160)
+      assert.ok(backlog.returnAfterMs(planOf(1_400), { share: 0, slackMs: 200 }, () => 0.5) > 1_000)
+    })
+
+    it('is spread, so that callers do not return at once', () => {
+      const backlog = new ExcessBacklog()
+      const times = new Set(Array.from({ length: 50 }, () => backlog.returnAfterMs(planOf(1_400), LATE, random)))
+      assert.ok(times.size > 40)
+    })
+  })
+})
--- a/packages/gateway/src/dispatch/DispatchRequest.ts
+++ b/packages/gateway/src/dispatch/DispatchRequest.ts
@@ -27,8 +27,8 @@
   signal: AbortSignal
 }
 
-/** Why a request got no target. It has not run. @public */
-export type DispatchRefusalReason = 'no-target' | 'no-room' | 'deadline-unreachable' | 'cancelled'
+/** Why a request got no target. It has not run. `gave-way`: its service has too little room, and others are served instead. @public */
+export type DispatchRefusalReason = 'gave-way' | 'no-target' | 'no-room' | 'deadline-unreachable' | 'cancelled'
 
 /**
  * A request that got no target.
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -1,7 +1,8 @@
-import type { Result } from 'true-myth'
+import { Result } from 'true-myth'
 import type { Service } from '@carobpitch/kernel'
 import { RetryBudget } from '@carobpitch/routing'
 import type { ServiceName } from '@carobpitch/schema'
+import { Admission, type AdmissionOptions } from '../admission/Admission.js'
 import type { FrontSettings } from '../model/FrontSettings.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
 import { ServiceDispatcher, type ServiceDispatcherOptions } from './ServiceDispatcher.js'
@@ -19,6 +20,8 @@
   /** The window applies to services that are used for the first time; the other limits apply at once. */
   retryLimits: () => FrontSettings['retryLimits']
   instanceCount: () => number
+  /** What decides which requests give way when there is too little room; by default none does. */
+  admission?: Omit<AdmissionOptions, 'targetsOf' | 'expectedWorkMs'>
 }
 
 /**
@@ -40,14 +43,24 @@
   private readonly options: DispatcherOptions
   private readonly services = new Map<ServiceName, ServiceDispatcher>()
   private readonly budgets = new Map<ServiceName, RetryBudget>()
+  private readonly admission: Admission | undefined
   private recordedRequests = 0
 
   constructor (options: DispatcherOptions) {
     this.options = options
+    const { admission, registry } = options
+    if (admission === undefined) return
+    this.admission = new Admission({
+      ...admission,
+      targetsOf: service => registry.ofService(service),
+      expectedWorkMs: request => this.dispatcherOf(request.service).expectedWorkMs(request)
+    })
   }
 
-  /** Waits for a target. */
+  /** Waits for a target. A request that has to give way to others is refused at once. */
   async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
+    const refusal = this.admission?.consider(request)
+    if (refusal !== undefined) return Result.err(refusal)
     return await this.dispatcherOf(request.service).acquire(request)
   }
 
@@ -75,6 +88,7 @@
   dump (): unknown {
     return Object.fromEntries([...this.services].map(([service, dispatcher]) => [service, {
       waiting: dispatcher.waitingCount(),
+      admission: this.admission?.dump(service),
       retryBudget: this.budgetOf(service).totals()
     }]))
   }
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -90,6 +90,11 @@
     })
   }
 
+  /** Time that a request takes at a target at its usual speed. */
+  expectedWorkMs (request: DispatchRequest): number {
+    return this.serviceTime.expectedMs(request.objectiveMs)
+  }
+
   /** Number of requests that wait for a target. */
   waitingCount (): number {
     return this.waiters.length
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -5,6 +5,9 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
+/** Priorities from this one on share a label, so that a configuration cannot add any number of them. */
+const LABELLED_PRIORITY_MAX = 9
+
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
 /**
@@ -47,6 +50,7 @@
   private readonly probes: Counter
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
+  private readonly turnedAway: Counter
 
   constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings }: FrontMetricsSources) {
     const registers = [registry]
@@ -86,6 +90,7 @@
     const adoptedAt: Gauge = new Gauge({ name: 'carobpitch_settings_adopted_seconds', help: 'Unix time at which the settings took effect.', registers, collect: () => adoptedAt.set(settings().adoptedAtEpochMs / 1_000) })
     const restartNeeded: Gauge = new Gauge({ name: 'carobpitch_settings_restart_needed', help: 'Changed settings that take effect at the next start.', registers, collect: () => restartNeeded.set(settings().needsRestart.length) })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
+    this.turnedAway = new Counter({ name: 'carobpitch_front_turned_away_total', help: 'Requests that were refused at their arrival because of too little room or time.', labelNames: ['service', 'priority'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
 
@@ -111,6 +116,11 @@
     this.coldRequests.inc({ service })
   }
 
+  /** Counts a request that was refused at its arrival because of too little room or time. */
+  recordTurnedAway (service: ServiceName, priority: number): void {
+    this.turnedAway.inc({ service, priority: priority < LABELLED_PRIORITY_MAX ? String(priority) : `${LABELLED_PRIORITY_MAX}+` })
+  }
+
   /** Adds a wait on the way of the deployment's records to this instance. */
   recordPropagationWait (step: PropagationStep, elapsedMs: number): void {
     this.propagationWaits.inc({ step }, elapsedMs / 1_000)
