--- a/packages/gateway/src/admission/ExcessBacklog.ts
+++ b/packages/gateway/src/admission/ExcessBacklog.ts
@@ -11,8 +11,8 @@
 const RETURN_MAX_MS = 10_000
 /** Spread of the told times around the expected one. */
 const SPREAD_SHARE = 0.5
-/** Part of the time in which a response would still be in time that a caller may wait; the rest is for its way. */
-const WAIT_SHARE_OF_SLACK = 0.8
+/** Part of the time in which a response would still be in time that a caller may wait; the rest is for its way and the next queue. */
+const WAIT_SHARE_OF_SLACK = 0.5
 
 /**
  * What a caller that is turned away can still get.
