--- a/packages/gateway/src/steering/steering.test.ts
+++ b/packages/gateway/src/steering/steering.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict'
-import type { InstanceId } from '@carobpitch/schema'
+import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { Directory, type DirectoryOptions } from '../edge/Directory.js'
+import type { Route, RoutingTable } from '../model/Route.js'
+import { CallerSteering } from './CallerSteering.js'
 import { ProcessingMeter } from './ProcessingMeter.js'
 import { selectInstances, type SelectInstancesOptions, type SelectableInstance } from './selectInstances.js'
 
@@ -58,6 +61,30 @@
   })
 })
 
+describe('the answer of the directory', () => {
+  const domain = 'domain-0' as FailureDomainId
+  const members = [1.35, 0.2, 1, 1].map((_, index) => ({ instanceId: `i${index}`, failureDomain: domain, callerUrl: `http://10.0.0.${index}:80` }) as MemberRecord)
+  const capacities = new Map([1.35, 0.2, 1, 1].map((cores, index) => [`i${index}` as InstanceId, { cores, linkMbps: 100 }]))
+  const routes = [{ name: 'urgent', host: 'Urgent.example', objectiveMs: 100 }, { name: 'patient', host: 'patient.example', objectiveMs: 900 }] as Route[]
+
+  function addressesOf (host: string | undefined, hasUnmatchableRoutes = false): number {
+    const steering = new CallerSteering({ routingTable: () => ({ routes, hasUnmatchableRoutes }) as unknown as RoutingTable, capacities: () => capacities, processingMs: () => PROCESSING_MS })
+    const options = { protocol: { directoryPath: '/' }, serving: () => members, select: steering.select.bind(steering) }
+    return new Directory(options as unknown as DirectoryOptions).addressesFor(domain, host).length
+  }
+
+  it('leaves a slow instance out for the urgent host only', () => {
+    assert.equal(addressesOf('urgent.example'), 3)
+    assert.equal(addressesOf('patient.example'), 4)
+  })
+
+  it('names all instances for a host that is not known, and while routes could not be read', () => {
+    assert.equal(addressesOf('other.example'), 4)
+    assert.equal(addressesOf(undefined), 4)
+    assert.equal(addressesOf('urgent.example', true), 4)
+  })
+})
+
 describe('the measured processing time of a request', () => {
   let clock: Clock & { uninstall: () => void }
   let requests = 0
