Check a configuration before it is sent

Operators could validate a document, which finds what cannot be read. carobpitch check also finds what can be read and cannot mean what it says (routes that never match, services without a route, accounts without keys, timeouts below the objective) and lists what differs from the version in force, from a file or the store. Keys are never shown.

--- a/packages/cli/src/runTool.ts
+++ b/packages/cli/src/runTool.ts
@@ -1,5 +1,6 @@
 import { Command, CommanderError } from 'commander'
 import { addChangeCommands } from './changeCommands.js'
+import { addCheckCommand } from './checkCommand.js'
 import { CommandError } from './CommandError.js'
 import { EXIT, EXIT_CODE_HELP, type ExitCode } from './exitCodes.js'
 import { addInspectCommands } from './inspectCommands.js'
@@ -31,6 +32,7 @@
   addPlanCommands(program, context)
   addChangeCommands(program, context)
   addInspectCommands(program, context)
+  addCheckCommand(program, context)
   try {
     await program.parseAsync(args, { from: 'user' })
     return context.exitCode
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,5 @@
 export { readSettings, SETTINGS_VARIABLE } from './readSettings.js'
-export { validateConfiguration } from './decodeConfiguration.js'
+export { decodeConfiguration, validateConfiguration } from './decodeConfiguration.js'
 export { decodeRecord } from './decodeRecord.js'
 export { PlatformStore, type PlatformStoreOptions, type CountCall } from './PlatformStore.js'
 export { callerProtocol } from './callerProtocol.js'
