End the giving way as soon as slots are free

The sums tell of the end of a burst a second late, while slots stayed unused. Free slots in fresh reports of three warm targets and more end it now. A service logs a change of its level at most once a second.

--- a/packages/gateway/src/admission/Admission.ts
+++ b/packages/gateway/src/admission/Admission.ts
@@ -10,6 +10,8 @@
 
 /** Age up to which a report tells how fast the machine of a target is. */
 const REPORT_RECENT_MS = 2_000
+/** Age up to which a report tells how many slots of a target are free. */
+const REPORT_FRESH_MS = 250
 
 /**
  * Options of `Admission`.
@@ -106,9 +108,11 @@
 }
 
 function roomTargetOf (target: GatewayTarget): RoomTarget {
+  const reportAgeMs = target.reportAgeMs()
   return {
     slots: target.record.slots,
-    slowdown: target.reportAgeMs() <= REPORT_RECENT_MS ? target.report()?.slowdown : undefined,
+    slowdown: reportAgeMs <= REPORT_RECENT_MS ? target.report()?.slowdown : undefined,
+    freeSlots: reportAgeMs <= REPORT_FRESH_MS ? target.freeSlots() : undefined,
     coldRequestsPerS: target.isCold() ? target.policy.coldRequestsPerS : undefined
   }
 }
--- a/packages/gateway/src/admission/ServiceAdmission.ts
+++ b/packages/gateway/src/admission/ServiceAdmission.ts
@@ -13,8 +13,12 @@
 const PLAN_MS = 200
 /** Age of the sums from which on they say nothing about the present load. */
 const SUMS_OLD_MS = 1_000
+/** Share of free slots from which on the room suffices, whatever the sums say: they are about the last seconds. */
+const FREE_SHARE_ENOUGH = 0.25
 /** Steps of the admitted share that count as a change of the admission level. */
 const LEVEL_STEPS = 10
+/** Shortest time between two log lines of a service. */
+const LOG_INTERVAL_MS = 1_000
 const OPEN = 'open'
 
 /**
@@ -53,6 +57,7 @@
   private plannedAtMs = -Infinity
   private slowdown = 1
   private level = OPEN
+  private loggedAtMs = -Infinity
 
   constructor (options: ServiceAdmissionOptions) {
     this.options = options
@@ -99,16 +104,16 @@
   private replan (nowMs: number, workMs: number): void {
     const { counters, claimants, room } = this.options
     this.plannedAtMs = nowMs
-    const { roomMsPerS, slowdown } = room(workMs)
+    const { roomMsPerS, slowdown, freeShare } = room(workMs)
     this.slowdown = slowdown
     const ageMs = counters?.ageMs() ?? Infinity
     // Without targets, the queue refuses by itself, and says so.
-    if (counters === undefined || ageMs > SUMS_OLD_MS || roomMsPerS === 0) this.plan = undefined
+    if (counters === undefined || ageMs > SUMS_OLD_MS || roomMsPerS === 0 || freeShare > FREE_SHARE_ENOUGH) this.plan = undefined
     else {
       this.plan = this.planFor(counters, claimants(), roomMsPerS)
       this.backlog.update(this.plan, nowMs)
     }
-    this.followLevel(ageMs)
+    if (nowMs - this.loggedAtMs >= LOG_INTERVAL_MS) this.followLevel(ageMs, nowMs)
   }
 
   private planFor (counters: FleetCounters, { priorities, accounts }: ServiceClaimants, roomMsPerS: number): AdmissionPlan {
@@ -124,7 +129,7 @@
     return planAdmission({ asked, roomMsPerS, weightOf: account => accounts.get(account) ?? 1 })
   }
 
-  private followLevel (ageMs: number): void {
+  private followLevel (ageMs: number, nowMs: number): void {
     const next = levelOf(this.plan)
     if (next === this.level) return
     const { log, service } = this.options
@@ -138,6 +143,7 @@
       ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
     })
     this.level = next
+    this.loggedAtMs = nowMs
     if (next === OPEN) this.thinning.reset()
   }
 }
--- a/packages/gateway/src/admission/givingWay.test.ts
+++ b/packages/gateway/src/admission/givingWay.test.ts
@@ -135,8 +135,15 @@
     })
 
     it('counts cold targets by the rate that they bear and slow ones by their slowdown', () => {
-      const targets = [{ slots: 2, slowdown: 2, coldRequestsPerS: undefined }, { slots: 2, slowdown: undefined, coldRequestsPerS: undefined }, { slots: 2, slowdown: 2, coldRequestsPerS: 5 }]
-      assert.deepEqual(measureRoom(targets, 100), { roomMsPerS: 1_000 + 1_000 + 500, slowdown: 2 })
+      const warm = { slots: 2, slowdown: 2, coldRequestsPerS: undefined, freeSlots: undefined }
+      const targets = [warm, { ...warm, slowdown: undefined }, { ...warm, coldRequestsPerS: 5 }]
+      assert.deepEqual(measureRoom(targets, 100), { roomMsPerS: 1_000 + 1_000 + 500, slowdown: 2, freeShare: 0 })
+    })
+
+    it('takes free slots from warm targets with fresh reports, and from three of them at least', () => {
+      const target = { slots: 2, slowdown: 1, coldRequestsPerS: undefined, freeSlots: 1 }
+      assert.equal(measureRoom([target, { ...target, freeSlots: 2 }, { ...target, freeSlots: -3 }, { ...target, coldRequestsPerS: 5, freeSlots: 2 }], 100).freeShare, 0.5)
+      assert.equal(measureRoom([target, target], 100).freeShare, 0)
     })
   })
 
--- a/packages/gateway/src/admission/testing/playLoad.ts
+++ b/packages/gateway/src/admission/testing/playLoad.ts
@@ -73,18 +73,18 @@
 /** Plays streams of requests against the slots of one service and counts what became of their callers. */
 export function playLoad ({ clock, streams, slots, instances = 20, givesWay, weights = new Map(), random, durationMs = 10_000 }: PlayLoadOptions): Map<string, StreamOutcome> {
   const counters = new FakeCounters()
+  const slotsFreeAtMs = new Array<number>(slots).fill(0)
+  const startMs = performance.now()
   const claimants: ServiceClaimants = { priorities: [...new Set(streams.map(({ priority }) => priority))].sort(), accounts: weights }
   const admissions = Array.from({ length: instances }, () => new ServiceAdmission({
     service: 'service' as ServiceName,
     counters,
     claimants: () => claimants,
-    room: () => ({ roomMsPerS: slots * 1_000, slowdown: 1 }),
+    room: () => ({ roomMsPerS: slots * 1_000, slowdown: 1, freeShare: slotsFreeAtMs.filter(atMs => atMs <= performance.now() - startMs).length / slots }),
     log: { info: () => {}, warn: () => {}, error: () => {} } as never,
     random
   }))
   const outcomes = new Map(streams.map(({ name }) => [name, { asked: 0, served: 0, late: 0, refused: 0, turnedAway: 0 }]))
-  const slotsFreeAtMs = new Array<number>(slots).fill(0)
-  const startMs = performance.now()
   const arrivals = streams.flatMap(stream => arrivalsOf(stream, instances, durationMs, random))
   while (arrivals.length > 0) {
     arrivals.sort((first, second) => second.atMs - first.atMs)
