Let an odd client account cost only its own callers, and count requests by priority

What callers saw: one account with a wrong field turned 401 for every unknown key into 503, and lost the other keys of its list for one odd key. Now keys are read whatever else is wrong with their account; only keys that could not be read at all make unknown keys undecidable.

Requests of accounts are counted by priority and outcome (20 priorities at most).

--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -28,6 +28,8 @@
   requestId?: string
   deadlineMs?: number
   body?: string
+  /** Further headers. */
+  headers?: Record<string, string>
   onRequest?: (request: ClientRequest) => void
 }
 
@@ -105,12 +107,13 @@
   }
 
   /** Sends a request to a front daemon as a caller does. */
-  async call (daemon: FrontDaemon, { method = 'GET', host = 'shop.example', path = '/stock/1', requestId, deadlineMs = 2_000, body, onRequest }: TestRequest = {}): Promise<ReceivedResponse> {
+  async call (daemon: FrontDaemon, { method = 'GET', host = 'shop.example', path = '/stock/1', requestId, deadlineMs = 2_000, body, headers: furtherHeaders, onRequest }: TestRequest = {}): Promise<ReceivedResponse> {
     const startedAtMs = performance.now()
     this.requestCount += 1
     const headers = {
       ...callerHeaders({ host, requestId: requestId ?? `request-${this.requestCount}`, deadlineMs }),
-      ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) })
+      ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) }),
+      ...furtherHeaders
     }
     return await new Promise((resolve, reject) => {
       const request = httpRequest({ host: '127.0.0.1', port: daemon.kernel.get('front').port(), method, path, headers, agent: false })
--- a/packages/gateway/src/accounts/AccountIndex.ts
+++ b/packages/gateway/src/accounts/AccountIndex.ts
@@ -24,8 +24,10 @@
  */
 export interface AccountIndexOptions {
   accounts: readonly ClientAccount[]
-  /** Whether the configuration has accounts that could not be read, so that the owners of some keys are not known. */
-  hasUnreadable: boolean
+  /** Digests of the keys of accounts that could not be read. */
+  undecidableKeyDigests: readonly string[]
+  /** Whether some keys could not be read, so that an unknown key may be one of them. */
+  hasUnreadableKeys: boolean
 }
 
 /**
@@ -36,12 +38,13 @@
   private readonly owners = new Map<string, KeyOwner>()
   private readonly ownerOfOthers: KeyOwner
 
-  constructor ({ accounts, hasUnreadable }: AccountIndexOptions) {
-    this.ownerOfOthers = hasUnreadable ? UNDECIDABLE : UNKNOWN
+  constructor ({ accounts, undecidableKeyDigests, hasUnreadableKeys }: AccountIndexOptions) {
+    this.ownerOfOthers = hasUnreadableKeys ? UNDECIDABLE : UNKNOWN
     for (const account of accounts) {
       const owner: KeyOwner = { kind: 'account', account }
       for (const digest of new Set(account.keyDigests)) this.owners.set(digest, this.owners.has(digest) ? UNDECIDABLE : owner)
     }
+    for (const digest of undecidableKeyDigests) this.owners.set(digest, UNDECIDABLE)
   }
 
   /** Returns the owner of a key; a request without a key has none. */
--- a/packages/gateway/src/accounts/admitCaller.ts
+++ b/packages/gateway/src/accounts/admitCaller.ts
@@ -29,14 +29,15 @@
   /** `undefined` if the configuration has no client accounts. */
   accounts: AccountIndex | undefined
   allowances: AllowanceGate
-  key: string | undefined
+  /** Returns the key that the request carries, if any. */
+  readKey: () => string | undefined
   isPublicRoute: boolean
 }
 
 /** Finds the account of a request and counts it towards the account's allowance. @internal */
-export function admitCaller ({ accounts, allowances, key, isPublicRoute }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
+export function admitCaller ({ accounts, allowances, readKey, isPublicRoute }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
   if (accounts === undefined) return Result.ok({})
-  const owner = accounts.ownerOf(key)
+  const owner = accounts.ownerOf(readKey())
   if (owner.kind === 'account') {
     const { account } = owner
     return allowances.take(account)
--- a/packages/gateway/src/edge/CallerProtocol.ts
+++ b/packages/gateway/src/edge/CallerProtocol.ts
@@ -8,8 +8,6 @@
 export interface CallerMetadata {
   /** Identifies one attempt of the caller; each of its retries has its own id. */
   requestId: string | undefined
-  /** Key of the caller's account, if the request carries one. */
-  accountKey: string | undefined
   /** Time that the caller waits; `undefined` if its header is missing or invalid. */
   deadlineMs: number | undefined
 }
@@ -28,6 +26,8 @@
  */
 export interface CallerProtocol {
   readFacts: (headers: IncomingHttpHeaders) => CallerMetadata
+  /** Returns the key of the caller's account, if the request carries one. */
+  readAccountKey: (headers: IncomingHttpHeaders) => string | undefined
   /** Name of the header with the time after which the caller may retry, in seconds. */
   retryAfterHeader: string
   readinessPath: string
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -181,8 +181,7 @@
       this.finish('unreadable-route')
       return
     }
-    const { accountKey: key } = callerProtocol.readFacts(this.request.headers)
-    const caller = admitCaller({ accounts, allowances, key, isPublicRoute: route.isPublic })
+    const caller = admitCaller({ accounts, allowances, readKey: () => callerProtocol.readAccountKey(this.request.headers), isPublicRoute: route.isPublic })
     if (caller.isErr) {
       this.finish(caller.error.reason, caller.error.retryAfterMs)
       return
@@ -271,7 +270,7 @@
       route: route.name,
       account: this.caller.account?.name,
       accepts: () => true,
-      priority: this.caller.account?.priority ?? route.priority,
+      priority: this.priority(),
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
       deadlineAtMs: this.deadlineAtMs,
@@ -280,6 +279,11 @@
     })
   }
 
+  /** Priority of the account, or else that of the route. */
+  private priority (): number {
+    return this.caller.account?.priority ?? this.matchedRoute?.priority ?? Infinity
+  }
+
   private send (grant: DispatchGrant): void {
     const { targetProtocol, isEligible, metrics } = this.context
     const { target } = grant
@@ -448,6 +452,7 @@
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
     metrics.recordRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
+    if (this.caller.account !== undefined) metrics.recordAccountRequest({ priority: this.priority(), outcome, verdict: this.verdict })
     logEnd(log, this.logFields(), { route: this.matchedRoute, outcome, status, verdict: this.verdict, targetId, elapsedMs, configurationVersion: this.configurationVersion })
   }
 
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -5,6 +5,9 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
+/** Number of priorities of accounts that have their own label. */
+const PRIORITIES_LABELLED_MAX = 20
+
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
 /**
@@ -41,16 +44,19 @@
  */
 export class FrontMetrics {
   private readonly requests: Counter
+  private readonly accountRequests: Counter
   private readonly latency: Histogram
   private readonly attempts: Counter
   private readonly attemptLatency: Histogram
   private readonly probes: Counter
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
+  private readonly labelledPriorities = new Set<number>()
 
   constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
+    this.accountRequests = new Counter({ name: 'carobpitch_front_account_requests_total', help: 'Requests of client accounts by priority and outcome.', labelNames: ['priority', 'outcome', 'verdict'], registers })
     this.latency = new Histogram({ name: 'carobpitch_front_request_seconds', help: 'Time from the arrival of a request to its response.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
     this.attempts = new Counter({ name: 'carobpitch_front_attempts_total', help: 'Requests sent to targets by outcome.', labelNames: ['service', 'outcome'], registers })
     this.attemptLatency = new Histogram({ name: 'carobpitch_front_attempt_seconds', help: 'Time of one attempt at a target.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
@@ -95,6 +101,13 @@
     this.latency.observe({ service: service ?? '' }, elapsedMs / 1_000)
   }
 
+  /** Counts a request of a client account that has ended. */
+  recordAccountRequest ({ priority, outcome, verdict }: { priority: number, outcome: string, verdict: Verdict }): void {
+    const { labelledPriorities } = this
+    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
+    this.accountRequests.inc({ priority: labelledPriorities.has(priority) ? String(priority) : 'other', outcome, verdict })
+  }
+
   /** Counts an attempt at a target. */
   recordAttempt (service: ServiceName, outcome: string, elapsedMs: number): void {
     this.attempts.inc({ service, outcome })
--- a/packages/gateway/src/edge/RoutingHolder.ts
+++ b/packages/gateway/src/edge/RoutingHolder.ts
@@ -54,6 +54,6 @@
   }
 }
 
-function indexAccounts ({ accounts, hasUnreadableAccounts: hasUnreadable }: RoutingTable): AccountIndex | undefined {
-  return accounts === undefined ? undefined : new AccountIndex({ accounts, hasUnreadable })
+function indexAccounts ({ accounts, undecidableKeyDigests, hasUnreadableKeys }: RoutingTable): AccountIndex | undefined {
+  return accounts === undefined ? undefined : new AccountIndex({ accounts, undecidableKeyDigests, hasUnreadableKeys })
 }
--- a/packages/gateway/src/model/Route.ts
+++ b/packages/gateway/src/model/Route.ts
@@ -75,8 +75,10 @@
   callerLimits: CallerLimits
   /** `undefined` if the configuration has no client accounts; callers then need no key. */
   accounts: readonly ClientAccount[] | undefined
-  /** Whether some accounts could not be read, so that the owners of some keys are not known. */
-  hasUnreadableAccounts: boolean
+  /** Digests of the keys of accounts that could not be read. */
+  undecidableKeyDigests: readonly string[]
+  /** Whether some keys of accounts could not be read, so that an unknown key may be one of them. */
+  hasUnreadableKeys: boolean
   /** Parts of the operators' document that could not be read or are not known. */
   faults: readonly Violation[]
 }
--- a/packages/platform/src/callerProtocol.ts
+++ b/packages/platform/src/callerProtocol.ts
@@ -6,10 +6,10 @@
 /** Protocol between the platform's callers and the gateway. */
 export const callerProtocol: CallerProtocol = {
   readFacts: headers => ({
-    accountKey: bearerKeyOf(headers[WIRE_HEADERS.accountKey]),
     requestId: textOf(headers[WIRE_HEADERS.requestId]),
     deadlineMs: positiveNumberOf(headers[WIRE_HEADERS.remainingMs])
   }),
+  readAccountKey: headers => BEARER_PATTERN.exec(textOf(headers[WIRE_HEADERS.accountKey]) ?? '')?.[1],
   retryAfterHeader: WIRE_HEADERS.retryAfterS,
   readinessPath: GATEWAY_PATHS.readiness,
   directoryPath: GATEWAY_PATHS.directory,
@@ -22,10 +22,6 @@
 /** Scheme of the header with a key; its case doesn't matter (RFC 9110, 11.1). */
 const BEARER_PATTERN = /^bearer +(\S+) *$/i
 
-function bearerKeyOf (value: unknown): string | undefined {
-  return BEARER_PATTERN.exec(textOf(value) ?? '')?.[1]
-}
-
 function textOf (value: unknown): string | undefined {
   return typeof value === 'string' && value !== '' ? value : undefined
 }
--- a/packages/platform/src/decodeConfiguration.ts
+++ b/packages/platform/src/decodeConfiguration.ts
@@ -83,7 +83,8 @@
       services,
       callerLimits: decodeLimits(document.limits, faults),
       accounts: accounts?.accounts,
-      hasUnreadableAccounts: accounts?.hasUnreadable === true,
+      undecidableKeyDigests: accounts?.undecidableKeyDigests ?? [],
+      hasUnreadableKeys: accounts?.hasUnreadableKeys === true,
       faults
     }
   })
--- a/packages/platform/src/testing/StandInPlatformTarget.ts
+++ b/packages/platform/src/testing/StandInPlatformTarget.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { WIRE_HEADERS, STORE_KEYS } from '../wire.js'
 import { SEAL_HEADER } from './callerRequests.js'
@@ -21,6 +21,7 @@
 /** One request that a target has received. @public */
 export interface ReceivedRequest {
   requestId: string | undefined
+  headers: IncomingHttpHeaders
   remainingMs: number
   atMs: number
   behaviour: StandInTargetBehaviour
@@ -108,7 +109,7 @@
 
   private async run (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = request.headers[WIRE_HEADERS.requestId] as string | undefined
-    const received = { requestId, remainingMs: Number(request.headers[WIRE_HEADERS.remainingMs]), atMs: performance.now(), behaviour: this.nextBehaviour(), isAborted: false }
+    const received = { requestId, headers: request.headers, remainingMs: Number(request.headers[WIRE_HEADERS.remainingMs]), atMs: performance.now(), behaviour: this.nextBehaviour(), isAborted: false }
     this.receivedRequests.push(received)
     request.resume()
     response.once('close', () => { received.isAborted = !response.writableFinished })
--- a/packages/platform/src/testing/configurations.ts
+++ b/packages/platform/src/testing/configurations.ts
@@ -9,6 +9,15 @@
   service?: string
   'traffic-split'?: Array<{ service: string, weight: number }>
   'max-attempts': number
+  public?: boolean
+}
+
+/** Client account of a test's configuration, in the platform's form. */
+export interface WireAccount {
+  'api-keys': string[]
+  priority?: number
+  'rate-per-s'?: number
+  burst?: number
 }
 
 /** Service of a test's configuration, in the platform's form. */
@@ -26,17 +35,20 @@
   version?: number
   routes?: Record<string, WireRoute>
   services?: string[]
+  /** Client accounts by name; none if it is missing. */
+  accounts?: Record<string, WireAccount>
   /** Limits that differ from the defaults. */
   limits?: Partial<typeof WIRE_LIMITS>
 }
 
 /** Returns a configuration document as the operator writes it. */
-export function wireConfiguration ({ version = 7, routes = { stock: wireRoute() }, services = ['menzaiko'], limits = {} }: WireConfigurationOptions = {}): string {
+export function wireConfiguration ({ version = 7, routes = { stock: wireRoute() }, services = ['menzaiko'], accounts, limits = {} }: WireConfigurationOptions = {}): string {
   return JSON.stringify({
     version,
     routes,
     services: Object.fromEntries(services.map(name => [name, WIRE_SERVICE])),
     limits: { ...WIRE_LIMITS, ...limits },
+    tenants: accounts,
     'base-version': 1
   })
 }
