Keep a target's failure until a better answer has come, and pass on no status without a class

What callers saw: a safe request whose target had answered 500 got a 502 of ours (or 504 at the deadline) if its repeat found no other target, met a reset, a refusal or a silent one; the answer that was there was dropped before the repeat. It is kept now and sent when the repeat ends without an answer (event answer.kept). A failure longer than 256 KiB is streamed while it arrives; at its end it was asked for again, and the second answer was written into the first. It is not repeated any more.

Statuses 600, 700 and 999 of a target reached callers of orders as they were. RFC 9110 15 gives them no class and tells clients to take them for a 5xx; some clients refuse to read them. They are a malformed response now, as 000 to 199 without a final response already were: safe requests are repeated, others get 502 of ours, without the target's headers. Weighed: passing them on unchanged, which keeps the target's seal and status, but leaves it to each client to make sense of them.

--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -2,19 +2,19 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import type { Result } from 'true-myth'
-import { abortResponse, BlockWriter, endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
 import { admitCaller, type AdmittedCaller } from '../accounts/admitCaller.js'
 import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import { createAttempt } from '../targets/createAttempt.js'
 import { BufferedResponse } from './BufferedResponse.js'
+import { CallerAnswer } from './CallerAnswer.js'
 import { logEnd, logFailedAttempt, logSend, type LoggedRequest } from './exchangeLog.js'
 import type { FrontExchangeContext, FrontExchangeOptions } from './FrontExchangeContext.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
 import { headSizeBytes } from './headSizeBytes.js'
 import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, type RunningAttempt } from './evaluateAttempt.js'
-import { localReply } from './localReply.js'
 import { OverdueCheck } from './OverdueCheck.js'
 import type { RoutingState } from './RoutingHolder.js'
 
@@ -27,6 +27,12 @@
 /** A retry with less time than this left cannot get a response. */
 const ATTEMPT_MIN_MS = 20
 
+/** Complete response of a target that reports a failure. */
+interface ReadyFailure {
+  buffered: BufferedResponse
+  targetId: TargetId
+}
+
 /**
  * One request of a caller and its response.
  * @internal
@@ -54,8 +60,9 @@
   /** Attempts that may have reached their targets. */
   private sends = 0
   private verdict: Verdict = 'not-run'
-  private isStreaming = false
-  private writer: BlockWriter | undefined
+  private readonly answer: CallerAnswer
+  /** Complete failure of a target, for the caller if nothing better comes. */
+  private readyFailure: ReadyFailure | undefined
   private hasEnded = false
   private releaseBodyMemory: (() => void) | undefined
   private overdueCheck: OverdueCheck | undefined
@@ -68,6 +75,7 @@
     this.request = request
     this.response = response
     this.onClosed = onClosed
+    this.answer = new CallerAnswer({ response, decideClose: () => connection.decideClose(this), onRoom: () => this.running?.attempt.resume() })
     this.requestId = context.callerProtocol.readFacts(request.headers).requestId ?? randomUUID()
   }
 
@@ -131,9 +139,8 @@
   takeData (chunk: Buffer): boolean {
     const { buffered } = this.running ?? {}
     if (buffered === undefined || this.hasEnded) return true
-    if (this.writer !== undefined) return this.writer.write(chunk)
-    if (buffered.add(chunk)) return true
-    this.beginStreaming(buffered)
+    if (this.answer.isStreaming()) return this.answer.write(chunk)
+    if (!buffered.add(chunk)) this.answer.beginStreaming(buffered)
     return true
   }
 
@@ -155,7 +162,7 @@
     if (this.hasEnded) return
     const { buffered } = running
     if (result.verdict === 'answered' && buffered !== undefined) this.respond(running, buffered)
-    else if (this.isStreaming) this.abortStream(result.reason ?? 'target-failed')
+    else if (this.answer.isStreaming()) this.abortStream(result.reason ?? 'target-failed')
     else if (!wasSent && this.mayRedirect(result)) this.dispatch()
     else this.retryOrFinish(result.reason ?? 'target-failed')
   }
@@ -345,33 +352,16 @@
 
   private respond (running: RunningAttempt, buffered: BufferedResponse): void {
     const isFailure = buffered.head.status >= TARGET_FAILURE_STATUS_MIN
-    if (isFailure && this.mayRetry()) {
+    const { targetId } = running.grant.target.record
+    if (isFailure && !this.answer.isStreaming() && this.mayRetry()) {
+      this.readyFailure = { buffered, targetId }
       this.dispatch()
       return
     }
-    if (this.writer !== undefined) this.writer.end()
-    else this.writeBuffered(buffered)
+    if (this.answer.isStreaming()) this.answer.end()
+    else this.answer.writeWhole(buffered)
     this.discardRequestBody()
-    this.recordEnd('answered', buffered.head.status, running.grant.target.record.targetId)
-  }
-
-  private writeBuffered (buffered: BufferedResponse): void {
-    const { head } = buffered
-    const body = buffered.take()
-    const headers = head.forwarded
-    if (head.framing.kind !== 'length' && head.framing.kind !== 'no-body') headers.push('content-length', String(body.length))
-    this.pushConnectionHeader(headers)
-    this.response.writeHead(head.status, headers)
-    this.response.end(body)
-  }
-
-  private beginStreaming (buffered: BufferedResponse): void {
-    this.isStreaming = true
-    const headers = buffered.head.forwarded
-    this.pushConnectionHeader(headers)
-    this.response.writeHead(buffered.head.status, headers)
-    this.writer = new BlockWriter({ destination: this.response, onRoom: () => this.running?.attempt.resume() })
-    this.writer.write(buffered.take())
+    this.recordEnd('answered', buffered.head.status, targetId)
   }
 
   private retryOrFinish (reason: FrontReason): void {
@@ -412,18 +402,27 @@
 
   private finish (reason: FrontReason, retryAfterMs?: number): void {
     if (this.hasEnded) return
-    if (this.isStreaming) {
+    if (this.answer.isStreaming()) {
       this.abortStream(reason)
       return
     }
+    if (this.readyFailure !== undefined) {
+      this.deliver(this.readyFailure, reason)
+      return
+    }
     const status = frontStatusOf(reason, this.verdict !== 'not-run')
     this.recordEnd(reason, status)
     this.discardRequestBody()
     if (this.response.destroyed) return
-    const { headers, body } = localReply({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
-    this.pushConnectionHeader(headers)
-    this.response.writeHead(status, headers)
-    this.response.end(body)
+    this.answer.writeLocal({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
+  }
+
+  /** Sends the failure of a target, because its repeat has ended without an answer. */
+  private deliver ({ buffered, targetId }: ReadyFailure, reason: FrontReason): void {
+    this.context.log.info('answer.kept', { requestId: this.requestId, targetId, status: buffered.head.status, reason })
+    this.recordEnd('answered', buffered.head.status, targetId)
+    this.discardRequestBody()
+    if (!this.response.destroyed) this.answer.writeWhole(buffered)
   }
 
   /** Reads and discards the rest of the request body, so that the caller can read the response. */
@@ -435,11 +434,7 @@
 
   private abortStream (reason: FrontReason): void {
     this.recordEnd(reason, undefined)
-    abortResponse(this.response)
-  }
-
-  private pushConnectionHeader (headers: string[]): void {
-    if (this.connection.decideClose(this)) headers.push('connection', 'close')
+    this.answer.abort()
   }
 
   private recordEnd (outcome: FrontReason | 'answered', status: number | undefined, targetId?: TargetId): void {
--- a/packages/proxy/src/Attempt.ts
+++ b/packages/proxy/src/Attempt.ts
@@ -9,6 +9,9 @@
 /** Largest body of a discarded response that is read to the end to keep its connection for reuse. */
 const DISCARDED_BODY_MAX_BYTES = 65_536
 
+/** Largest status that has a class (RFC 9110, 15). */
+const STATUS_MAX = 599
+
 /**
  * How an attempt ended.
  * @public
@@ -147,6 +150,8 @@
   /** @internal */
   onHeaders (status: number, rawHeaders: Buffer[]): boolean {
     if (status < 200) return true
+    // Callers need not understand a status without a class (RFC 9110, 15).
+    if (status > STATUS_MAX) return this.fail('malformed-response', 'failed')
     // A response that arrives before its request is written belongs to another request.
     if (this.headWrittenAtMs === undefined) return this.fail('mismatched-response', 'failed')
     const { method, requestId, notRunStatuses, sink, readHead = readResponseHead, connectionState } = this.options
