Estimate work by route, and learn how much targets slow down

Callers of urgent requests (36 ms of work, objective 104 ms) at a service whose other route takes 218 ms were treated as late at their arrival, because all routes of a service shared one estimate. Factors for nearly full and cold targets were the same for every customer.

Work is now learned by route and service; with little evidence it leans on the route at other services, then on the service, then on the objective. The speed of a target, the factors of nearly full and cold targets and the usual slowdown of machines are learned from answers and reports, with the former constants as priors.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,7 +1,7 @@
 import type { Registry } from 'prom-client'
 import {
   BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry, WorkEstimator,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
@@ -132,6 +132,7 @@
       registry: targets,
       prober: loadProber,
       coldLimiter: coldRequestLimiter,
+      work: new WorkEstimator(),
       retryLimits: () => live.current().retryLimits,
       instanceCount: () => this.instanceCount()
     })
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -6,8 +6,8 @@
 import type { LoadProber } from '../targets/LoadProber.js'
 import type { TargetRegistry } from '../targets/TargetRegistry.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRefusalReason, DispatchRequest } from './DispatchRequest.js'
-import { expectedLatencyFactor } from './expectedLatencyFactor.js'
-import { ServiceTimeEstimator } from './ServiceTimeEstimator.js'
+import { conditionOf, expectedLatencyFactor } from './expectedLatencyFactor.js'
+import { WorkEstimator } from './WorkEstimator.js'
 
 /** Age up to which a report counts as fresh. The load of a target's machine changes within a few hundred milliseconds. */
 const REPORT_FRESH_MS = 60
@@ -45,6 +45,8 @@
   registry: TargetRegistry
   prober: LoadProber
   coldLimiter: ColdRequestLimiter
+  /** Estimates that the services of an instance share; its own ones by default. */
+  work?: WorkEstimator
 }
 
 interface Waiter {
@@ -63,7 +65,7 @@
  */
 export class ServiceDispatcher {
   private readonly options: ServiceDispatcherOptions
-  private readonly serviceTime = new ServiceTimeEstimator()
+  private readonly work: WorkEstimator
   private waiters: Waiter[] = []
   /** This instance's own ranking of the current targets. */
   private ranking: { targets: readonly GatewayTarget[], ranks: ReadonlyMap<GatewayTarget, number> } | undefined
@@ -72,6 +74,7 @@
 
   constructor (options: ServiceDispatcherOptions) {
     this.options = options
+    this.work = options.work ?? new WorkEstimator()
   }
 
   /** Waits for a target. */
@@ -152,6 +155,10 @@
     const probes = Promise.all(targets.map(async target => await this.options.prober.refreshReport(target, REPORT_FRESH_MS)))
     await Promise.race([probes, timeout])
     clearTimeout(timer)
+    for (const target of targets) {
+      const report = target.report()
+      if (report !== undefined && target.reportAgeMs() <= REPORT_FRESH_MS) this.work.recordSlowdown(this.options.service, report.slowdown)
+    }
   }
 
   private isFreeAndFast (target: GatewayTarget): boolean {
@@ -186,7 +193,7 @@
   }
 
   private factorOf (target: GatewayTarget): number {
-    return expectedLatencyFactor(target, this.options.failureDomain)
+    return expectedLatencyFactor(target, this.options.failureDomain, this.work)
   }
 
   private grantWaiting (): void {
@@ -200,7 +207,7 @@
   private grant (waiter: Waiter, { target, factor }: Candidate): void {
     const { request } = waiter
     this.waiters.splice(this.waiters.indexOf(waiter), 1)
-    const slowdown = target.report()?.slowdown ?? 1
+    const condition = conditionOf(target, this.work)
     const reason = {
       factor,
       reportAgeMs: target.reportAgeMs(),
@@ -215,7 +222,7 @@
       if (isReleased) return
       isReleased = true
       target.end()
-      if (kind === 'answered') this.serviceTime.record(elapsedMs, slowdown)
+      if (kind === 'answered') this.work.recordAnswer(request, condition, elapsedMs)
       this.wake?.()
     }
     waiter.settle(Result.ok({ target, reason, release }))
@@ -225,7 +232,7 @@
     const nowMs = performance.now()
     if (nowMs >= request.deadlineAtMs) return Result.err({ reason: 'deadline-unreachable' })
     const waitedMs = nowMs - request.arrivedAtMs
-    const serviceTimeMs = this.serviceTime.expectedMs(request.objectiveMs)
+    const serviceTimeMs = this.work.expectedMs(request)
     const objectiveAtMs = request.arrivedAtMs + request.objectiveMs
     // From now on even a target at its usual speed would respond late.
     if (nowMs + serviceTimeMs >= objectiveAtMs) return this.chooseLate(request)
--- a/packages/gateway/src/dispatch/expectedLatencyFactor.ts
+++ b/packages/gateway/src/dispatch/expectedLatencyFactor.ts
@@ -1,35 +1,42 @@
 import type { FailureDomainId } from '@carobpitch/schema'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
+import type { TargetCondition, WorkEstimator } from './WorkEstimator.js'
 
 /** Occupied share of its slots above which a target may slow down. */
 const NEARLY_FULL_SHARE = 0.8
-/** Factor by which a nearly full target is assumed to slow down. */
-const NEARLY_FULL_FACTOR = 1.7
-/** Factor by which a cold target is assumed to be slower. */
-const COLD_FACTOR = 2
-/** Slowdown assumed for a machine without a report; between usual and slow. */
-const UNKNOWN_SLOWDOWN = 2
 /** Factor for targets in other failure domains, because traffic between domains costs time and money. */
 const OTHER_DOMAIN_FACTOR = 1.1
 /** Age from which on a report says nothing about the load of the machine. */
 const REPORT_USEFUL_MS = 300
 
+/** State of a target as far as it is known, if one more request is sent to it. @internal */
+export function conditionOf (target: GatewayTarget, estimator: WorkEstimator): TargetCondition {
+  const report = target.report()
+  const usual = estimator.unknownSlowdown(target.record.service)
+  const weight = Math.max(0, 1 - target.reportAgeMs() / REPORT_USEFUL_MS)
+  const { slots } = target.record
+  const free = target.freeSlots()
+  return {
+    target,
+    slowdown: report === undefined ? usual : report.slowdown * weight + usual * (1 - weight),
+    isNearlyFull: (slots - free + 1) / slots > NEARLY_FULL_SHARE,
+    isCold: target.isCold(),
+    queuedPerSlot: free > 0 ? 0 : (1 - free) / slots
+  }
+}
+
 /**
- * Expected time until a target responds, in multiples of its usual service time.
+ * Expected time until a target responds, in multiples of the usual time of the route.
  * @param failureDomain where this instance runs
  * @public
  */
-export function expectedLatencyFactor (target: GatewayTarget, failureDomain: FailureDomainId): number {
-  const report = target.report()
-  const weight = Math.max(0, 1 - target.reportAgeMs() / REPORT_USEFUL_MS)
-  const slowdown = report === undefined ? UNKNOWN_SLOWDOWN : report.slowdown * weight + UNKNOWN_SLOWDOWN * (1 - weight)
-  const slots = target.record.slots
-  const free = target.freeSlots()
-  const isNearlyFull = (slots - free + 1) / slots > NEARLY_FULL_SHARE
-  const queued = free > 0 ? 0 : (1 - free) / slots
+export function expectedLatencyFactor (target: GatewayTarget, failureDomain: FailureDomainId, estimator: WorkEstimator): number {
+  const { service } = target.record
+  const { slowdown, isNearlyFull, isCold, queuedPerSlot } = conditionOf(target, estimator)
   return slowdown *
-    (isNearlyFull ? NEARLY_FULL_FACTOR : 1) *
-    (target.isCold() ? COLD_FACTOR : 1) *
+    estimator.speedOf(target) *
+    (isNearlyFull ? estimator.nearlyFullFactor(service) : 1) *
+    (isCold ? estimator.coldFactor(service) : 1) *
     (target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_FACTOR) *
-    (1 + queued)
+    (1 + queuedPerSlot)
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export { LoadProber, type LoadProberOptions, type ProbeOutcome } from './targets/LoadProber.js'
 export { ColdRequestLimiter, type ColdRequestLimiterOptions } from './targets/ColdRequestLimiter.js'
 export * from './dispatch/DispatchRequest.js'
+export { WorkEstimator } from './dispatch/WorkEstimator.js'
 export { Dispatcher, type DispatcherOptions, type ServiceStats } from './dispatch/Dispatcher.js'
 export * from './edge/CallerProtocol.js'
 export { BodyMemory, type BodyMemoryOptions } from './edge/BodyMemory.js'
