Ask few preferred targets, send on the first good answer and join queues that will be in time

Callers of urgent requests waited up to 25 ms of an objective of 104 ms for all of three to five probes, and requests without a free slot asked targets every 15 ms. Each instance asked targets all over the service, so that hardly a connection was still open.

Decisions are now pure modules: place (where a request goes), preferTargets (who is asked), timing (how long reports are fresh, waits and pauses), orderWaiting. An instance asks two of a few preferred targets, then three further ones; the wait is a share of the slack and ends a moment after an answer that has room for all; polls follow the expected release of a slot; nearly equal targets are drawn from; a new connection has to bring the answer forward by a tenth of the objective; a full target is used if its queue will be in time.

--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -7,32 +7,29 @@
 import type { TargetRegistry } from '../targets/TargetRegistry.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRefusalReason, DispatchRequest } from './DispatchRequest.js'
 import { conditionOf, expectedLatencyFactor } from './expectedLatencyFactor.js'
+import { orderWaiting, type WaitingRequest } from './orderWaiting.js'
+import { place, waitsForMs, type Place, type RequestView, type TargetView } from './place.js'
+import { chooseAsked, preferredCount } from './preferTargets.js'
+import { freshForMs, isTight, pollPauseMs, probeWaitMs, unprobedAfterMs } from './timing.js'
+import { LearnedMean } from './LearnedMean.js'
 import { WorkEstimator } from './WorkEstimator.js'
 
-/** Age up to which a report counts as fresh. The load of a target's machine changes within a few hundred milliseconds. */
-const REPORT_FRESH_MS = 60
-/** Longest wait for probes before a target is chosen by the available reports. */
-const REPORT_WAIT_MS = 25
-/** Number of targets that are probed before a choice. */
-const PROBED_TARGETS = 3
+/** Number of targets that are probed before a choice; the better one of two is nearly as good as the best one of all. */
+const PROBED_TARGETS = 2
+/** Number of further targets that are probed if none of these is free and fast. */
+const FURTHER_TARGETS = 3
+/** Share of the wait for probes for which the others are awaited after one has said that there is room. */
+const OTHERS_WAIT_SHARE = 0.2
 /** Latency factor (see `expectedLatencyFactor`) below which a target is good enough, so that no further ones are probed. */
 const GOOD_FACTOR = 1.6
-/** Factor by which targets of other failure domains must rank better to be probed in the first round. */
+/** Latency factor from which on a target isn't preferred. */
+const SLOW_FACTOR = 2.5
+/** Factor by which targets of other failure domains must rank better to be preferred. */
 const OTHER_DOMAIN_RANK_FACTOR = 2
-/** Latency factor from which on a target is too slow for a request with a usual objective. */
-const LATE_FACTOR = 2.5
-/** Number of free slots that a target needs to take a request that is already late. */
-const SPARE_SLOTS = 2
-/** Pause before the queue is served again when a request found no target. */
-const RETRY_MS = 15
-/** Share of the latency objective after which a request without a free slot is refused, so that its caller can retry in time. */
-const WAIT_SHARE_OF_OBJECTIVE = 0.4
-/** Share of the latency objective for which a request waits for a better target than a slow one; a few rounds of probes fit in. */
-const SEARCH_SHARE_OF_OBJECTIVE = 0.1
-/** Time after which a request goes to a target that responds to no probes; perhaps only its health path is broken. */
-const UNPROBED_AFTER_MS = 100
-/** Largest age of reports that are used while no target responds to probes. */
-const REPORT_OLD_MAX_MS = 2_000
+/** Age up to which a report says that a target is slow or full. */
+const REPORT_USEFUL_MS = 300
+/** Share of the expected work that a request needs at the least; with less time until its deadline it is refused at once. */
+const LEAST_WORK_SHARE = 0.7
 
 /**
  * Options of `ServiceDispatcher`.
@@ -49,14 +46,13 @@
   work?: WorkEstimator
 }
 
-interface Waiter {
+interface Waiter extends WaitingRequest {
   request: DispatchRequest
   settle: (outcome: Result<DispatchGrant, DispatchRefusal>) => void
 }
 
-interface Candidate {
+interface Candidate extends TargetView {
   target: GatewayTarget
-  factor: number
 }
 
 /**
@@ -71,6 +67,10 @@
   private ranking: { targets: readonly GatewayTarget[], ranks: ReadonlyMap<GatewayTarget, number> } | undefined
   private isRunning = false
   private wake: (() => void) | undefined
+  /** Polls in a row that brought no grant while nothing arrived. */
+  private polls = 0
+  private readonly arrivalGapMs = new LearnedMean()
+  private lastArrivalAtMs: number | undefined
 
   constructor (options: ServiceDispatcherOptions) {
     this.options = options
@@ -81,8 +81,13 @@
   async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
     return await new Promise(resolve => {
       const onAbort = (): void => this.remove(waiter, { reason: 'cancelled' })
+      const { priority, arrivedAtMs, objectiveMs } = request
       const waiter: Waiter = {
         request,
+        priority,
+        arrivedAtMs,
+        objectiveMs,
+        workMs: this.work.expectedMs(request),
         settle: outcome => {
           request.signal.removeEventListener('abort', onAbort)
           resolve(outcome)
@@ -99,10 +104,11 @@
   }
 
   private enqueue (waiter: Waiter): void {
-    const { priority, arrivedAtMs } = waiter.request
-    const index = this.waiters.findIndex(({ request }) => request.priority > priority || (request.priority === priority && request.arrivedAtMs > arrivedAtMs))
-    if (index < 0) this.waiters.push(waiter)
-    else this.waiters.splice(index, 0, waiter)
+    const nowMs = performance.now()
+    if (this.lastArrivalAtMs !== undefined) this.arrivalGapMs.add(nowMs - this.lastArrivalAtMs)
+    this.lastArrivalAtMs = nowMs
+    this.polls = 0
+    this.waiters.push(waiter)
     if (this.isRunning) this.wake?.()
     else this.run()
   }
@@ -125,8 +131,19 @@
   }
 
   private async pause (): Promise<void> {
+    const nowMs = performance.now()
+    const targets = this.targets()
+    const pauseMs = pollPauseMs({
+      isInformed: targets.some(target => target.reportAgeMs() <= REPORT_USEFUL_MS),
+      polls: this.polls,
+      finishMs: Math.min(...this.waiters.map(({ workMs }) => workMs)) * this.work.unknownSlowdown(this.options.service),
+      slots: PROBED_TARGETS * (targets[0]?.record.slots ?? 1),
+      slackMs: this.leastSlackMs(nowMs),
+      decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0))
+    })
+    this.polls += 1
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, RETRY_MS)
+      const timer = setTimeout(resolve, pauseMs)
       this.wake = () => {
         clearTimeout(timer)
         resolve()
@@ -135,48 +152,97 @@
     this.wake = undefined
   }
 
-  /** Probes the most promising targets, and further ones if none of them is free and fast. */
+  private targets (): readonly GatewayTarget[] {
+    return this.options.registry.ofService(this.options.service)
+  }
+
+  /** Slack of the waiting request that has the least of those that can be in time. */
+  private leastSlackMs (nowMs: number): number {
+    const slacks = this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => arrivedAtMs + objectiveMs - workMs - nowMs).filter(slackMs => slackMs > 0)
+    return slacks.length === 0 ? 0 : Math.min(...slacks)
+  }
+
+  /**
+   * Probes a few preferred targets, and further ones if none of them is free and fast. The first answer that is good enough ends the wait.
+   * Requests that have asked before ask one round only.
+   */
   private async refreshReports (): Promise<void> {
+    const nowMs = performance.now()
+    const freshMs = Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => freshForMs(arrivedAtMs + objectiveMs - nowMs, workMs)))
+    const slackMs = this.leastSlackMs(nowMs)
+    if (isTight(slackMs) && this.hasRoomForAll(this.targets(), freshMs)) return
+    const untilMs = nowMs + probeWaitMs(slackMs)
     const probed = new Set<GatewayTarget>()
-    const untilMs = performance.now() + REPORT_WAIT_MS
-    const probeCount = Math.min(this.waiters.length, PROBED_TARGETS) - 1 + PROBED_TARGETS
-    for (let round = 0; round < 2; round += 1) {
-      const candidates = this.rankUnprobed(probed).slice(0, probeCount)
-      if (candidates.length === 0) return
-      for (const target of candidates) probed.add(target)
-      await this.probe(candidates, Math.max(1, untilMs - performance.now()))
-      if (candidates.some(target => this.isFreeAndFast(target))) return
+    const rounds = this.polls === 0 ? [PROBED_TARGETS, FURTHER_TARGETS] : [PROBED_TARGETS]
+    for (const count of rounds) {
+      const asked = this.chooseAsked(probed, Math.min(this.waiters.length, PROBED_TARGETS) - 1 + count)
+      if (asked.length === 0) return
+      for (const target of asked) probed.add(target)
+      await this.probe(asked, freshMs, Math.max(1, untilMs - performance.now()))
+      if (this.hasRoomForAll([...probed], freshMs)) return
     }
   }
 
-  private async probe (targets: readonly GatewayTarget[], waitMs: number): Promise<void> {
-    let timer: NodeJS.Timeout | undefined
-    const timeout = new Promise<void>(resolve => { timer = setTimeout(resolve, waitMs) })
-    const probes = Promise.all(targets.map(async target => await this.options.prober.refreshReport(target, REPORT_FRESH_MS)))
-    await Promise.race([probes, timeout])
-    clearTimeout(timer)
+  /**
+   * Waits until the probes have been answered or the time is up. Once there is room for all, the others get a moment only. Later answers
+   * end the next pause.
+   */
+  private async probe (targets: readonly GatewayTarget[], freshMs: number, waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      let pending = targets.length
+      let timer = setTimeout(resolve, waitMs)
+      let hasRoom = false
+      const ask = async (target: GatewayTarget): Promise<void> => {
+        const wasFresh = target.reportAgeMs() <= freshMs
+        const isFresh = await this.options.prober.refreshReport(target, freshMs)
+        pending -= 1
+        const report = target.report()
+        if (isFresh && !wasFresh && report !== undefined) this.work.recordSlowdown(this.options.service, report.slowdown)
+        if (pending === 0) {
+          clearTimeout(timer)
+          resolve()
+        } else if (!hasRoom && this.hasRoomForAll(targets, freshMs)) {
+          hasRoom = true
+          clearTimeout(timer)
+          timer = setTimeout(resolve, waitMs * OTHERS_WAIT_SHARE)
+        }
+        if (isFresh) this.wake?.()
+      }
+      for (const target of targets) ask(target)
+    })
+  }
+
+  /** Whether targets with fresh reports that are free and fast have a slot for each waiting request. */
+  private hasRoomForAll (targets: readonly GatewayTarget[], freshMs: number): boolean {
+    let missing = this.waiters.length
     for (const target of targets) {
-      const report = target.report()
-      if (report !== undefined && target.reportAgeMs() <= REPORT_FRESH_MS) this.work.recordSlowdown(this.options.service, report.slowdown)
+      if (missing > 0 && this.isFreeAndFast(target, freshMs)) missing -= target.freeSlots()
     }
+    return missing <= 0
   }
 
-  private isFreeAndFast (target: GatewayTarget): boolean {
-    return target.reportAgeMs() <= REPORT_FRESH_MS && target.freeSlots() > 0 && this.mayReceive(target) && this.factorOf(target) < GOOD_FACTOR
+  private isFreeAndFast (target: GatewayTarget, freshMs: number): boolean {
+    return target.reportAgeMs() <= freshMs && target.freeSlots() > 0 && this.mayBeAsked(target) && this.mayReceive(target) && this.factorOf(target) < GOOD_FACTOR
   }
 
-  /** Targets not yet probed, the most promising first. Targets of other failure domains rank lower. */
-  private rankUnprobed (probed: ReadonlySet<GatewayTarget>): GatewayTarget[] {
-    const { registry, service, failureDomain } = this.options
-    const targets = registry.ofService(service)
-    const ranked: Candidate[] = []
-    targets.forEach(target => {
-      if (probed.has(target) || !this.waiters.some(({ request }) => request.accepts(target.record)) || target.failures.isBackingOff() || target.restsForMs() > 0) return
-      const domainFactor = target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_RANK_FACTOR
-      ranked.push({ target, factor: this.factorOf(target) * (1 + this.rankOf(targets, target)) * domainFactor })
-    })
-    ranked.sort((first, second) => first.factor - second.factor)
-    return ranked.map(({ target }) => target)
+  private mayBeAsked (target: GatewayTarget): boolean {
+    return target.restsForMs() === 0 && !target.failures.isBackingOff() &&
+      this.waiters.some(({ request }) => request.accepts(target.record) && !request.exclude.has(target.record.targetId))
+  }
+
+  /** Targets that are to be probed next. Those of other failure domains rank lower. */
+  private chooseAsked (probed: ReadonlySet<GatewayTarget>, count: number): GatewayTarget[] {
+    const { failureDomain } = this.options
+    const targets = this.targets()
+    const askable = targets.filter(target => !probed.has(target) && this.mayBeAsked(target)).map(target => ({
+      target,
+      rank: (1 + this.rankOf(targets, target)) * (target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_RANK_FACTOR),
+      isShort: !this.mayReceive(target) || (target.reportAgeMs() <= REPORT_USEFUL_MS && (target.freeSlots() <= 0 || this.factorOf(target) >= SLOW_FACTOR))
+    }))
+    const requestsPerS = this.arrivalGapMs.evidence() === 0 ? 0 : 1_000 / this.arrivalGapMs.value(1, 0)
+    const workMs = Math.max(0, ...this.waiters.map(waiter => waiter.workMs))
+    const preferred = preferredCount(requestsPerS, workMs, targets[0]?.record.slots ?? 1)
+    return chooseAsked(askable, preferred, count, Math.random).map(({ target }) => target)
   }
 
   /**
@@ -197,13 +263,57 @@
   }
 
   private grantWaiting (): void {
-    for (const waiter of [...this.waiters]) {
-      const chosen = this.choose(waiter.request)
-      if (chosen.isOk) this.grant(waiter, chosen.value)
-      else if (chosen.error !== 'wait') this.remove(waiter, chosen.error)
+    const nowMs = performance.now()
+    for (const waiter of this.waiters) waiter.workMs = this.work.expectedMs(waiter.request)
+    const candidates = this.targets().filter(target => target.restsForMs() === 0 && this.mayReceive(target)).map(target => this.candidateOf(target))
+    for (const waiter of orderWaiting(this.waiters, nowMs)) {
+      const { request } = waiter
+      if (nowMs + LEAST_WORK_SHARE * Math.min(waiter.workMs, request.objectiveMs) >= request.deadlineAtMs) {
+        this.remove(waiter, { reason: 'deadline-unreachable' })
+        continue
+      }
+      const chosen = this.choose(waiter, candidates, nowMs)
+      if (chosen.kind === 'none') this.remove(waiter, this.refusal())
+      if (chosen.kind !== 'send') continue
+      const { target } = chosen.view
+      this.polls = 0
+      this.grant(waiter, chosen.view)
+      const index = candidates.indexOf(chosen.view)
+      if (this.mayReceive(target)) candidates[index] = this.candidateOf(target)
+      else candidates.splice(index, 1)
+    }
+  }
+
+  private candidateOf (target: GatewayTarget): Candidate {
+    return {
+      target,
+      factor: this.factorOf(target),
+      slots: target.record.slots,
+      free: target.freeSlots(),
+      reportAgeMs: target.reportAgeMs(),
+      isHealthy: target.report()?.isHealthy !== false,
+      isBackingOff: target.failures.isBackingOff(),
+      isCold: target.isCold(),
+      isConnected: target.connections.hasIdle()
     }
   }
 
+  private choose ({ request, workMs }: Waiter, candidates: readonly Candidate[], nowMs: number): Place<Candidate> {
+    const { priority, arrivedAtMs, objectiveMs, exclude, accepts } = request
+    const waitedMs = nowMs - arrivedAtMs
+    const slackMs = Math.max(0, objectiveMs - waitedMs - workMs)
+    const view: RequestView = {
+      priority,
+      workMs,
+      waitedMs,
+      objectiveMs,
+      freshForMs: freshForMs(objectiveMs - waitedMs, workMs) + probeWaitMs(slackMs),
+      unprobedAfterMs: unprobedAfterMs(objectiveMs, workMs),
+      restsForMs: this.restsForMs()
+    }
+    return place(candidates.filter(({ target }) => !exclude.has(target.record.targetId) && accepts(target.record)), view, Math.random)
+  }
+
   private grant (waiter: Waiter, { target, factor }: Candidate): void {
     const { request } = waiter
     this.waiters.splice(this.waiters.indexOf(waiter), 1)
@@ -228,28 +338,6 @@
     waiter.settle(Result.ok({ target, reason, release }))
   }
 
-  private choose (request: DispatchRequest): Result<Candidate, DispatchRefusal | 'wait'> {
-    const nowMs = performance.now()
-    if (nowMs >= request.deadlineAtMs) return Result.err({ reason: 'deadline-unreachable' })
-    const waitedMs = nowMs - request.arrivedAtMs
-    const serviceTimeMs = this.work.expectedMs(request)
-    const objectiveAtMs = request.arrivedAtMs + request.objectiveMs
-    // From now on even a target at its usual speed would respond late.
-    if (nowMs + serviceTimeMs >= objectiveAtMs) return this.chooseLate(request)
-    const best = this.best(request)
-    const isWorthWaiting = best !== undefined && best.factor >= LATE_FACTOR && waitedMs < request.objectiveMs * SEARCH_SHARE_OF_OBJECTIVE
-    if (best !== undefined && !isWorthWaiting && nowMs + serviceTimeMs * best.factor <= objectiveAtMs) return Result.ok(best)
-    const waitsUntilMs = request.arrivedAtMs + request.objectiveMs * WAIT_SHARE_OF_OBJECTIVE
-    const canWait = nowMs < waitsUntilMs && nowMs + this.restsForMs() < waitsUntilMs
-    return best !== undefined || canWait ? Result.err('wait') : Result.err(this.refusal())
-  }
-
-  /** A request that can only be late takes capacity that requests in time do not need: slow targets, and those with spare slots. */
-  private chooseLate (request: DispatchRequest): Result<Candidate, DispatchRefusal> {
-    const best = this.best(request, ({ target, factor }) => factor >= LATE_FACTOR || target.freeSlots() >= SPARE_SLOTS)
-    return best === undefined ? Result.err(this.refusal()) : Result.ok(best)
-  }
-
   private refusal (): DispatchRefusal {
     const reason: DispatchRefusalReason = this.options.registry.ofService(this.options.service).length === 0 ? 'no-target' : 'no-room'
     const restsForMs = this.restsForMs()
@@ -262,33 +350,7 @@
     return targets.length === 0 ? 0 : Math.min(...targets.map(target => target.restsForMs()))
   }
 
-  /** Returns the target with a free slot that is expected to respond first: by fresh reports, else by old ones, else by this instance's own request counts. */
-  private best (request: DispatchRequest, isSuitable: (candidate: Candidate) => boolean = () => true): Candidate | undefined {
-    const usable = this.options.registry.ofService(this.options.service)
-      .filter(target => !request.exclude.has(target.record.targetId) && request.accepts(target.record) && target.restsForMs() === 0 && target.freeSlots() > 0 && this.mayReceive(target))
-    const notBackingOff = usable.filter(target => !target.failures.isBackingOff())
-    const pool = notBackingOff.length > 0 ? notBackingOff : usable
-    const fresh = pool.filter(target => target.reportAgeMs() <= REPORT_FRESH_MS + REPORT_WAIT_MS)
-    const healthy = fresh.filter(target => target.report()?.isHealthy !== false)
-    for (const candidates of [healthy, fresh]) {
-      const best = this.fastest(candidates, isSuitable)
-      if (best !== undefined) return best
-    }
-    const byOldReport = this.fastest(pool.filter(target => target.reportAgeMs() <= REPORT_OLD_MAX_MS), isSuitable)
-    if (byOldReport !== undefined || performance.now() - request.arrivedAtMs < UNPROBED_AFTER_MS) return byOldReport
-    return this.fastest(pool.filter(target => !target.isCold()), isSuitable)
-  }
-
   private mayReceive (target: GatewayTarget): boolean {
     return !target.isCold() || this.options.coldLimiter.hasRoom(target)
   }
-
-  private fastest (candidates: readonly GatewayTarget[], isSuitable: (candidate: Candidate) => boolean): Candidate | undefined {
-    let best: Candidate | undefined
-    for (const target of candidates) {
-      const candidate = { target, factor: this.factorOf(target) }
-      if (isSuitable(candidate) && (best === undefined || candidate.factor < best.factor)) best = candidate
-    }
-    return best
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/dispatch/preferTargets.ts
@@ -0,0 +1,31 @@
+/** Fewest targets that an instance prefers, so that their shares of the instances' requests stay near each other. */
+const PREFERRED_MIN = 4
+/** Share of its preferred targets' slots that an instance counts as its own. */
+const USED_SLOTS_SHARE = 0.25
+
+/** A target that may be asked for its load. @internal */
+export interface AskableTarget {
+  /** Place in this instance's own ranking of the service's targets; targets of other failure domains come later. */
+  rank: number
+  /** Whether a report that is still of use says that it is full or slow, or it can take nothing because it is cold. */
+  isShort: boolean
+}
+
+/** Number of targets that an instance prefers, by its own requests per second, their work in ms and the slots of a target. @internal */
+export function preferredCount (requestsPerS: number, workMs: number, slots: number): number {
+  return Math.max(PREFERRED_MIN, Math.ceil(requestsPerS * workMs / 1_000 / Math.max(1, slots) / USED_SLOTS_SHARE))
+}
+
+/**
+ * Chooses the targets that are asked for their load: drawn from the first `preferred` of the ranking that aren't short, then those that
+ * follow, and last those that are short.
+ * @internal
+ */
+export function chooseAsked<Target extends AskableTarget> (targets: readonly Target[], preferred: number, count: number, random: () => number): Target[] {
+  const ranked = [...targets].sort((first, second) => first.rank - second.rank)
+  const able = ranked.filter(target => !target.isShort)
+  const drawn = able.splice(0, preferred)
+  const asked: Target[] = []
+  while (asked.length < count && drawn.length > 0) asked.push(...drawn.splice(Math.floor(random() * drawn.length), 1))
+  return [...asked, ...able, ...ranked.filter(target => target.isShort)].slice(0, count)
+}
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -90,6 +90,11 @@
     else client.destroy().catch(() => {})
   }
 
+  /** Whether a connection is open that carries nothing. */
+  hasIdle (): boolean {
+    return this.idle.length > 0 || this.spares.length > 0
+  }
+
   /** Whether a client's connection has carried an earlier exchange. */
   isReused (client: Client): boolean {
     return this.reused.has(client)
