--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -5,8 +5,8 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
-/** Priorities from this one on share a label, so that a configuration cannot add any number of them. */
-const LABELLED_PRIORITY_MAX = 9
+/** Number of priorities that have their own label, so that a configuration cannot add any number of them. */
+const PRIORITIES_LABELLED_MAX = 20
 
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
@@ -44,17 +44,20 @@
  */
 export class FrontMetrics {
   private readonly requests: Counter
+  private readonly accountRequests: Counter
   private readonly latency: Histogram
   private readonly attempts: Counter
   private readonly attemptLatency: Histogram
   private readonly probes: Counter
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
+  private readonly labelledPriorities = new Set<number>()
   private readonly turnedAway: Counter
 
   constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
+    this.accountRequests = new Counter({ name: 'carobpitch_front_account_requests_total', help: 'Requests of client accounts by priority and outcome.', labelNames: ['priority', 'outcome', 'verdict'], registers })
     this.latency = new Histogram({ name: 'carobpitch_front_request_seconds', help: 'Time from the arrival of a request to its response.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
     this.attempts = new Counter({ name: 'carobpitch_front_attempts_total', help: 'Requests sent to targets by outcome.', labelNames: ['service', 'outcome'], registers })
     this.attemptLatency = new Histogram({ name: 'carobpitch_front_attempt_seconds', help: 'Time of one attempt at a target.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
@@ -100,6 +103,11 @@
     this.latency.observe({ service: service ?? '' }, elapsedMs / 1_000)
   }
 
+  /** Counts a request of a client account that has ended. */
+  recordAccountRequest ({ priority, outcome, verdict }: { priority: number, outcome: string, verdict: Verdict }): void {
+    this.accountRequests.inc({ priority: this.priorityLabel(priority), outcome, verdict })
+  }
+
   /** Counts an attempt at a target. */
   recordAttempt (service: ServiceName, outcome: string, elapsedMs: number): void {
     this.attempts.inc({ service, outcome })
@@ -118,11 +126,17 @@
 
   /** Counts a request that was refused at its arrival because of too little room or time. */
   recordTurnedAway (service: ServiceName, priority: number): void {
-    this.turnedAway.inc({ service, priority: priority < LABELLED_PRIORITY_MAX ? String(priority) : `${LABELLED_PRIORITY_MAX}+` })
+    this.turnedAway.inc({ service, priority: this.priorityLabel(priority) })
   }
 
   /** Adds a wait on the way of the deployment's records to this instance. */
   recordPropagationWait (step: PropagationStep, elapsedMs: number): void {
     this.propagationWaits.inc({ step }, elapsedMs / 1_000)
   }
+
+  private priorityLabel (priority: number): string {
+    const { labelledPriorities } = this
+    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
+    return labelledPriorities.has(priority) ? String(priority) : 'other'
+  }
 }
