--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -16,6 +16,7 @@
   interface ServiceMap {
     settings: LiveSettings
     knowledge: { dump(): unknown }
+    'caller-steering': { dump(): unknown }
     follower: DeploymentWatcher
     'member-lease': LeaseKeeper
     registration: Registration
@@ -196,6 +197,7 @@
       capacities: () => cache.capacities(),
       processingMs: () => processingMeter.processingMs()
     })
+    kernel.register('caller-steering', { dump: () => steering.dump() })
     kernel.register('directory', new Directory({
       listen: settings.directoryListen,
       protocol: callerProtocol,
--- a/packages/gateway/src/steering/CallerSteering.ts
+++ b/packages/gateway/src/steering/CallerSteering.ts
@@ -23,6 +23,7 @@
 }
 
 interface HostFigures {
+  host: string
   objectiveMs: number
   routes: string[]
 }
@@ -33,6 +34,8 @@
  */
 export class CallerSteering {
   private readonly options: CallerSteeringOptions
+  /** Last answer for each host: how many instances were named, out of how many. */
+  private readonly answers = new Map<string, { named: number, of: number, requestsPerS: number | undefined }>()
   private indexed: { table: RoutingTable, hosts: ReadonlyMap<string, HostFigures> } | undefined
 
   constructor (options: CallerSteeringOptions) {
@@ -48,16 +51,23 @@
     const figures = host === undefined ? undefined : hosts.get(host.toLowerCase())
     if (figures === undefined) return members
     const capacities = this.options.capacities()
+    const requestsPerS = this.requestsPerS(figures.routes, domains.size)
     const selected = selectInstances({
       instances: members.map(member => ({ member, instanceId: member.instanceId, cores: capacities.get(member.instanceId)?.cores })),
       objectiveMs: figures.objectiveMs,
       processingMs: this.options.processingMs(),
-      requestsPerS: this.requestsPerS(figures.routes, domains.size),
+      requestsPerS,
       hostCount: hosts.size
     })
+    this.answers.set(figures.host, { named: selected.length, of: members.length, requestsPerS })
     return selected.map(({ member }) => member)
   }
 
+  /** Processing time of a request and the last answers by host, for the state dump. */
+  dump (): unknown {
+    return { processingMs: this.options.processingMs(), hosts: Object.fromEntries(this.answers) }
+  }
+
   private requestsPerS (routes: readonly string[], domainCount: number): number | undefined {
     const { counters } = this.options
     if (counters === undefined || !Number.isFinite(counters.ageMs())) return undefined
@@ -69,7 +79,10 @@
   private hosts (): ReadonlyMap<string, HostFigures> {
     const table = this.options.routingTable()
     if (table === undefined || table.hasUnmatchableRoutes) return new Map()
-    if (this.indexed?.table !== table) this.indexed = { table, hosts: indexHosts(table) }
+    if (this.indexed?.table !== table) {
+      this.indexed = { table, hosts: indexHosts(table) }
+      this.answers.clear()
+    }
     return this.indexed.hosts
   }
 }
@@ -77,10 +90,11 @@
 function indexHosts ({ routes }: RoutingTable): ReadonlyMap<string, HostFigures> {
   const hosts = new Map<string, HostFigures>()
   for (const { name, host, objectiveMs } of routes) {
-    const figures = hosts.get(host.toLowerCase()) ?? { objectiveMs: Infinity, routes: [] }
+    const key = host.toLowerCase()
+    const figures = hosts.get(key) ?? { host: key, objectiveMs: Infinity, routes: [] }
     figures.objectiveMs = Math.min(figures.objectiveMs, objectiveMs)
     figures.routes.push(name)
-    hosts.set(host.toLowerCase(), figures)
+    hosts.set(key, figures)
   }
   return hosts
 }
