Take the speed of targets from the reports of all instances

A trial with the counters of all instances let the estimated room of one service swing between 1.5 and 8 slots, because single reports of machines that were slow for a moment stood for all targets. All instances now add the reports that they get to two counters of the service, and the room is the slots times the mean speed.

--- a/packages/gateway/src/admission/Admission.test.ts
+++ b/packages/gateway/src/admission/Admission.test.ts
@@ -74,7 +74,7 @@
     assert.equal(await fixture.ask(SHARED, { ...urgent, priority: 0 }), 'admitted')
     assert.notEqual(await fixture.ask(SHARED, usual), 'admitted')
     assert.deepEqual(fixture.turnedAway, ['usual'])
-    assert.deepEqual(fixture.logged, [{ event: 'admission.changed', fields: { service: SHARED, from: 'open', to: 'priority 0: 0.8', askedSlots: 5, roomSlots: 2, slowdown: 1, ageMs: 100 } }])
+    assert.deepEqual(fixture.logged, [{ event: 'admission.changed', fields: { service: SHARED, from: 'open', to: 'priority 0: 0.8', askedSlots: 5, roomSlots: 2, speed: 1, ageMs: 100 } }])
   })
 
   it('turns nobody away by sums that are old', async () => {
@@ -90,6 +90,13 @@
     assert.deepEqual(Object.fromEntries(fixture.added), { 'requests/usual': 1, 'work/shared/1': 100, 'work/shared/1/flood': 100 })
   })
 
+  it('takes the speed of the targets from the reports of all instances, not from the last one of a target', async () => {
+    const fixture = new Fixture(undefined)
+    fixture.rates = { 'work/shared/0': 500, 'work/shared/1': 1_500, 'reports/shared': 45, 'speeds/shared': 20 }
+    await fixture.ask(SHARED, usual)
+    assert.deepEqual(fixture.logged[0]?.fields, { service: SHARED, from: 'open', to: 'priority 1: 0.3', askedSlots: 2, roomSlots: 1, speed: 0.5, ageMs: 100 })
+  })
+
   it('thins an account that floods the service, and no other one', async () => {
     const fixture = new Fixture([ACCOUNT, { ...ACCOUNT, name: 'small' as AccountName }])
     fixture.rates = { 'work/alone/1': 5_000, 'work/alone/1/flood': 4_800, 'work/alone/1/small': 200 }
--- a/packages/gateway/src/admission/Admission.ts
+++ b/packages/gateway/src/admission/Admission.ts
@@ -8,8 +8,6 @@
 import { measureRoom, type RoomTarget } from './measureRoom.js'
 import { ServiceAdmission, type ServiceClaimants } from './ServiceAdmission.js'
 
-/** Age up to which a report tells how fast the machine of a target is. */
-const REPORT_RECENT_MS = 2_000
 /** Age up to which a report tells how many slots of a target are free. */
 const REPORT_FRESH_MS = 250
 
@@ -67,7 +65,11 @@
       service,
       counters,
       claimants: () => this.claimantsOf(service) ?? { priorities: [], accounts: new Map() },
-      room: workMs => measureRoom(targetsOf(service).filter(isUsable).map(roomTargetOf), workMs),
+      room: figures => measureRoom(targetsOf(service).filter(isUsable).map(roomTargetOf), figures),
+      speedsSince: sinceMs => targetsOf(service).flatMap(target => {
+        const report = target.report()
+        return report === undefined || report.atMs <= sinceMs ? [] : 1 / Math.max(1, report.slowdown)
+      }),
       log,
       random
     })
@@ -108,11 +110,9 @@
 }
 
 function roomTargetOf (target: GatewayTarget): RoomTarget {
-  const reportAgeMs = target.reportAgeMs()
   return {
     slots: target.record.slots,
-    slowdown: reportAgeMs <= REPORT_RECENT_MS ? target.report()?.slowdown : undefined,
-    freeSlots: reportAgeMs <= REPORT_FRESH_MS ? target.freeSlots() : undefined,
+    freeSlots: target.reportAgeMs() <= REPORT_FRESH_MS ? target.freeSlots() : undefined,
     coldRequestsPerS: target.isCold() ? target.policy.coldRequestsPerS : undefined
   }
 }
--- a/packages/gateway/src/admission/ServiceAdmission.ts
+++ b/packages/gateway/src/admission/ServiceAdmission.ts
@@ -7,7 +7,7 @@
 import type { ServiceRoom } from './measureRoom.js'
 import { planAdmission, type AdmissionPlan } from './planAdmission.js'
 import { Thinning } from './Thinning.js'
-import { accountWorkCounter, priorityWorkCounter } from './workCounters.js'
+import { accountWorkCounter, priorityWorkCounter, speedCounters } from './workCounters.js'
 
 /** Time for which a plan is used. Sums of the other instances change no more often. */
 const PLAN_MS = 200
@@ -15,6 +15,8 @@
 const SUMS_OLD_MS = 1_000
 /** Share of free slots from which on the room suffices, whatever the sums say: they are about the last seconds. */
 const FREE_SHARE_ENOUGH = 0.25
+/** Reports per second, of targets at their usual speed, that are assumed beside those that were seen. */
+const PRIOR_REPORTS_PER_S = 5
 /** Steps of the admitted share that count as a change of the admission level. */
 const LEVEL_STEPS = 10
 /** Shortest time between two log lines of a service. */
@@ -39,8 +41,10 @@
   service: ServiceName
   counters: FleetCounters | undefined
   claimants: () => ServiceClaimants
-  /** Room for requests that need a mean work. */
-  room: (workMs: number) => ServiceRoom
+  /** Room for requests that need a mean work, at a mean speed of the targets. */
+  room: (figures: { workMs: number, speed: number }) => ServiceRoom
+  /** Speeds of the targets that have reported to this instance after a time on the monotonic clock: 1 as usual, 0.5 half as fast. */
+  speedsSince: (sinceMs: number) => readonly number[]
   log: EventLog
   random: () => number
 }
@@ -55,7 +59,8 @@
   private readonly backlog = new ExcessBacklog()
   private plan: AdmissionPlan | undefined
   private plannedAtMs = -Infinity
-  private slowdown = 1
+  /** Mean speed of the targets as all instances see it. */
+  private speed = 1
   private level = OPEN
   private loggedAtMs = -Infinity
 
@@ -83,7 +88,7 @@
         objectiveInMs: request.arrivedAtMs + objectiveMs - nowMs
       },
       plan: this.plan,
-      slowdown: this.slowdown,
+      slowdown: 1 / this.speed,
       thinning: this.thinning,
       backlog: this.backlog,
       random
@@ -101,11 +106,28 @@
     if (account !== undefined) counters?.add(accountWorkCounter(service, priority, account), workMs)
   }
 
+  private countSpeeds (sinceMs: number): void {
+    const { counters, service, speedsSince } = this.options
+    const seen = speedsSince(sinceMs)
+    if (seen.length === 0) return
+    const { reports, speeds } = speedCounters(service)
+    counters?.add(reports, seen.length)
+    counters?.add(speeds, seen.reduce((sum, speed) => sum + speed, 0))
+  }
+
+  private meanSpeed (): number {
+    const { counters, service } = this.options
+    if (counters === undefined) return 1
+    const { reports, speeds } = speedCounters(service)
+    return (counters.ratePerS(speeds) + PRIOR_REPORTS_PER_S) / (counters.ratePerS(reports) + PRIOR_REPORTS_PER_S)
+  }
+
   private replan (nowMs: number, workMs: number): void {
     const { counters, claimants, room } = this.options
+    this.countSpeeds(this.plannedAtMs)
     this.plannedAtMs = nowMs
-    const { roomMsPerS, slowdown, freeShare } = room(workMs)
-    this.slowdown = slowdown
+    this.speed = this.meanSpeed()
+    const { roomMsPerS, freeShare } = room({ workMs, speed: this.speed })
     const ageMs = counters?.ageMs() ?? Infinity
     // Without targets, the queue refuses by itself, and says so.
     if (counters === undefined || ageMs > SUMS_OLD_MS || roomMsPerS === 0 || freeShare > FREE_SHARE_ENOUGH) this.plan = undefined
@@ -139,7 +161,7 @@
       to: next,
       askedSlots: slotsOf(this.plan?.askedMsPerS),
       roomSlots: slotsOf(this.plan?.roomMsPerS),
-      slowdown: Number(this.slowdown.toFixed(2)),
+      speed: Number(this.speed.toFixed(2)),
       ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined
     })
     this.level = next
--- a/packages/gateway/src/admission/givingWay.test.ts
+++ b/packages/gateway/src/admission/givingWay.test.ts
@@ -134,16 +134,16 @@
       assert.equal(admittedShare(planAdmission({ asked, roomMsPerS: 1_000 }), 1, 'new' as AccountName), 1)
     })
 
-    it('counts cold targets by the rate that they bear and slow ones by their slowdown', () => {
-      const warm = { slots: 2, slowdown: 2, coldRequestsPerS: undefined, freeSlots: undefined }
-      const targets = [warm, { ...warm, slowdown: undefined }, { ...warm, coldRequestsPerS: 5 }]
-      assert.deepEqual(measureRoom(targets, 100), { roomMsPerS: 1_000 + 1_000 + 500, slowdown: 2, freeShare: 0 })
+    it('counts targets by the mean speed, and cold ones by the rate that they bear', () => {
+      const warm = { slots: 2, coldRequestsPerS: undefined, freeSlots: undefined }
+      assert.deepEqual(measureRoom([warm, warm, { ...warm, coldRequestsPerS: 5 }], { workMs: 100, speed: 0.5 }), { roomMsPerS: 1_000 + 1_000 + 500, freeShare: 0 })
     })
 
     it('takes free slots from warm targets with fresh reports, and from three of them at least', () => {
-      const target = { slots: 2, slowdown: 1, coldRequestsPerS: undefined, freeSlots: 1 }
-      assert.equal(measureRoom([target, { ...target, freeSlots: 2 }, { ...target, freeSlots: -3 }, { ...target, coldRequestsPerS: 5, freeSlots: 2 }], 100).freeShare, 0.5)
-      assert.equal(measureRoom([target, target], 100).freeShare, 0)
+      const target = { slots: 2, coldRequestsPerS: undefined, freeSlots: 1 }
+      const freeShareOf = (targets: ReadonlyArray<Parameters<typeof measureRoom>[0][number]>): number => measureRoom(targets, { workMs: 100, speed: 1 }).freeShare
+      assert.equal(freeShareOf([target, { ...target, freeSlots: 2 }, { ...target, freeSlots: -3 }, { ...target, coldRequestsPerS: 5, freeSlots: 2 }]), 0.5)
+      assert.equal(freeShareOf([target, target]), 0)
     })
   })
 
--- a/packages/gateway/src/admission/testing/playLoad.ts
+++ b/packages/gateway/src/admission/testing/playLoad.ts
@@ -80,7 +80,8 @@
     service: 'service' as ServiceName,
     counters,
     claimants: () => claimants,
-    room: () => ({ roomMsPerS: slots * 1_000, slowdown: 1, freeShare: slotsFreeAtMs.filter(atMs => atMs <= performance.now() - startMs).length / slots }),
+    room: () => ({ roomMsPerS: slots * 1_000, freeShare: slotsFreeAtMs.filter(atMs => atMs <= performance.now() - startMs).length / slots }),
+    speedsSince: () => [],
     log: { info: () => {}, warn: () => {}, error: () => {} } as never,
     random
   }))
--- a/packages/gateway/src/admission/workCounters.ts
+++ b/packages/gateway/src/admission/workCounters.ts
@@ -9,3 +9,9 @@
 export function accountWorkCounter (service: ServiceName, priority: number, account: AccountName): string {
   return `${priorityWorkCounter(service, priority)}/${encodeURIComponent(account)}`
 }
+
+/** Counters of the load reports that instances got of the targets of a service, and of the speeds in them: 1 as usual, 0.5 half as fast. @internal */
+export function speedCounters (service: ServiceName): { reports: string, speeds: string } {
+  const name = encodeURIComponent(service)
+  return { reports: `reports/${name}`, speeds: `speeds/${name}` }
+}
