Keep the connections of targets that announce a second, and carry probes over those idle for longer

Callers paid for nearly one new connection to a target for each request.

The margin before an announced timeout is now at most half of it. Connections that are idle for longer than is safe for a request carry probes, which may be lost; an answered probe makes them safe again. One of the asked targets has an open connection, the others are drawn.

--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -237,6 +237,7 @@
     const askable = targets.filter(target => !probed.has(target) && this.mayBeAsked(target)).map(target => ({
       target,
       rank: (1 + this.rankOf(targets, target)) * (target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_RANK_FACTOR),
+      isConnected: target.connections.hasIdle({ mayBeLost: true }),
       isShort: !this.mayReceive(target) || (target.reportAgeMs() <= REPORT_USEFUL_MS && (target.freeSlots() <= 0 || this.factorOf(target) >= SLOW_FACTOR))
     }))
     const requestsPerS = this.arrivalGapMs.evidence() === 0 ? 0 : 1_000 / this.arrivalGapMs.value(1, 0)
--- a/packages/gateway/src/dispatch/place.test.ts
+++ b/packages/gateway/src/dispatch/place.test.ts
@@ -93,14 +93,16 @@
   describe('of probes', () => {
     it('guards against asking all targets in turn: 400 rounds ask 4 of 56, and others while these are short', () => {
       const random = createRandom()
-      const targets = Array.from({ length: 56 }, (_, index) => ({ rank: index, isShort: false }))
+      const targets = Array.from({ length: 56 }, (_, index) => ({ rank: index, isShort: false, isConnected: false }))
       const asked = new Set<number>()
       for (let round = 0; round < 400; round += 1) {
         for (const { rank } of chooseAsked(targets, preferredCount(2, 90, 2), 2, random)) asked.add(rank)
       }
       expect([...asked].sort()).to.deep.equal([0, 1, 2, 3])
-      const someShort = targets.map(({ rank }) => ({ rank, isShort: rank < 4 }))
+      const someShort = targets.map(({ rank }) => ({ rank, isShort: rank < 4, isConnected: false }))
       expect(chooseAsked(someShort, 4, 4, random).map(({ rank }) => rank).sort()).to.deep.equal([4, 5, 6, 7])
+      const connected = targets.map(target => ({ ...target, isConnected: target.rank === 2 || target.rank === 9 }))
+      expect(chooseAsked(connected, 4, 2, random).map(({ rank }) => rank)[0], 'over an open connection first').to.equal(2)
       expect(chooseAsked(someShort.slice(0, 4), 4, 2, random), 'short ones if there are no others').to.have.length(2)
     })
 
--- a/packages/gateway/src/dispatch/preferTargets.ts
+++ b/packages/gateway/src/dispatch/preferTargets.ts
@@ -9,6 +9,8 @@
   rank: number
   /** Whether a report that is still of use says that it is full or slow, or it can take nothing because it is cold. */
   isShort: boolean
+  /** Whether a connection is open there that can carry the question. */
+  isConnected: boolean
 }
 
 /** Number of targets that an instance prefers, by its own requests per second, their work in ms and the slots of a target. @internal */
@@ -17,8 +19,9 @@
 }
 
 /**
- * Chooses the targets that are asked for their load: drawn from the first `preferred` of the ranking that aren't short, then those that
- * follow, and last those that are short.
+ * Chooses the targets that are asked for their load among the first `preferred` of the ranking that aren't short: one with an open
+ * connection, since a question is seldom worth a new one, and others at random, so that there is a choice; then those that follow, and
+ * last those that are short.
  * @internal
  */
 export function chooseAsked<Target extends AskableTarget> (targets: readonly Target[], preferred: number, count: number, random: () => number): Target[] {
@@ -26,6 +29,12 @@
   const able = ranked.filter(target => !target.isShort)
   const drawn = able.splice(0, preferred)
   const asked: Target[] = []
-  while (asked.length < count && drawn.length > 0) asked.push(...drawn.splice(Math.floor(random() * drawn.length), 1))
+  while (asked.length < count && drawn.length > 0) {
+    const connected = asked.length > 0 ? [] : drawn.filter(target => target.isConnected)
+    const group = connected.length > 0 ? connected : drawn
+    const next = group[Math.floor(random() * group.length)] as Target
+    asked.push(next)
+    drawn.splice(drawn.indexOf(next), 1)
+  }
   return [...asked, ...able, ...ranked.filter(target => target.isShort)].slice(0, count)
 }
--- a/packages/gateway/src/targets/GatewayTarget.ts
+++ b/packages/gateway/src/targets/GatewayTarget.ts
@@ -7,6 +7,9 @@
 /** Connect timeout. Targets are at most a few milliseconds away; one that takes longer is unreachable or drops connections. */
 const CONNECT_TIMEOUT_MS = 250
 
+/** Idle time up to which connections are kept for probes; many servers close idle ones earlier, which ends them here as well. */
+const LONG_IDLE_TIMEOUT_MS = 30_000
+
 /** Age beyond which a report of occupied slots is less accurate than this instance's own request count. */
 const REPORT_VALID_MS = 1_000
 
@@ -47,6 +50,7 @@
       url: `http://${record.host}:${record.port}`,
       connectionsMax: policy.connectionsMax,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      longIdleTimeoutMs: LONG_IDLE_TIMEOUT_MS,
       timer
     })
     this.setColdFor(record.coldForMs)
--- a/packages/gateway/src/targets/LoadProber.ts
+++ b/packages/gateway/src/targets/LoadProber.ts
@@ -55,7 +55,7 @@
   private async probe (target: GatewayTarget): Promise<boolean> {
     const { protocol, timer } = this.options
     return await new Promise(resolve => {
-      const client = target.connections.acquire(PROBE_REQUEST_ID)
+      const client = target.connections.acquire(PROBE_REQUEST_ID, { mayBeLost: true })
       let head: ResponseHead | undefined
       const expiring: Expirable = { expire: () => attempt.cancel('deadline-exceeded', 'timed-out') }
       const attempt = createAttempt(target, client, protocol, {
--- a/packages/proxy/src/TargetConnectionPool.ts
+++ b/packages/proxy/src/TargetConnectionPool.ts
@@ -7,8 +7,10 @@
 
 /** Idle time after which a connection is closed; shorter than the 5 s after which many servers close idle connections. */
 const IDLE_TIMEOUT_MS = 4_000
-/** An idle connection is closed this long before the timeout that the target announces in `keep-alive`. */
+/** An idle connection is closed, or carries probes only, this long before the timeout that the target announces in `keep-alive`. */
 const KEEP_ALIVE_MARGIN_MS = 1_000
+/** Largest share of an announced timeout that this margin takes; a target may announce a second. */
+const KEEP_ALIVE_MARGIN_SHARE = 0.5
 /** Largest response head that is accepted from a target. */
 const RESPONSE_HEAD_MAX_BYTES = 32_768
 /** A connection with this many refused requests is closed, so that the memory for their ids is bounded. */
@@ -25,6 +27,20 @@
   connectionsMax: number
   connectTimeoutMs: number
   timer: DeadlineTimer
+  /**
+   * Idle time in ms up to which connections are kept for requests that may be lost, such as probes; by default no longer than for others.
+   * A target that announces no timeout may close its end at any time, and the connection with it.
+   */
+  longIdleTimeoutMs?: number
+}
+
+/**
+ * Options of `TargetConnectionPool.acquire` and `hasIdle`.
+ * @public
+ */
+export interface AcquireOptions {
+  /** Whether the request may be lost without harm, so that it may use a connection that the target is perhaps about to close. */
+  mayBeLost?: boolean
 }
 
 /**
@@ -62,6 +78,10 @@
   private readonly reused = new WeakSet<Client>()
   /** Ids of the requests that the target has refused over a connection. */
   private readonly refusedRequestIds = new WeakMap<Client, Set<string>>()
+  /** Monotonic time until which idle connections may carry requests that must not be lost. */
+  private readonly safeUntilMs = new WeakMap<Client, number>()
+  /** Idle timeouts that targets have announced. */
+  private readonly announcedIdleMs = new WeakMap<Client, number>()
   private isClosed = false
 
   constructor (options: TargetConnectionPoolOptions) {
@@ -74,8 +94,8 @@
    * Returns a connection for one request: the most recently used one, because it is the least likely to be closed by the target. A
    * request that is sent again after a refusal gets another connection, since the target may write that refusal once more.
    */
-  acquire (requestId: string): Client {
-    const index = this.idle.findLastIndex(client => this.refusedRequestIds.get(client)?.has(requestId) !== true)
+  acquire (requestId: string, { mayBeLost = false }: AcquireOptions = {}): Client {
+    const index = this.idle.findLastIndex(client => this.refusedRequestIds.get(client)?.has(requestId) !== true && (mayBeLost || this.isSafe(client)))
     const client = this.idle.splice(index, index < 0 ? 0 : 1)[0] ?? this.createClient()
     this.busy.add(client)
     return client
@@ -86,13 +106,20 @@
     this.busy.delete(client)
     this.reused.add(client)
     const hasRoom = refusedRequestId === undefined || this.recordRefusal(client, refusedRequestId)
-    if (isReusable && hasRoom && !this.isClosed) this.idle.push(client)
-    else client.destroy().catch(() => {})
+    if (isReusable && hasRoom && !this.isClosed) {
+      this.safeUntilMs.set(client, performance.now() + (this.announcedIdleMs.get(client) ?? IDLE_TIMEOUT_MS))
+      this.idle.push(client)
+    } else client.destroy().catch(() => {})
+  }
+
+  /** Takes note of the idle timeout in ms that the target announces for a client's connection. */
+  announceIdleTimeout (client: Client, timeoutMs: number): void {
+    this.announcedIdleMs.set(client, timeoutMs - Math.min(KEEP_ALIVE_MARGIN_MS, timeoutMs * KEEP_ALIVE_MARGIN_SHARE))
   }
 
   /** Whether a connection is open that carries nothing. */
-  hasIdle (): boolean {
-    return this.idle.length > 0 || this.spares.length > 0
+  hasIdle ({ mayBeLost = false }: AcquireOptions = {}): boolean {
+    return this.spares.length > 0 || this.idle.some(client => mayBeLost || this.isSafe(client))
   }
 
   /** Whether a client's connection has carried an earlier exchange. */
@@ -163,6 +190,11 @@
     await Promise.all([...this.busy].map(client => client.destroy()))
   }
 
+  /** Whether an idle connection may carry a request that must not be lost. */
+  private isSafe (client: Client): boolean {
+    return this.options.longIdleTimeoutMs === undefined || performance.now() < (this.safeUntilMs.get(client) ?? 0)
+  }
+
   /** Returns whether the connection may carry further requests. */
   private recordRefusal (client: Client, requestId: string): boolean {
     const requestIds = this.refusedRequestIds.get(client) ?? new Set()
@@ -180,8 +212,8 @@
       // The deadline timer limits the duration of each request.
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      keepAliveTimeout: this.options.longIdleTimeoutMs ?? IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: this.options.longIdleTimeoutMs === undefined ? KEEP_ALIVE_MARGIN_MS : 0,
       maxHeaderSize: RESPONSE_HEAD_MAX_BYTES
     } as Client.Options)
     client.on('disconnect', () => this.removeIdle(client))
