Read roll-out orders and write decisions about them under a condition

Nothing read op/rollout/SERVICE. The platform package decodes orders and our own decision record, encodes both the record and the status for operators, and the store's client writes them together if the record is unchanged (a position of an earlier era is a conflict). RolloutState gains barredVersions.

--- a/packages/gateway/src/deployment/ChangeStore.ts
+++ b/packages/gateway/src/deployment/ChangeStore.ts
@@ -68,6 +68,22 @@
   value: string
 }
 
+/**
+ * Condition of a write: the key was last changed at the position, or does not exist if the position is 0.
+ * @public
+ */
+export interface WriteCondition {
+  key: string
+  revision: number
+}
+
+/**
+ * Why a conditional write has not succeeded. After `conflict` nothing is written; after `failed` the effect may be unknown, so the keys are
+ * read before the next attempt.
+ * @public
+ */
+export type ConditionalWriteFailure = { kind: 'conflict' } | { kind: 'failed', failure: StoreFailure }
+
 /**
  * A key-value store whose changes are read by revision.
  * @public
@@ -82,6 +98,8 @@
   grantLease(ttlMs: number): Promise<Result<Lease, StoreFailure>>
   /** Extends a lease. A time to live of 0 means that it has ended. */
   renewLease(leaseId: string): Promise<Result<Lease, StoreFailure>>
+  /** Writes the entries together and without a lease if the condition holds. Resolves to the position of the write. */
+  compareAndPut(entries: readonly StoreEntry[], condition: WriteCondition): Promise<Result<number, ConditionalWriteFailure>>
   /** Ends a lease and deletes its keys. Succeeds when it has already ended. */
   revokeLease(leaseId: string): Promise<Result<void, StoreFailure>>
 }
--- a/packages/gateway/src/rollout/RolloutOrder.ts
+++ b/packages/gateway/src/rollout/RolloutOrder.ts
@@ -30,4 +30,6 @@
   share: number
   /** Time of the order, as Unix time in milliseconds by the clock of the instance that saw it first. */
   orderedAtEpochMs: number
+  /** Versions other than the target version that get no requests: those of failed or unfinished roll-outs, and after `completed` the old ones. */
+  barredVersions: TargetVersion[]
 }
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -46,6 +46,41 @@
     expect(removal.events).to.deep.equal([{ kind: 'delete', key: 'op/config', modRevision: removal.revision }])
   })
 
+  describe('a write under a condition', () => {
+    const entries = [{ key: 'status/rollout/a', value: 'status' }, { key: 'carobpitch/rollouts/a', value: 'new' }]
+    const positionOfRecord = async (): Promise<number> => {
+      const page = (await store.listPage('carobpitch/rollouts/')).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      return page.records[0]?.modRevision ?? 0
+    }
+
+    it('writes all entries if the key is as expected, and nothing otherwise', async () => {
+      const created = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })
+      expect(created.isOk && created.value).to.equal(await positionOfRecord())
+      standIn.put('carobpitch/rollouts/a', 'of another writer')
+      const stale = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: created.unwrapOr(0) })
+      expect(stale.isErr && stale.error).to.deep.equal({ kind: 'conflict' })
+      expect(standIn.read('carobpitch/rollouts/a')).to.equal('of another writer')
+    })
+
+    it('does not take a revision of before the store came back from an older copy for one of now', async () => {
+      standIn.takeCopy()
+      const created = (await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })).unwrapOr(0)
+      standIn.returnFromCopy()
+      standIn.put('carobpitch/rollouts/a', 'of another writer')
+      await positionOfRecord()
+      const stale = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: created })
+      expect(stale.isErr && stale.error).to.deep.equal({ kind: 'conflict' })
+      expect(standIn.read('carobpitch/rollouts/a')).to.equal('of another writer')
+    })
+
+    it('reports an unknown effect if the answer is lost', async () => {
+      standIn.behaviourFor = path => path.includes('kv-txn') ? 'lose-answer' : 'serve'
+      const lost = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })
+      expect(lost.isErr && lost.error.kind === 'failed' && lost.error.failure.effect).to.equal('unknown')
+      expect(standIn.read('status/rollout/a')).to.equal('status')
+    })
+  })
+
   it('reports that the change history is lost', async () => {
     standIn.put('a', '1')
     standIn.compactHistory()
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth'
 import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
-import { eraOf, positionOf, revisionIn, type ChangeBatch, type ChangesFailure, type ChangesOptions, type ChangeStore, type ListOptions, type RecordPage, type StoreEntry } from '@carobpitch/gateway'
+import { eraOf, positionOf, revisionIn, type ChangeBatch, type ChangesFailure, type ChangesOptions, type ChangeStore, type ConditionalWriteFailure, type ListOptions, type RecordPage, type StoreEntry, type WriteCondition } from '@carobpitch/gateway'
 import { collectBytes } from '@carobpitch/kernel'
 import type { Lease, StoredValue, StoreFailure, WatchEvent } from '@carobpitch/store'
 import { durationSchema, formatDuration } from './durations.js'
@@ -47,6 +47,7 @@
 })
 
 const leaseSchema = z.object({ lease: z.union([z.string(), z.int()]), ttl_time: durationSchema })
+const writeSchema = z.object({ revision: z.int() })
 const renewalSchema = z.object({ ttl_time: durationSchema.optional() })
 
 /** Counts a call by its kind and its result: the status code, or `no-answer`. */
@@ -137,6 +138,21 @@
     return response.value.status === 200 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpectedResponse(response.value))
   }
 
+  async compareAndPut (entries: readonly StoreEntry[], { key, revision }: WriteCondition): Promise<Result<number, ConditionalWriteFailure>> {
+    // The revision of an earlier era may belong to another change in this one.
+    if (revision > 0 && eraOf(revision) !== this.era) return Result.err({ kind: 'conflict' })
+    const body = {
+      'expected-revision': [{ key, revision: revisionIn(revision) }],
+      puts: entries.map(({ key, value }) => ({ key, value: Buffer.from(value).toString('base64') }))
+    }
+    const response = await this.call({ name: 'write', method: 'POST', path: STORE_PATHS.write, body })
+    if (response.isErr) return Result.err({ kind: 'failed', failure: response.error })
+    if (response.value.status === 412) return Result.err({ kind: 'conflict' })
+    const written = writeSchema.safeParse(response.value.body)
+    if (response.value.status !== 200 || !written.success) return Result.err({ kind: 'failed', failure: unexpectedResponse(response.value) })
+    return Result.ok(positionOf(response.value.era, written.data.revision))
+  }
+
   async grantLease (ttlMs: number): Promise<Result<Lease, StoreFailure>> {
     const response = await this.call({ name: 'grantLease', method: 'POST', path: STORE_PATHS.grantLease, body: { ttl_time: formatDuration(ttlMs) } })
     if (response.isErr) return Result.err(response.error)
--- a/packages/platform/src/decodeRecord.ts
+++ b/packages/platform/src/decodeRecord.ts
@@ -5,6 +5,7 @@
 import { addressSchema } from './addresses.js'
 import { decodeConfiguration } from './decodeConfiguration.js'
 import { durationSchema } from './durations.js'
+import { decodeRolloutOrder, decodeRolloutState } from './rollouts.js'
 import { STORE_KEYS } from './wire.js'
 
 /** Largest number of slots; a larger one is an error of the writer and would draw all requests to the target. */
@@ -33,6 +34,8 @@
     return parseJsonWith(memberRecordSchema, value).map((member): DeploymentRecord => ({ kind: 'member', member })).mapErr(formatViolations)
   }
   if (key.startsWith(STORE_KEYS.capacityPrefix)) return decodeCapacity(key, value)
+  if (key.startsWith(STORE_KEYS.rolloutOrderPrefix)) return decodeRolloutOrder(key, value).mapErr(formatViolations)
+  if (key.startsWith(STORE_KEYS.rolloutStatePrefix)) return decodeRolloutState(key, value).mapErr(formatViolations)
   return Result.ok({ kind: 'foreign' })
 }
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 export { readSettings, SETTINGS_VARIABLE } from './readSettings.js'
 export { validateConfiguration } from './decodeConfiguration.js'
 export { decodeRecord } from './decodeRecord.js'
+export { encodeRollout } from './rollouts.js'
 export { PlatformStore, type PlatformStoreOptions, type CountCall } from './PlatformStore.js'
 export { callerProtocol } from './callerProtocol.js'
 export { targetProtocol } from './targetProtocol.js'
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth'
 import * as z from 'zod'
-import type { FrontSettings, InstanceCapacity } from '@carobpitch/gateway'
+import type { FrontSettings, InstanceCapacity, RolloutLimits } from '@carobpitch/gateway'
 import { failureDomainIdSchema, instanceIdSchema, parseWith, type ListenerSettings, type Violation } from '@carobpitch/schema'
 import { addressSchema, formatAddress } from './addresses.js'
 import { durationSchema } from './durations.js'
@@ -50,6 +50,9 @@
   'bounds.retry-budget-ratio': numberSchema,
   'bounds.retry-budget-slack': numberSchema,
   'bounds.budget-window': durationSchema,
+  'bounds.expose-share': numberSchema.optional(),
+  'bounds.expose-slack': numberSchema.optional(),
+  'bounds.rollback': durationSchema.optional(),
   /** Not set by the platform; its deploy file names the port of the metrics endpoint. */
   'metrics.port': numberSchema.default(DEFAULT_METRICS_PORT)
 })
@@ -73,7 +76,7 @@
     stopGraceMs: fields['bounds.grace-period'],
     directoryTtlMaxMs: fields['bounds.ttl_max'],
     allowanceLimits: undefined,
-    rolloutLimits: undefined,
+    rolloutLimits: rolloutLimitsOf(fields),
     probesPerTargetAndS: fields['bounds.probes-per-s'],
     retryLimits: {
       share: fields['bounds.retry-budget-ratio'],
@@ -94,6 +97,13 @@
   return linkMbps > 0 && cores > 0 ? { linkMbps, cores } : undefined
 }
 
+/** Returns the bounds of roll-outs, or `undefined` if one is missing. */
+function rolloutLimitsOf (fields: Pick<z.infer<typeof settingsSchema>, 'bounds.expose-share' | 'bounds.expose-slack' | 'bounds.rollback'>): RolloutLimits | undefined {
+  const { 'bounds.expose-share': exposureShare, 'bounds.expose-slack': exposureSlackRequests, 'bounds.rollback': rollbackMs } = fields
+  if (exposureShare === undefined || exposureSlackRequests === undefined || rollbackMs === undefined) return undefined
+  return { exposureShare, exposureSlackRequests, rollbackMs }
+}
+
 function parseLines (text: string): Record<string, string> {
   const fields: Record<string, string> = {}
   for (const line of text.split('\n')) {
--- a/packages/platform/src/testing/StandInPlatformStore.ts
+++ b/packages/platform/src/testing/StandInPlatformStore.ts
@@ -23,6 +23,12 @@
   timer: NodeJS.Timeout
 }
 
+interface WriteCall {
+  puts?: Array<{ key: string, value: string, lease?: number }>
+  remove?: string[]
+  'expected-revision'?: Array<{ key: string, revision: number }>
+}
+
 /** What a copy of the store holds. */
 interface StoreCopy {
   items: Map<string, Item>
@@ -191,7 +197,10 @@
   }
 
   private async write (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { puts = [], remove = [] } = JSON.parse(await text(request)) as { puts?: Array<{ key: string, value: string, lease?: number }>, remove?: string[] }
+    const { puts = [], remove = [], 'expected-revision': expected = [] } = JSON.parse(await text(request)) as WriteCall
+    if (expected.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision)) {
+      return respond(response, 412, { items: expected.flatMap(({ key }) => this.items.get(key) ?? []) })
+    }
     if (puts.some(({ lease = 0 }) => lease !== 0 && !this.leases.has(lease))) return respond(response, 404, {})
     for (const { key, value, lease } of puts) this.put(key, Buffer.from(value, 'base64').toString('utf8'), lease)
     for (const key of remove) this.remove(key)
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -47,7 +47,13 @@
   evacuationPrefix: 'op/evacuate/',
   targetPrefix: 'servers/',
   memberPrefix: 'carobpitch/members/',
-  capacityPrefix: 'carobpitch/capacities/'
+  capacityPrefix: 'carobpitch/capacities/',
+  /** Orders of operators to move a service to another version. */
+  rolloutOrderPrefix: 'op/rollout/',
+  /** What the instances have decided about these orders. */
+  rolloutStatePrefix: 'carobpitch/rollouts/',
+  /** The same for operators, in the platform's words. */
+  rolloutStatusPrefix: 'status/rollout/'
 } as const
 
 /** Keys of the records that an instance publishes about itself. */
