--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -6,6 +6,7 @@
 import type { InstanceCapacity } from '../model/InstanceCapacity.js'
 import type { RoutingTable } from '../model/Route.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
+import type { RolloutOrder, RolloutState } from '../rollout/RolloutOrder.js'
 import type { ChangeBatch } from './ChangeStore.js'
 import { RewriteGrace } from './RewriteGrace.js'
 import { eraOf } from './storePosition.js'
@@ -60,6 +61,8 @@
   private memberList: readonly MemberRecord[] | undefined
   /** Capacities of the instances, kept as long as `memberList`. */
   private capacityMap: ReadonlyMap<InstanceId, InstanceCapacity> | undefined
+  /** Orders and decisions of roll-outs, few among many records. */
+  private readonly rolloutRecords = new Map<string, CachedRecord>()
   private lapseTimer: NodeJS.Timeout | undefined
   private readonly rewriteGrace = new RewriteGrace()
   private rewriteTimer: NodeJS.Timeout | undefined
@@ -117,6 +120,16 @@
     return this.capacityMap
   }
 
+  /** Orders to move services to other versions. */
+  rolloutOrders (): RolloutOrder[] {
+    return [...this.rolloutRecords.values()].flatMap(({ raw, decoded }) => decoded.kind === 'rollout-order' ? [{ ...decoded.order, revision: raw.modRevision }] : [])
+  }
+
+  /** Decisions about these orders, with the positions of their records. */
+  rolloutStates (): Array<{ state: RolloutState, position: number }> {
+    return [...this.rolloutRecords.values()].flatMap(({ raw, decoded }) => decoded.kind === 'rollout-state' ? [{ state: decoded.state, position: raw.modRevision }] : [])
+  }
+
   /** Calls the listener after each change; returns a function that unsubscribes. */
   onChange (listener: () => void): () => void {
     this.listeners.add(listener)
@@ -227,6 +240,7 @@
       this.options.log.warn('knowledge.unreadable', { key: raw.key, revision: raw.modRevision, reason: decoded.error })
       // An unreadable record removes its target; an unreadable configuration leaves the last valid one in force.
       this.records.delete(raw.key)
+      this.rolloutRecords.delete(raw.key)
       return
     }
     if (decoded.value.kind === 'foreign') return
@@ -234,6 +248,7 @@
     const record = { raw, decoded: decoded.value }
     this.records.set(raw.key, record)
     this.forgetInstances(record)
+    if (record.decoded.kind === 'rollout-order' || record.decoded.kind === 'rollout-state') this.rolloutRecords.set(raw.key, record)
     if (decoded.value.kind === 'configuration') this.adopt(decoded.value.table, { source, revision: raw.modRevision })
   }
 
@@ -253,6 +268,7 @@
     const existing = this.records.get(key)
     this.forgetInstances(existing)
     this.records.delete(key)
+    this.rolloutRecords.delete(key)
     if (existing?.decoded.kind !== 'target' || !isAfterOutage || existing.decoded.target.isDraining) return
     this.lapsed.set(key, { target: existing.decoded.target, untilMs: performance.now() + LAPSE_GRACE_MS })
     this.options.log.warn('target.lapsed', { targetId: existing.decoded.target.targetId, graceMs: LAPSE_GRACE_MS })
--- a/packages/gateway/src/rollout/RolloutOrder.ts
+++ b/packages/gateway/src/rollout/RolloutOrder.ts
@@ -32,4 +32,8 @@
   orderedAtEpochMs: number
   /** Versions other than the target version that get no requests: those of failed or unfinished roll-outs, and after `completed` the old ones. */
   barredVersions: TargetVersion[]
+  /** Requests of the service since the order, as counted at the write; a restart of all instances loses the counters. */
+  requests: number
+  /** Those that the new version received. */
+  exposedRequests: number
 }
--- a/packages/platform/src/rollouts.test.ts
+++ b/packages/platform/src/rollouts.test.ts
@@ -21,7 +21,7 @@
   })
 
   it('reads back its own decision, and tells operators the state in the words of the platform', () => {
-    const state: RolloutState = { service: 'huvo11a' as ServiceName, targetVersion, orderRevision: 7, phase: 'rolled-back', share: 0, orderedAtEpochMs: 1, barredVersions: [targetVersion] }
+    const state: RolloutState = { service: 'huvo11a' as ServiceName, targetVersion, orderRevision: 7, phase: 'rolled-back', share: 0, orderedAtEpochMs: 1, barredVersions: [targetVersion], requests: 100, exposedRequests: 7 }
     const [status, record] = encodeRollout(state)
     const decoded = decodeRecord(record.key, record.value)
     expect(decoded.isOk && decoded.value).to.deep.equal({ kind: 'rollout-state', state })
--- a/packages/platform/src/rollouts.ts
+++ b/packages/platform/src/rollouts.ts
@@ -18,7 +18,9 @@
   phase: z.enum(['running', 'completed', 'rolled-back']),
   share: z.number().min(0).max(1),
   orderedAtEpochMs: z.number(),
-  barredVersions: z.array(targetVersionSchema).default([])
+  barredVersions: z.array(targetVersionSchema).default([]),
+  requests: z.number().min(0).default(0),
+  exposedRequests: z.number().min(0).default(0)
 })
 
 const STATUS_NAMES: Record<RolloutPhase, string> = { running: 'running', completed: 'completed', 'rolled-back': 'rolled_back' }
