Give requests their versions and end roll-outs by themselves

Orders under op/rollout/ were ignored, so callers' requests reached targets of a new version as soon as these registered. Until the instances exchange counters (OwnCounters), a fleet of more than one rolls back at the order's end as unproven; a single instance decides fully.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,8 +1,8 @@
 import type { Registry } from 'prom-client'
 import {
   BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
-  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, OwnCounters, ProbeRateLimiter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, TargetRegistry,
+  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type RolloutState, type StoreEntry, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
@@ -23,6 +23,7 @@
     'feed-links': PeerLinks
     targets: TargetRegistry
     dispatcher: Dispatcher
+    rollouts: RolloutManager
     front: FrontListener
     directory: Directory
     readiness: Readiness
@@ -48,6 +49,8 @@
   log: EventLog
   store: ChangeStore
   decodeRecord: (key: string, value: string) => Result<DeploymentRecord, string>
+  /** Encodes a decision about a roll-out; the last entry is its record. */
+  encodeRollout: (state: RolloutState) => readonly StoreEntry[]
   callerProtocol: CallerProtocol
   targetProtocol: TargetProtocol
   /** Keys of this instance's records in the store. */
@@ -69,7 +72,7 @@
 
   constructor (options: FrontDaemonOptions) {
     this.options = options
-    const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, keys, registry } = options
+    const { settings, log, store, decodeRecord, encodeRollout, callerProtocol, targetProtocol, keys, registry } = options
     const { kernel } = this
     const live = new LiveSettings({ initial: settings })
     this.liveSettings = live
@@ -135,6 +138,19 @@
       retryLimits: () => live.current().retryLimits,
       instanceCount: () => this.instanceCount()
     })
+    const rollouts = new RolloutManager({
+      instanceId: settings.instanceId,
+      instanceIds: () => this.servingMembers().map(({ instanceId }) => instanceId),
+      deploymentCache: cache,
+      counters: new OwnCounters({ instanceCount: () => this.instanceCount() }),
+      store,
+      encode: encodeRollout,
+      decode: decodeRecord,
+      ageMs: () => kernel.get('follower').ageMs(),
+      limits: () => live.current().rolloutLimits,
+      log
+    })
+    registerRolloutMetrics(registry, () => rollouts.status())
     this.shutdown = new FrontShutdown({
       lease,
       inFlightCount: () => this.inFlightCount(),
@@ -149,6 +165,7 @@
       waitForRouting: async waitMs => await routing.waitForConfiguration(waitMs),
       roundRobin: routing.roundRobin,
       dispatcher,
+      rollouts,
       isEligible: target => targets.isEligible(target),
       observer,
       callerProtocol,
@@ -181,6 +198,7 @@
     }))
     kernel.register('member-lease', lease)
     kernel.register('registration', registration)
+    kernel.register('rollouts', rollouts)
     kernel.register('front', front)
     kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
     kernel.register('directory', new Directory({
--- a/packages/daemon/src/front/main.ts
+++ b/packages/daemon/src/front/main.ts
@@ -8,7 +8,7 @@
 import { Result } from 'true-myth'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { RateLimitedOutput, EventLog } from '@carobpitch/kernel'
-import { callerProtocol, decodeRecord, PlatformStore, readSettings, recordKeysOf, SETTINGS_VARIABLE, targetProtocol } from '@carobpitch/platform'
+import { callerProtocol, decodeRecord, encodeRollout, PlatformStore, readSettings, recordKeysOf, SETTINGS_VARIABLE, targetProtocol } from '@carobpitch/platform'
 import type { Violation } from '@carobpitch/schema'
 import { codeCacheState } from './codeCacheState.js'
 import { FrontDaemon } from './FrontDaemon.js'
@@ -33,6 +33,7 @@
   log,
   store: new PlatformStore({ url: settings.storeUrl, countCall: (call, result) => storeCalls.inc({ call, result }) }),
   decodeRecord,
+  encodeRollout,
   callerProtocol,
   targetProtocol,
   keys: recordKeysOf(settings.instanceId),
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -3,7 +3,7 @@
 import { Registry } from 'prom-client'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { EventLog } from '@carobpitch/kernel'
-import { callerHeaders, callerProtocol, decodeRecord, PlatformStore, recordKeysOf, STORE_KEYS, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
+import { callerHeaders, callerProtocol, decodeRecord, encodeRollout, PlatformStore, recordKeysOf, STORE_KEYS, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
 import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
 import { FrontDaemon } from '../FrontDaemon.js'
 
@@ -85,6 +85,7 @@
       log: new EventLog({ output: this.createLogOutput() }),
       store,
       decodeRecord,
+      encodeRollout,
       callerProtocol,
       targetProtocol,
       keys: recordKeysOf(ownSettings.instanceId),
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -12,7 +12,7 @@
 import type { FrontExchangeContext, FrontExchangeOptions } from './FrontExchangeContext.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
 import { headSizeBytes } from './headSizeBytes.js'
-import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, type RunningAttempt } from './evaluateAttempt.js'
+import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, versionMarkOf, type RunningAttempt } from './evaluateAttempt.js'
 import { localReply } from './localReply.js'
 import { OverdueCheck } from './OverdueCheck.js'
 import type { RoutingState } from './RoutingHolder.js'
@@ -145,6 +145,7 @@
     target.connections.release(running.client, { isReusable: result.isReusable, refusedRequestId: result.verdict === 'not-run' ? this.requestId : undefined })
     const kind = evaluateAttempt(running, result, this.context.observer)
     running.grant.release(kind, elapsedMs)
+    running.endForVersion?.(versionMarkOf(running, result), elapsedMs)
     this.addVerdict(result.verdict)
     const wasSent = running.attempt.headWrittenAtMs !== undefined
     if (wasSent) this.sends += 1
@@ -261,7 +262,7 @@
       service: this.service as ServiceName,
       route: route.name,
       account: undefined,
-      accepts: () => true,
+      accepts: this.context.rollouts.choose(this.service as ServiceName, this.attempts > 0),
       priority: route.priority,
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
@@ -272,7 +273,7 @@
   }
 
   private send (grant: DispatchGrant): void {
-    const { targetProtocol, isEligible, metrics } = this.context
+    const { targetProtocol, isEligible, metrics, rollouts } = this.context
     const { target } = grant
     const { targetId } = target.record
     const client = target.connections.acquire(this.requestId)
@@ -287,9 +288,9 @@
       requestId: this.requestId,
       missingRequestId: targetProtocol.missingRequestId,
       sink: this,
-      checkBeforeSend: () => isEligible(target) && target.restsForMs() === 0 ? undefined : 'target-withdrawn'
+      checkBeforeSend: () => isEligible(target) && target.restsForMs() === 0 && rollouts.permits(target.record) ? undefined : 'target-withdrawn'
     })
-    this.running = { attempt, grant, client, startedAtMs: performance.now(), buffered: undefined }
+    this.running = { attempt, grant, client, startedAtMs: performance.now(), buffered: undefined, endForVersion: rollouts.begin(target.record, this.matchedRoute?.name ?? '', target.isCold()) }
     logSend(this.context.log, this.logFields(), grant)
     if (target.isCold()) metrics.recordColdRequest(target.record.service)
     attempt.start(client)
--- a/packages/gateway/src/edge/FrontExchangeContext.ts
+++ b/packages/gateway/src/edge/FrontExchangeContext.ts
@@ -3,6 +3,7 @@
 import type { CallerConnection, DeadlineTimer } from '@carobpitch/proxy'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { WeightedRoundRobin } from '../model/WeightedRoundRobin.js'
+import type { RolloutManager } from '../rollout/RolloutManager.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { ResponseObserver } from '../targets/observeResponse.js'
 import type { TargetProtocol } from '../targets/TargetProtocol.js'
@@ -21,6 +22,8 @@
   waitForRouting: (waitMs: number) => Promise<RoutingState | undefined>
   roundRobin: WeightedRoundRobin
   dispatcher: Dispatcher
+  /** Gives requests their versions and follows the attempts during roll-outs. */
+  rollouts: Pick<RolloutManager, 'choose' | 'begin' | 'permits'>
   isEligible: (target: GatewayTarget) => boolean
   observer: ResponseObserver
   callerProtocol: CallerProtocol
--- a/packages/gateway/src/edge/evaluateAttempt.ts
+++ b/packages/gateway/src/edge/evaluateAttempt.ts
@@ -1,6 +1,7 @@
 import type { Client } from 'undici'
 import type { Attempt, AttemptResult } from '@carobpitch/proxy'
 import type { DispatchGrant } from '../dispatch/DispatchRequest.js'
+import type { EndForVersion } from '../rollout/RolloutManager.js'
 import { observeResponse, type ResponseObserver } from '../targets/observeResponse.js'
 import type { BufferedResponse } from './BufferedResponse.js'
 
@@ -19,6 +20,8 @@
   client: Client
   startedAtMs: number
   buffered: BufferedResponse | undefined
+  /** Counts the end of the attempt for the version of its target, during a roll-out. */
+  endForVersion: EndForVersion | undefined
 }
 
 /** Whether an attempt got a complete response that reports no failure of the target. @internal */
@@ -26,6 +29,18 @@
   return verdict === 'answered' && head !== undefined && head.status < TARGET_FAILURE_STATUS_MIN
 }
 
+/**
+ * How an attempt counts for the version of its target; `undefined` if its end says nothing about it. Broken connections and refusals don't
+ * count, because crashed and full targets cause them in any version.
+ * @internal
+ */
+export function versionMarkOf ({ attempt }: RunningAttempt, result: AttemptResult): 'answered' | 'failed' | undefined {
+  if (isSuccessfulAttempt(attempt, result)) return 'answered'
+  const isOwnFailure = result.verdict === 'answered' && attempt.head?.status !== TARGET_TIMEOUT_STATUS
+  const isUnreadable = result.reason === 'malformed-response' || result.reason === 'truncated-response'
+  return isOwnFailure || isUnreadable ? 'failed' : undefined
+}
+
 /** Updates the target's load report and backoff after an attempt, and returns the outcome for the dispatcher. @internal */
 export function evaluateAttempt ({ grant: { target }, attempt }: RunningAttempt, result: AttemptResult, observer: ResponseObserver): AttemptResult['kind'] {
   const { head } = attempt
--- a/packages/gateway/src/rollout/RolloutManager.ts
+++ b/packages/gateway/src/rollout/RolloutManager.ts
@@ -26,6 +26,9 @@
 
 const acceptAll = (): boolean => true
 
+/** Takes how and after which time an attempt has ended. @internal */
+export type EndForVersion = (mark: 'answered' | 'failed' | undefined, elapsedMs: number) => void
+
 /**
  * Options of `RolloutManager`.
  * @public
@@ -69,7 +72,7 @@
   private targets = new Map<ServiceName, TargetRecord[]>()
   private timer: NodeJS.Timeout | undefined
   private unsubscribe: Array<() => void> = []
-  private unservedOrders = new Set<number>()
+  private readonly unservedOrders = new Set<number>()
 
   constructor (options: RolloutManagerOptions) {
     this.options = options
@@ -86,8 +89,7 @@
   async start (): Promise<void> {
     const { deploymentCache } = this.options
     this.unsubscribe = [deploymentCache.onChange(() => this.refresh())]
-    this.timer = setInterval(() => this.tick(), TICK_MS)
-    this.timer.unref()
+    if (this.options.limits() !== undefined) this.timer = setInterval(() => this.tick(), TICK_MS).unref()
     this.refresh()
   }
 
@@ -124,7 +126,7 @@
   }
 
   /** Follows an attempt. Returns what to call at its end; `undefined` if attempts don't count. */
-  begin (target: TargetRecord, route: string, isCold: boolean): ((mark: 'answered' | 'failed' | undefined, elapsedMs: number) => void) | undefined {
+  begin (target: TargetRecord, route: string, isCold: boolean): EndForVersion | undefined {
     if (this.options.limits() === undefined) return undefined
     const { service, version } = target
     const latencyKey = `${service} ${route}`
--- a/packages/gateway/src/rollout/RolloutWriter.ts
+++ b/packages/gateway/src/rollout/RolloutWriter.ts
@@ -1,9 +1,11 @@
+import type { Result } from 'true-myth'
 import type { EventLog } from '@carobpitch/kernel'
 import { rankByRendezvous } from '@carobpitch/routing'
 import type { InstanceId, ServiceName, TargetVersion } from '@carobpitch/schema'
 import type { ChangeStore, StoreEntry } from '../deployment/ChangeStore.js'
 import type { FleetCounters } from '../fleet/FleetCounters.js'
 import type { RolloutLimits } from '../model/FrontSettings.js'
+import type { DeploymentRecord } from '../model/DeploymentRecord.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
 import { decideRollout, type RolloutDecision, type RolloutSituation } from './decideRollout.js'
 import { judgeVersion, NO_JUDGEMENT, type VersionJudgement } from './judgeVersion.js'
@@ -32,7 +34,7 @@
   store: Pick<ChangeStore, 'compareAndPut' | 'listPage'>
   /** Encodes a decision; the last entry is its record. */
   encode: (state: RolloutState) => readonly StoreEntry[]
-  decode: (key: string, value: string) => RolloutState | undefined
+  decode: (key: string, value: string) => Result<DeploymentRecord, string>
   targetsOf: (service: ServiceName) => readonly TargetRecord[]
   routesOf: (service: ServiceName) => Iterable<string>
   limits: () => RolloutLimits | undefined
@@ -212,8 +214,8 @@
       knowledge.forgetRecord(rollout)
       return
     }
-    const state = decode(record.key, record.value)
-    if (state !== undefined) knowledge.adopt(rollout, state, record.modRevision)
+    const decoded = decode(record.key, record.value)
+    if (decoded.isOk && decoded.value.kind === 'rollout-state') knowledge.adopt(rollout, decoded.value.state, record.modRevision)
     // A record that can't be read is replaced by the next decision.
     else rollout.position = record.modRevision
   }
