--- a/packages/platform/src/testing/StandInPlatformTarget.ts
+++ b/packages/platform/src/testing/StandInPlatformTarget.ts
@@ -16,6 +16,7 @@
   failureDomain?: string
   slots?: number
   serviceTimeMs?: number
+  version?: string
 }
 
 /** One request that a target has received. @public */
@@ -46,7 +47,7 @@
   private readonly bornAtEpochMs = Date.now()
 
   constructor (options: StandInPlatformTargetOptions) {
-    this.options = { failureDomain: 'zone-a', slots: 3, serviceTimeMs: 5, ...options }
+    this.options = { failureDomain: 'zone-a', slots: 3, serviceTimeMs: 5, version: 'v1', ...options }
     this.serviceTimeMs = this.options.serviceTimeMs
     this.server = createServer((request, response) => { this.handle(request, response) })
   }
@@ -67,12 +68,12 @@
 
   /** The target's record in the store. */
   entry (state: 'ready' | 'draining' = 'ready'): string {
-    const { service, failureDomain, slots } = this.options
+    const { service, failureDomain, slots, version } = this.options
     return JSON.stringify({
       service,
       address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`,
       zone: failureDomain,
-      version: 'v1',
+      version,
       slots,
       state,
       'warmup-left': `${this.coldForMs}ms`,
