--- a/packages/gateway/src/rollout/RolloutKnowledge.ts
+++ b/packages/gateway/src/rollout/RolloutKnowledge.ts
@@ -27,6 +27,9 @@
   position: number
   recordState: RolloutState | undefined
   recordSeenAtMs: number
+  /** What this instance last sent to the store, and when another one's record last appeared. */
+  ownRecord: string | undefined
+  othersRecordAtMs: number
 }
 
 /** Whether a decision belongs to an order. A store that comes back from an older copy shows the same order at another position. @internal */
@@ -94,6 +97,7 @@
     rollout.position = position
     rollout.recordState = state
     rollout.recordSeenAtMs = performance.now()
+    if (JSON.stringify(state) !== rollout.ownRecord) rollout.othersRecordAtMs = rollout.recordSeenAtMs
     const previous = rollout.state
     if (previous !== undefined && this.isOlder(state, previous)) {
       this.log.warn('rollout.decision-retained', { service: state.service, version: previous.targetVersion, phase: previous.phase, recordPhase: state.phase, position })
@@ -123,7 +127,9 @@
       shareSinceMs: nowMs,
       position: 0,
       recordState: undefined,
-      recordSeenAtMs: nowMs
+      recordSeenAtMs: nowMs,
+      ownRecord: undefined,
+      othersRecordAtMs: nowMs
     }
     this.rollouts.set(service, rollout)
     return rollout
--- a/packages/gateway/src/rollout/RolloutManager.ts
+++ b/packages/gateway/src/rollout/RolloutManager.ts
@@ -20,7 +20,7 @@
 /** Time for which targets of a version that appears beside others wait for an order; confirmed changes arrive within it. */
 const ORDER_WAIT_MS = 3_000
 /** Time after which a request that was given the new version may go to the old one. */
-const OTHER_SIDE_AFTER_MS = 60
+const OTHER_SIDE_AFTER_MS = 30
 /** Time without any target of a version that may be used, after which a decision binds no longer: the service has moved on. */
 const DECISION_UNUSABLE_MS = 30_000
 
@@ -33,7 +33,7 @@
  * Options of `RolloutManager`.
  * @public
  */
-export interface RolloutManagerOptions extends Omit<RolloutWriterOptions, 'knowledge' | 'targetsOf' | 'routesOf' | 'counters' | 'limits'> {
+export interface RolloutManagerOptions extends Omit<RolloutWriterOptions, 'knowledge' | 'targetsOf' | 'routesOf' | 'counters' | 'limits' | 'isOutdated'> {
   deploymentCache: DeploymentCache
   counters: FleetCounters
   /** Age of the deployment cache. */
@@ -81,6 +81,7 @@
     this.writer = new RolloutWriter({
       ...options,
       knowledge: this.knowledge,
+      isOutdated: () => this.isOutdated(),
       targetsOf: service => this.targets.get(service) ?? [],
       routesOf: service => (deploymentCache.routingTable()?.routes ?? []).filter(({ shares }) => shares.some(share => share.service === service)).map(({ name }) => name)
     })
@@ -225,12 +226,16 @@
       const held = this.heldVersions(service)
       const rule = rollout === undefined && held.size === 0
         ? undefined
-        : ruleOf({ service, rollout, knowledge: this.knowledge, targets, held, isOutdated: this.options.ageMs() > KNOWLEDGE_OLD_MS })
+        : ruleOf({ service, rollout, knowledge: this.knowledge, targets, held, isOutdated: this.isOutdated() })
       if (rule === undefined || this.hasMovedOn(service, rule, targets)) this.rules.delete(service)
       else this.rules.set(service, rule)
     }
   }
 
+  private isOutdated (): boolean {
+    return this.options.ageMs() > KNOWLEDGE_OLD_MS
+  }
+
   private hasMovedOn (service: ServiceName, rule: VersionRule, targets: readonly TargetRecord[]): boolean {
     const nowMs = performance.now()
     const isUsable = !rule.hasEnded || targets.length === 0 || targets.some(target => isAccepted(rule, target, 'old'))
--- a/packages/gateway/src/rollout/RolloutWriter.ts
+++ b/packages/gateway/src/rollout/RolloutWriter.ts
@@ -10,14 +10,14 @@
 import { decideRollout, type RolloutDecision, type RolloutSituation } from './decideRollout.js'
 import { judgeVersion, NO_JUDGEMENT, type VersionJudgement } from './judgeVersion.js'
 import { barredAfter, belongsTo, type RolloutKnowledge, type ServiceRollout } from './RolloutKnowledge.js'
-import { exposedCounter, readEvidence, requestsCounter } from './rolloutCounters.js'
+import { exposedCounter, readEvidence, requestsCounter, stepsCounter } from './rolloutCounters.js'
 import type { RolloutOrder, RolloutState } from './RolloutOrder.js'
 
 /** Number of instances that may write about a service, the first of them usually. */
 const WRITERS = 3
-/** Interval in which the writer shows that it is alive. */
-const REFRESH_MS = 1_000
-/** Age of the record from which on the next instance takes over, and the further wait of each one after it. */
+/** Interval in which the record is written without a change, for the requests that it counts. */
+const REFRESH_MS = 3_000
+/** Time without a step of the writer after which the next instance takes over, and the further wait of each one after it. */
 const TAKEOVER_MS = 2_000
 const TAKEOVER_STEP_MS = 750
 
@@ -38,6 +38,8 @@
   targetsOf: (service: ServiceName) => readonly TargetRecord[]
   routesOf: (service: ServiceName) => Iterable<string>
   limits: () => RolloutLimits | undefined
+  /** Whether this instance may have missed a decision. */
+  isOutdated: () => boolean
   log: EventLog
 }
 
@@ -48,6 +50,10 @@
   /** Requests that were counted before a restart of all instances. */
   requestsBefore: number
   exposedBefore: number
+  /** Steps of this instance, those known of all, and when the others' last grew. */
+  ownSteps: number
+  othersSteps: number
+  othersStepAtMs: number
 }
 
 /**
@@ -58,6 +64,8 @@
   private readonly options: RolloutWriterOptions
   private readonly trails = new Map<ServiceName, Trail>()
   private readonly writing = new Set<ServiceName>()
+  /** Services whose last write by this instance failed. */
+  private readonly failing = new Set<ServiceName>()
 
   constructor (options: RolloutWriterOptions) {
     this.options = options
@@ -100,12 +108,15 @@
     const state = rollout.state !== undefined && belongsTo(rollout.state, order) ? rollout.state : undefined
     const orderRevision = state?.orderRevision ?? order.revision
     const trail = this.follow(rollout.service, orderRevision, state)
-    const situation = this.situationOf(rollout, { order, state, trail, limits })
     // The instances that may take over follow the evidence, but leave the decision to the writer while it is alive.
-    if (!this.mayWrite(rollout, rank)) return
+    if (!this.mayWrite(rollout, rank, trail.othersStepAtMs)) return
+    const situation = this.situationOf(rollout, { order, state, trail, limits })
     const decision = decideRollout(situation)
     const isUnchanged = state !== undefined && state.phase === decision.phase && state.share === decision.share
-    if (isUnchanged && performance.now() - rollout.recordSeenAtMs < REFRESH_MS && rollout.recordState !== undefined) return
+    if (isUnchanged && performance.now() - rollout.recordSeenAtMs < REFRESH_MS && rollout.recordState !== undefined) {
+      this.showStep(rollout.service, trail)
+      return
+    }
     const next: RolloutState = {
       service: rollout.service,
       targetVersion: order.targetVersion,
@@ -128,10 +139,16 @@
         orderRevision,
         judgement: NO_JUDGEMENT,
         requestsBefore: Math.max(0, (state?.requests ?? 0) - counters.total(requestsCounter(service, orderRevision))),
-        exposedBefore: Math.max(0, (state?.exposedRequests ?? 0) - counters.total(exposedCounter(service, orderRevision)))
+        exposedBefore: Math.max(0, (state?.exposedRequests ?? 0) - counters.total(exposedCounter(service, orderRevision))),
+        ownSteps: 0,
+        othersSteps: 0,
+        othersStepAtMs: 0
       }
       this.trails.set(service, trail)
     }
+    const othersSteps = counters.total(stepsCounter(service, orderRevision)) - trail.ownSteps
+    if (othersSteps > trail.othersSteps) trail.othersStepAtMs = performance.now()
+    trail.othersSteps = othersSteps
     trail.judgement = judgeVersion(trail.judgement, readEvidence(counters, service, orderRevision, this.options.routesOf(service)))
     return trail
   }
@@ -171,26 +188,40 @@
     return rankByRendezvous(`rollout/${service}`, this.options.instanceIds()).indexOf(this.options.instanceId)
   }
 
-  private mayWrite (rollout: ServiceRollout, rank: number): boolean {
+  /** A writer that can't write, or may have missed a decision, shows no step, so that the next instance takes over. */
+  private showStep (service: ServiceName, trail: Trail): void {
+    if (this.options.isOutdated() || this.failing.has(service)) return
+    trail.ownSteps += 1
+    this.options.counters.add(stepsCounter(service, trail.orderRevision), 1)
+  }
+
+  private mayWrite (rollout: ServiceRollout, rank: number, othersStepAtMs = 0): boolean {
     if (this.writing.has(rollout.service)) return false
     if (rank === 0) return true
-    const idleMs = performance.now() - Math.max(rollout.recordSeenAtMs, rollout.orderSeenAtMs, rollout.missingSinceMs ?? 0)
+    const idleMs = performance.now() - Math.max(rollout.othersRecordAtMs, rollout.orderSeenAtMs, rollout.missingSinceMs ?? 0, othersStepAtMs)
     return idleMs >= TAKEOVER_MS + (rank - 1) * TAKEOVER_STEP_MS
   }
 
   private async write (rollout: ServiceRollout, state: RolloutState, figures: Record<string, unknown>): Promise<void> {
     const { store, encode, knowledge, log } = this.options
     const { service, targetVersion: version, phase, share, orderRevision: order } = state
-    const entries = encode(state)
-    const recordKey = (entries.at(-1) as StoreEntry).key
+    const all = encode(state)
+    const record = all.at(-1) as StoreEntry
+    const { key: recordKey } = record
+    const isPhaseNew = rollout.recordState?.phase !== phase || rollout.recordState.orderRevision !== order
+    // The status of the operator doesn't change with the share.
+    const entries = isPhaseNew ? all : [record]
     this.writing.add(service)
+    rollout.ownRecord = JSON.stringify(state)
     try {
       const written = await store.compareAndPut(entries, { key: recordKey, revision: rollout.position })
       if (written.isOk) {
+        this.failing.delete(service)
         log.info('rollout.decided', { service, version, phase, share, order, ...figures })
         knowledge.adopt(rollout, state, written.value)
         return
       }
+      if (written.error.kind === 'failed') this.failing.add(service)
       const reason = written.error.kind === 'conflict' ? 'conflict' : written.error.failure.reason
       log.warn('rollout.not-written', { service, version, phase, share, order, reason })
       // Without an effect nothing has changed; otherwise another instance or this write may have.
--- a/packages/gateway/src/rollout/rolloutCounters.ts
+++ b/packages/gateway/src/rollout/rolloutCounters.ts
@@ -19,6 +19,11 @@
   return `${prefixOf(service, orderRevision)}exposed`
 }
 
+/** Counter of the steps of the instance that writes, which shows the others that it is alive. @internal */
+export function stepsCounter (service: ServiceName, orderRevision: number): string {
+  return `${prefixOf(service, orderRevision)}steps`
+}
+
 /** Counter of the attempts of a version on a route. @internal */
 export function attemptsCounter (service: ServiceName, orderRevision: number, { side, route, mark }: { side: VersionSide, route: string, mark: AttemptMark }): string {
   return `${prefixOf(service, orderRevision)}${side}/${mark}/${route}`
--- a/packages/gateway/src/rollout/testing/RolloutFleet.ts
+++ b/packages/gateway/src/rollout/testing/RolloutFleet.ts
@@ -31,7 +31,11 @@
   readonly instances = new Map<string, FleetInstance>()
   /** How the store treats a conditional write. */
   behaviour: 'serve' | 'lose-answer' | 'refuse' = 'serve'
+  /** Instance whose writes the store refuses. */
+  refusesFrom: string | undefined
   readonly writes: RolloutState[] = []
+  /** Instance of each write. */
+  readonly writers: string[] = []
   counters = new OwnCounters({ instanceCount: () => 1 })
   limits: { exposureShare: number, exposureSlackRequests: number, rollbackMs: number } | undefined = { exposureShare: 0.1, exposureSlackRequests: 50, rollbackMs: 5_000 }
   private readonly records = new Map<string, StoredValue>()
@@ -48,7 +52,7 @@
       instanceIds: () => [...this.instances.keys()] as InstanceId[],
       deploymentCache: cache,
       counters: this.counters,
-      store: { compareAndPut: async (entries, condition) => this.compareAndPut(entries, condition), listPage: async prefix => this.listPage(prefix) },
+      store: { compareAndPut: async (entries, condition) => this.compareAndPut(id, entries, condition), listPage: async prefix => this.listPage(prefix) },
       encode: state => [{ key: 'status/prices', value: state.phase }, { key: STATE_KEY, value: JSON.stringify(state) }],
       decode,
       ageMs: () => instance.ageMs,
@@ -122,10 +126,11 @@
     return sent
   }
 
-  private async compareAndPut (entries: readonly StoreEntry[], { key, revision }: WriteCondition): ReturnType<ChangeStore['compareAndPut']> {
-    if (this.behaviour === 'refuse') return Result.err({ kind: 'failed', failure: { effect: 'none', reason: 'refused' } })
+  private async compareAndPut (id: string, entries: readonly StoreEntry[], { key, revision }: WriteCondition): ReturnType<ChangeStore['compareAndPut']> {
+    if (this.behaviour === 'refuse' || this.refusesFrom === id) return Result.err({ kind: 'failed', failure: { effect: 'none', reason: 'refused' } })
     if ((this.records.get(key)?.modRevision ?? 0) !== revision) return Result.err({ kind: 'conflict' })
     for (const entry of entries) this.put(entry.key, entry.value)
+    this.writers.push(id)
     this.writes.push(this.state() as RolloutState)
     if (this.behaviour === 'lose-answer') return Result.err({ kind: 'failed', failure: { effect: 'unknown', reason: 'lost' } })
     return Result.ok(positionOf(this.era, this.revision))
