--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,14 +1,14 @@
 import type { Registry } from 'prom-client'
 import {
-  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, OwnCounters, ProbeRateLimiter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, TargetRegistry,
+  BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, OwnCounters, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type RolloutState, type StoreEntry, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { MemberRecord } from '@carobpitch/schema'
-import type { Result } from 'true-myth'
+import { Result } from 'true-myth'
 import { LiveSettings } from './LiveSettings.js'
 import { MetricsListener } from './MetricsListener.js'
 
@@ -166,6 +166,7 @@
       roundRobin: routing.roundRobin,
       dispatcher,
       rollouts,
+      allowances: { take: () => Result.ok({ giveBack: () => {} }) },
       isEligible: target => targets.isEligible(target),
       observer,
       callerProtocol,
@@ -201,10 +202,17 @@
     kernel.register('rollouts', rollouts)
     kernel.register('front', front)
     kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
+    const processingMeter = new ProcessingMeter({ requestCount: () => dispatcher.requestCount() })
+    const steering = new CallerSteering({
+      routingTable: () => cache.routingTable(),
+      capacities: () => cache.capacities(),
+      processingMs: () => processingMeter.processingMs()
+    })
     kernel.register('directory', new Directory({
       listen: settings.directoryListen,
       protocol: callerProtocol,
       serving: () => this.directoryMembers(),
+      select: (host, members, domains) => steering.select(host, members, domains),
       ttlMs: () => directoryTtlMs(live.current())
     }))
     kernel.register('peer-feed', peerServer)
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'true-myth'
 import { abortResponse, BlockWriter, endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
+import { admitCaller, type AdmittedCaller } from '../accounts/admitCaller.js'
 import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import { createAttempt } from '../targets/createAttempt.js'
@@ -41,6 +42,7 @@
   private readonly triedTargets = new Set<TargetId>()
   private readonly requestId: string
   private matchedRoute: Route | undefined
+  private caller: AdmittedCaller = {}
   private service: ServiceName | undefined
   private configurationVersion = 0
   private deadlineAtMs = 0
@@ -167,8 +169,8 @@
     else this.route(state, deadlineMs)
   }
 
-  private route ({ table, index }: RoutingState, deadlineMs: number): void {
-    const { targetProtocol, roundRobin, dispatcher, timer } = this.context
+  private route ({ table, index, accounts }: RoutingState, deadlineMs: number): void {
+    const { targetProtocol, callerProtocol, roundRobin, dispatcher, allowances, timer } = this.context
     const route = index.find(this.request.headers.host ?? '', this.request.url ?? '')
     this.configurationVersion = table.version
     if (route === undefined) {
@@ -180,6 +182,12 @@
       this.finish('unreadable-route')
       return
     }
+    const caller = admitCaller({ accounts, allowances, readKey: () => callerProtocol.readAccountKey(this.request.headers), isPublicRoute: route.isPublic })
+    if (caller.isErr) {
+      this.finish(caller.error.reason, caller.error.retryAfterMs)
+      return
+    }
+    this.caller = caller.value
     if (headSizeBytes(this.request) > table.callerLimits.headSizeMaxBytes) {
       this.finish('head-too-large')
       return
@@ -188,7 +196,7 @@
     dispatcher.recordRequest(this.service)
     this.deadlineAtMs = this.arrivedAtMs + Math.min(deadlineMs, route.timeoutMs ?? Infinity)
     this.timerKey = timer.add(this, this.deadlineAtMs)
-    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, targetProtocol.headersSetPerAttempt)
+    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, table.accounts === undefined ? targetProtocol.headersSetPerAttempt : targetProtocol.headersSetWithAccounts)
     this.receive(table.callerLimits.bodySizeMaxBytes)
   }
 
@@ -261,9 +269,9 @@
     return await this.context.dispatcher.acquire({
       service: this.service as ServiceName,
       route: route.name,
-      account: undefined,
+      account: this.caller.account?.name,
       accepts: this.context.rollouts.choose(this.service as ServiceName, this.attempts > 0),
-      priority: route.priority,
+      priority: this.priority(),
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
       deadlineAtMs: this.deadlineAtMs,
@@ -272,6 +280,11 @@
     })
   }
 
+  /** Priority of the account, or else that of the route. */
+  private priority (): number {
+    return this.caller.account?.priority ?? this.matchedRoute?.priority ?? Infinity
+  }
+
   private send (grant: DispatchGrant): void {
     const { targetProtocol, isEligible, metrics, rollouts } = this.context
     const { target } = grant
@@ -279,7 +292,7 @@
     const client = target.connections.acquire(this.requestId)
     this.attempts += 1
     this.triedTargets.add(targetId)
-    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId }))
+    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId, account: this.caller.account?.name }))
     const attempt = createAttempt(target, client, targetProtocol, {
       method: this.request.method ?? 'GET',
       path: this.request.url ?? '/',
@@ -436,13 +449,15 @@
     this.abortController.abort()
     this.overdueCheck?.cancel()
     this.releaseBodyMemory?.()
+    if (this.verdict === 'not-run') this.caller.ticket?.giveBack()
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
     metrics.recordRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
+    if (this.caller.account !== undefined) metrics.recordAccountRequest({ priority: this.priority(), outcome, verdict: this.verdict })
     logEnd(log, this.logFields(), { route: this.matchedRoute, outcome, status, verdict: this.verdict, targetId, elapsedMs, configurationVersion: this.configurationVersion })
   }
 
   private logFields (): LoggedRequest {
-    return { requestId: this.requestId, service: this.service, attempts: this.attempts }
+    return { requestId: this.requestId, service: this.service, account: this.caller.account?.name, attempts: this.attempts }
   }
 }
--- a/packages/gateway/src/edge/FrontExchangeContext.ts
+++ b/packages/gateway/src/edge/FrontExchangeContext.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { EventLog } from '@carobpitch/kernel'
 import type { CallerConnection, DeadlineTimer } from '@carobpitch/proxy'
+import type { AllowanceGate } from '../accounts/AllowanceGate.js'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { WeightedRoundRobin } from '../model/WeightedRoundRobin.js'
 import type { RolloutManager } from '../rollout/RolloutManager.js'
@@ -24,6 +25,7 @@
   dispatcher: Dispatcher
   /** Gives requests their versions and follows the attempts during roll-outs. */
   rollouts: Pick<RolloutManager, 'choose' | 'begin' | 'permits'>
+  allowances: AllowanceGate
   isEligible: (target: GatewayTarget) => boolean
   observer: ResponseObserver
   callerProtocol: CallerProtocol
--- a/packages/platform/src/callerProtocol.ts
+++ b/packages/platform/src/callerProtocol.ts
@@ -9,15 +9,20 @@
     requestId: textOf(headers[WIRE_HEADERS.requestId]),
     deadlineMs: positiveNumberOf(headers[WIRE_HEADERS.remainingMs])
   }),
+  readAccountKey: headers => BEARER_PATTERN.exec(textOf(headers[WIRE_HEADERS.accountKey]) ?? '')?.[1],
   retryAfterHeader: WIRE_HEADERS.retryAfterS,
   readinessPath: GATEWAY_PATHS.readiness,
   directoryPath: GATEWAY_PATHS.directory,
   readQuestion: query => ({
+    host: textOf(query.name),
     failureDomain: failureDomainIdSchema.safeParse(query.zone).data
   }),
   formatAddresses: (addresses, ttlMs) => JSON.stringify({ addresses, ttl: formatDuration(ttlMs) })
 }
 
+/** Scheme of the header with a key; its case doesn't matter (RFC 9110, 11.1). */
+const BEARER_PATTERN = /^bearer +(\S+) *$/i
+
 function textOf (value: unknown): string | undefined {
   return typeof value === 'string' && value !== '' ? value : undefined
 }
