--- a/packages/platform/src/readSettings.test.ts
+++ b/packages/platform/src/readSettings.test.ts
@@ -43,6 +43,18 @@
     })
   })
 
+  describe('the bounds of roll-outs', () => {
+    const limitsOf = (lines: readonly string[]): unknown => readSettings([...LINES, ...lines].join('\n')).unwrapOr(undefined)?.rolloutLimits
+
+    it('are the share and the number of requests of an unproven version, and the time to leave a bad one', () => {
+      expect(limitsOf(['bounds.expose-share=0.1', 'bounds.expose-slack=50', 'bounds.rollback=5000ms'])).to.deep.equal({ exposureShare: 0.1, exposureSlackRequests: 50, rollbackMs: 5_000 })
+    })
+
+    it('guards against roll-outs in a deployment that sets only some of them', () => {
+      expect(limitsOf(['bounds.expose-share=0.1', 'bounds.rollback=5000ms'])).to.equal(undefined)
+    })
+  })
+
   describe('the capacity of the machine', () => {
     const capacityOf = (lines: readonly string[]): unknown => readSettings([...LINES, ...lines].join('\n')).match<unknown>({ Ok: ({ capacity }) => capacity, Err: error => error.map(({ path }) => path) })
 
