--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,14 +1,14 @@
 import type { Registry } from 'prom-client'
 import {
-  BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, OwnCounters, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, TargetRegistry,
+  BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createExchangePeerSelector, createFleetExchangeClient, createFleetExchangeRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FleetAllowances, FLEET_EXCHANGE_ROUTER, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, SharedFleetCounters, TargetRegistry,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type RolloutState, type StoreEntry, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { MemberRecord } from '@carobpitch/schema'
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
 import { LiveSettings } from './LiveSettings.js'
 import { MetricsListener } from './MetricsListener.js'
 
@@ -21,6 +21,7 @@
     registration: Registration
     'peer-feed': PeerServer
     'feed-links': PeerLinks
+    'fleet-counters': SharedFleetCounters
     targets: TargetRegistry
     dispatcher: Dispatcher
     rollouts: RolloutManager
@@ -103,6 +104,31 @@
       capacity: settings.capacity === undefined ? undefined : { key: keys.capacity, value: settings.capacity },
       log
     })
+    const fleetSelf = {
+      members: () => cache.members(),
+      capacities: () => cache.capacities(),
+      instanceId: settings.instanceId,
+      failureDomain: settings.failureDomain
+    }
+    const fleetCounters = new SharedFleetCounters({
+      instanceId: settings.instanceId,
+      incarnation: this.incarnation,
+      isNeeded: () => this.needsFleetCounters(),
+      peers: createExchangePeerSelector(fleetSelf),
+      exchange: createFleetExchangeClient(peerLinks),
+      memberCount: () => this.instanceCount(),
+      log
+    })
+    peerServer.mount(FLEET_EXCHANGE_ROUTER, createFleetExchangeRouter(request => fleetCounters.serve(request)))
+    const allowances = new FleetAllowances({
+      counters: fleetCounters,
+      accounts: () => cache.routingTable()?.accounts ?? [],
+      exchangeIntervalMs: () => fleetCounters.intervalMs(),
+      memberCount: () => this.instanceCount(),
+      limits: () => live.current().allowanceLimits,
+      log,
+      registry
+    })
     const targets = new TargetRegistry({ deploymentCache: cache, timer, log })
     const observer: ResponseObserver = { onMisplaced: target => targets.markMisplaced(target), onLeaving: target => targets.markLeaving(target) }
 
@@ -111,7 +137,8 @@
       cacheAgeMs: () => kernel.get('follower').ageMs(),
       services: () => kernel.get('dispatcher').stats(),
       routingTable: () => cache.routingTable(),
-      settings: () => live.status()
+      settings: () => live.status(),
+      fleet: () => fleetCounters.stats()
     })
     const loadProber = new LoadProber({
       protocol: targetProtocol,
@@ -142,7 +169,7 @@
       instanceId: settings.instanceId,
       instanceIds: () => this.servingMembers().map(({ instanceId }) => instanceId),
       deploymentCache: cache,
-      counters: new OwnCounters({ instanceCount: () => this.instanceCount() }),
+      counters: fleetCounters,
       store,
       encode: encodeRollout,
       decode: decodeRecord,
@@ -166,7 +193,7 @@
       roundRobin: routing.roundRobin,
       dispatcher,
       rollouts,
-      allowances: { take: () => Result.ok({ giveBack: () => {} }) },
+      allowances,
       isEligible: target => targets.isEligible(target),
       observer,
       callerProtocol,
@@ -188,12 +215,7 @@
       budget,
       isFleetKnown: () => cache.members().length > 0,
       peerUrls: () => this.peerUrls(),
-      relays: createRelaySelector({
-        members: () => cache.members(),
-        capacities: () => cache.capacities(),
-        instanceId: settings.instanceId,
-        failureDomain: settings.failureDomain
-      }),
+      relays: createRelaySelector(fleetSelf),
       log,
       onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
@@ -217,6 +239,7 @@
     }))
     kernel.register('peer-feed', peerServer)
     kernel.register('feed-links', peerLinks)
+    kernel.register('fleet-counters', fleetCounters)
     kernel.register('targets', targets)
     kernel.register('dispatcher', dispatcher)
     kernel.register('front-metrics', new MetricsListener({ listen: settings.metricsListen, registry, dump: () => kernel.dump() }))
@@ -283,6 +306,13 @@
     return this.isReady() ? [this.ownRecord(), ...others] : others
   }
 
+  /** Whether something in force reads the counters of all instances. */
+  private needsFleetCounters (): boolean {
+    const accounts = this.deploymentCache.routingTable()?.accounts ?? []
+    const hasAllowances = this.liveSettings.current().allowanceLimits !== undefined && accounts.some(({ allowance }) => allowance !== undefined)
+    return hasAllowances || this.kernel.get('rollouts').isRunning()
+  }
+
   private instanceCount (): number {
     return Math.max(1, this.deploymentCache.members().length)
   }
--- a/packages/gateway/src/rollout/RolloutManager.test.ts
+++ b/packages/gateway/src/rollout/RolloutManager.test.ts
@@ -1,6 +1,7 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'chai'
 import { rankByRendezvous } from '@carobpitch/routing'
+import { FakeCounters } from './testing/FakeCounters.js'
 import { RolloutFleet, SERVICE, type FleetInstance } from './testing/RolloutFleet.js'
 
 describe('RolloutManager', () => {
@@ -204,7 +205,7 @@
       await begin()
       const exposed = fleet.state()?.exposedRequests as number
       await fleet.endAll()
-      fleet.counters = Object.assign(Object.create(Object.getPrototypeOf(fleet.counters) as object), fleet.counters, { totals: new Map() }) as typeof fleet.counters
+      fleet.counters = new FakeCounters()
       first = fleet.start('instance-1')
       await play(300)
       // Without a change the record is written each 3 s.
--- a/packages/gateway/src/rollout/RolloutWriter.ts
+++ b/packages/gateway/src/rollout/RolloutWriter.ts
@@ -154,7 +154,7 @@
   }
 
   private situationOf (rollout: ServiceRollout, { order, state, trail, limits }: { order: RolloutOrder, state: RolloutState | undefined, trail: Trail, limits: RolloutLimits }): RolloutSituation {
-    const { counters, targetsOf } = this.options
+    const { counters, targetsOf, instanceIds } = this.options
     const { service } = rollout
     const usable = targetsOf(service).filter(({ isDraining }) => !isDraining)
     const ofNew = usable.filter(({ version }) => version === order.targetVersion)
@@ -166,7 +166,8 @@
       share: state?.share ?? 0,
       shareForMs: performance.now() - rollout.shareSinceMs,
       judgement: trail.judgement,
-      evidenceAgeMs: counters.ageMs(),
+      // An instance alone has all evidence itself.
+      evidenceAgeMs: instanceIds().length > 1 ? counters.ageMs() : 0,
       requests: trail.requestsBefore + counters.total(requestsCounter(service, trail.orderRevision)),
       exposed: trail.exposedBefore + counters.total(exposedCounter(service, trail.orderRevision)),
       newTargets: ofNew.length,
--- a/packages/gateway/src/rollout/judgeVersion.ts
+++ b/packages/gateway/src/rollout/judgeVersion.ts
@@ -6,8 +6,8 @@
 const TRUSTED_BELOW = Math.log(0.05)
 /** Lowest log likelihood ratio; a version that turns bad later must not have an unlimited credit. */
 const RATIO_MIN = 2 * TRUSTED_BELOW
-/** Part of the good answers of the old version that a bad version spoils, at least. */
-const SPOILED_SHARE = 0.4
+/** Part of the good answers of the old version that a bad version spoils, at least; latencies vary more by themselves. */
+const SPOILED_SHARE: Record<Symptom, number> = { failed: 0.3, slow: 0.4 }
 /** Factor and excess by which the share of a good version may differ from that of the old one. */
 const USUAL_FACTOR = 1.25
 const USUAL_EXCESS = 0.02
@@ -66,7 +66,7 @@
   const slow = Math.min(answered, Math.max(0, current.slow - counted.slow))
   const advance = (symptom: Symptom, bad: number, good: number, oldShare: number): SymptomTest => {
     const { ratio, alarm } = previous?.tests[symptom] ?? { ratio: 0, alarm: 0 }
-    const growth = growthOf(bad, good, oldShare)
+    const growth = growthOf(bad, good, oldShare, SPOILED_SHARE[symptom])
     return { ratio: Math.max(RATIO_MIN, ratio + growth), alarm: Math.max(0, alarm + growth) }
   }
   return {
@@ -83,9 +83,9 @@
   return (bad + PRIOR_SHARE[symptom] * PRIOR_ATTEMPTS) / (attempts + PRIOR_ATTEMPTS)
 }
 
-function growthOf (bad: number, good: number, oldShare: number): number {
+function growthOf (bad: number, good: number, oldShare: number, spoiledShare: number): number {
   const usual = Math.min(0.6, oldShare * USUAL_FACTOR + USUAL_EXCESS)
-  const spoiled = usual + SPOILED_SHARE * (1 - usual)
+  const spoiled = usual + spoiledShare * (1 - usual)
   return bad * Math.log(spoiled / usual) + good * Math.log((1 - spoiled) / (1 - usual))
 }
 
--- a/packages/gateway/src/rollout/testing/RolloutFleet.ts
+++ b/packages/gateway/src/rollout/testing/RolloutFleet.ts
@@ -5,12 +5,12 @@
 import type { ChangeStore, StoreEntry, WriteCondition } from '../../deployment/ChangeStore.js'
 import { DeploymentCache } from '../../deployment/DeploymentCache.js'
 import { positionOf } from '../../deployment/storePosition.js'
-import { OwnCounters } from '../../fleet/OwnCounters.js'
 import type { DeploymentRecord } from '../../model/DeploymentRecord.js'
 import type { RoutingTable } from '../../model/Route.js'
 import type { TargetRecord } from '../../model/TargetRecord.js'
 import { RolloutManager } from '../RolloutManager.js'
 import type { RolloutState } from '../RolloutOrder.js'
+import { FakeCounters } from './FakeCounters.js'
 
 /** The only service. */
 export const SERVICE = 'prices' as ServiceName
@@ -36,7 +36,7 @@
   readonly writes: RolloutState[] = []
   /** Instance of each write. */
   readonly writers: string[] = []
-  counters = new OwnCounters({ instanceCount: () => 1 })
+  counters = new FakeCounters()
   limits: { exposureShare: number, exposureSlackRequests: number, rollbackMs: number } | undefined = { exposureShare: 0.1, exposureSlackRequests: 50, rollbackMs: 5_000 }
   private readonly records = new Map<string, StoredValue>()
   private copy: Map<string, StoredValue> | undefined
--- a/packages/platform/src/readSettings.ts
+++ b/packages/platform/src/readSettings.ts
@@ -53,6 +53,10 @@
   'bounds.expose-share': numberSchema.optional(),
   'bounds.expose-slack': numberSchema.optional(),
   'bounds.rollback': durationSchema.optional(),
+  /** Set where the configuration bounds the requests of accounts. */
+  'bounds.quota-window': durationSchema.optional(),
+  'bounds.quota-overshoot': numberSchema.default(0),
+  'bounds.quota-slack': numberSchema.default(0),
   /** Not set by the platform; its deploy file names the port of the metrics endpoint. */
   'metrics.port': numberSchema.default(DEFAULT_METRICS_PORT)
 })
@@ -75,7 +79,7 @@
     leaseMinMs: fields['platform.ttl-min'],
     stopGraceMs: fields['bounds.grace-period'],
     directoryTtlMaxMs: fields['bounds.ttl_max'],
-    allowanceLimits: undefined,
+    allowanceLimits: allowanceLimitsOf(fields),
     rolloutLimits: rolloutLimitsOf(fields),
     probesPerTargetAndS: fields['bounds.probes-per-s'],
     retryLimits: {
@@ -104,6 +108,12 @@
   return { exposureShare, exposureSlackRequests, rollbackMs }
 }
 
+/** Returns the bounds on the requests of an account, or `undefined` if the file has none. */
+function allowanceLimitsOf (fields: Pick<z.infer<typeof settingsSchema>, 'bounds.quota-window' | 'bounds.quota-overshoot' | 'bounds.quota-slack'>): FrontSettings['allowanceLimits'] {
+  const { 'bounds.quota-window': windowMs, 'bounds.quota-overshoot': excessShare, 'bounds.quota-slack': slackRequests } = fields
+  return windowMs === undefined || windowMs === 0 ? undefined : { windowMs, excessShare, slackRequests }
+}
+
 function parseLines (text: string): Record<string, string> {
   const fields: Record<string, string> = {}
   for (const line of text.split('\n')) {
