--- a/packages/gateway/src/rollout/RolloutOrder.ts
+++ b/packages/gateway/src/rollout/RolloutOrder.ts
@@ -30,4 +30,10 @@
   share: number
   /** Time of the order, as Unix time in milliseconds by the clock of the instance that saw it first. */
   orderedAtEpochMs: number
+  /** Versions other than the target version that get no requests: those of failed or unfinished roll-outs, and after `completed` the old ones. */
+  barredVersions: TargetVersion[]
+  /** Requests of the service since the order, as counted at the write; a restart of all instances loses the counters. */
+  requests: number
+  /** Those that the new version received. */
+  exposedRequests: number
 }
