Decide admission by the counters of all instances

The front program hands the fleet's counters to admission and to steering, and exchanges them where requests may have to give way.

--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -167,6 +167,7 @@
       retryLimits: () => live.current().retryLimits,
       instanceCount: () => this.instanceCount(),
       admission: {
+        counters: fleetCounters,
         routingTable: () => cache.routingTable(),
         onTurnAway: ({ service, priority }) => metrics.recordTurnedAway(service, priority),
         log
@@ -235,7 +236,8 @@
     const steering = new CallerSteering({
       routingTable: () => cache.routingTable(),
       capacities: () => cache.capacities(),
-      processingMs: () => processingMeter.processingMs()
+      processingMs: () => processingMeter.processingMs(),
+      counters: fleetCounters
     })
     kernel.register('caller-steering', { dump: () => steering.dump() })
     kernel.register('directory', new Directory({
@@ -318,7 +320,7 @@
   private needsFleetCounters (): boolean {
     const accounts = this.deploymentCache.routingTable()?.accounts ?? []
     const hasAllowances = this.liveSettings.current().allowanceLimits !== undefined && accounts.some(({ allowance }) => allowance !== undefined)
-    return hasAllowances || this.kernel.get('rollouts').isRunning()
+    return hasAllowances || this.kernel.get('dispatcher').isRoomContested() || this.kernel.get('rollouts').isRunning()
   }
 
   private instanceCount (): number {
--- a/packages/gateway/src/admission/Admission.ts
+++ b/packages/gateway/src/admission/Admission.ts
@@ -10,6 +10,7 @@
 
 /** Age up to which a report tells how many slots of a target are free. */
 const REPORT_FRESH_MS = 250
+const NO_CLAIMANTS: ReadonlyMap<ServiceName, ServiceClaimants> = new Map()
 
 /**
  * Options of `Admission`.
@@ -53,6 +54,11 @@
     return refusal
   }
 
+  /** Whether requests of the configuration in force may have to give way to others, so that the sums over all instances are needed. */
+  isNeeded (): boolean {
+    return this.claimantsByService().size > 0
+  }
+
   dump (service: ServiceName): unknown {
     return this.services.get(service)?.dump()
   }
@@ -79,10 +85,14 @@
 
   /** `undefined` for a service at which nobody can give way to anybody. */
   private claimantsOf (service: ServiceName): ServiceClaimants | undefined {
+    return this.claimantsByService().get(service)
+  }
+
+  private claimantsByService (): ReadonlyMap<ServiceName, ServiceClaimants> {
     const table = this.options.routingTable()
-    if (table === undefined) return undefined
+    if (table === undefined) return NO_CLAIMANTS
     if (this.claimants?.table !== table) this.claimants = { table, byService: findClaimants(table) }
-    return this.claimants.byService.get(service)
+    return this.claimants.byService
   }
 }
 
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -80,6 +80,11 @@
     return this.budgetOf(service).tryTake()
   }
 
+  /** Whether requests may have to give way to others, so that the sums over all instances are needed. */
+  isRoomContested (): boolean {
+    return this.admission?.isNeeded() === true
+  }
+
   /** Current statistics of each service, for the metrics. */
   stats (): ServiceStats[] {
     return [...this.services].map(([service, dispatcher]) => ({ service, waiting: dispatcher.waitingCount(), retriesLeft: this.budgetOf(service).remaining() }))
