--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,7 +1,7 @@
 import type { Registry } from 'prom-client'
 import {
   BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createExchangePeerSelector, createFleetExchangeClient, createFleetExchangeRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FleetAllowances, FLEET_EXCHANGE_ROUTER, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, SharedFleetCounters, TargetRegistry,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, SharedFleetCounters, TargetRegistry, WorkEstimator,
   type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type RolloutState, type StoreEntry, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
@@ -16,6 +16,7 @@
   interface ServiceMap {
     settings: LiveSettings
     knowledge: { dump(): unknown }
+    'caller-steering': { dump(): unknown }
     follower: DeploymentWatcher
     'member-lease': LeaseKeeper
     registration: Registration
@@ -162,8 +163,14 @@
       registry: targets,
       prober: loadProber,
       coldLimiter: coldRequestLimiter,
+      work: new WorkEstimator(),
       retryLimits: () => live.current().retryLimits,
-      instanceCount: () => this.instanceCount()
+      instanceCount: () => this.instanceCount(),
+      admission: {
+        routingTable: () => cache.routingTable(),
+        onTurnAway: ({ service, priority }) => metrics.recordTurnedAway(service, priority),
+        log
+      }
     })
     const rollouts = new RolloutManager({
       instanceId: settings.instanceId,
@@ -230,6 +237,7 @@
       capacities: () => cache.capacities(),
       processingMs: () => processingMeter.processingMs()
     })
+    kernel.register('caller-steering', { dump: () => steering.dump() })
     kernel.register('directory', new Directory({
       listen: settings.directoryListen,
       protocol: callerProtocol,
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -6,7 +6,7 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
-/** Number of priorities of accounts that have their own label. */
+/** Number of priorities that have their own label, so that a configuration cannot add any number of them. */
 const PRIORITIES_LABELLED_MAX = 20
 
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
@@ -55,6 +55,7 @@
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
   private readonly labelledPriorities = new Set<number>()
+  private readonly turnedAway: Counter
 
   constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings, fleet }: FrontMetricsSources) {
     const registers = [registry]
@@ -110,6 +111,7 @@
       }
     })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
+    this.turnedAway = new Counter({ name: 'carobpitch_front_turned_away_total', help: 'Requests that were refused at their arrival because of too little room or time.', labelNames: ['service', 'priority'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
 
@@ -121,9 +123,7 @@
 
   /** Counts a request of a client account that has ended. */
   recordAccountRequest ({ priority, outcome, verdict }: { priority: number, outcome: string, verdict: Verdict }): void {
-    const { labelledPriorities } = this
-    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
-    this.accountRequests.inc({ priority: labelledPriorities.has(priority) ? String(priority) : 'other', outcome, verdict })
+    this.accountRequests.inc({ priority: this.priorityLabel(priority), outcome, verdict })
   }
 
   /** Counts an attempt at a target. */
@@ -142,8 +142,19 @@
     this.coldRequests.inc({ service })
   }
 
+  /** Counts a request that was refused at its arrival because of too little room or time. */
+  recordTurnedAway (service: ServiceName, priority: number): void {
+    this.turnedAway.inc({ service, priority: this.priorityLabel(priority) })
+  }
+
   /** Adds a wait on the way of the deployment's records to this instance. */
   recordPropagationWait (step: PropagationStep, elapsedMs: number): void {
     this.propagationWaits.inc({ step }, elapsedMs / 1_000)
   }
+
+  private priorityLabel (priority: number): string {
+    const { labelledPriorities } = this
+    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
+    return labelledPriorities.has(priority) ? String(priority) : 'other'
+  }
 }
