--- a/packages/gateway/src/accounts/AllowanceGate.ts
+++ b/packages/gateway/src/accounts/AllowanceGate.ts
@@ -24,6 +24,9 @@
  * @public
  */
 export interface AllowanceGate {
-  /** Counts a request that is about to be served. */
-  take (account: ClientAccount): Result<AllowanceTicket, AllowanceRefusal>
+  /**
+   * Counts a request that is about to be served.
+   * @param urgency priority of its route; 0 is the most urgent. Less urgent requests of an account give way first.
+   */
+  take (account: ClientAccount, urgency: number): Result<AllowanceTicket, AllowanceRefusal>
 }
--- a/packages/gateway/src/accounts/FleetAllowances.test.ts
+++ b/packages/gateway/src/accounts/FleetAllowances.test.ts
@@ -120,11 +120,28 @@
     expect(load.admittedAtMs.filter(atMs => atMs > raisedAtMs).length).to.be.at.most(150)
   })
 
+  it('answers a flood of all kinds of requests of an account: the most urgent ones are all served, and the least urgent ones give way', async () => {
+    const load = await inForce(40)
+    await send(load, 0.5, 4_000)
+    load.urgencies = [0, 1, 1, 1, 1, 2]
+    await send(load, 4, 3_000)
+    load.byUrgency.clear()
+    await send(load, 4, 8_000)
+    const share = (urgency: number): number => {
+      const { admitted = 0, refused = 0 } = load.byUrgency.get(urgency) ?? {}
+      return admitted / (admitted + refused)
+    }
+    expect(share(0)).to.be.at.least(0.95)
+    expect(share(1)).to.be.within(0.05, 0.4)
+    expect(share(2)).to.be.at.most(0.05)
+    expect(load.largestSum(WINDOW_MS)).to.be.at.most(boundOf(40))
+  })
+
   it('gives back what has not run, once', async () => {
     const load = await inForce(10)
     const { allowances } = fleet.instances[0] as JoinedInstance
     for (let index = 0; index < 100; index++) {
-      const ticket = allowances.take(load.account).unwrapOr(undefined)
+      const ticket = allowances.take(load.account, 1).unwrapOr(undefined)
       ticket?.giveBack()
       ticket?.giveBack()
       await clock.tickAsync(200)
@@ -139,10 +156,10 @@
     const load = await inForce(10)
     const { allowances } = fleet.instances[0] as JoinedInstance
     const waitsMs: number[] = []
-    for (let index = 0; index < 60; index++) allowances.take(load.account).mapErr(({ retryAfterMs }) => waitsMs.push(retryAfterMs))
+    for (let index = 0; index < 60; index++) allowances.take(load.account, 1).mapErr(({ retryAfterMs }) => waitsMs.push(retryAfterMs))
     expect(waitsMs[0]).to.be.at.most(1_000)
     expect(waitsMs.at(-1)).to.be.within(waitsMs[0] as number, WINDOW_MS)
     await clock.tickAsync(waitsMs.at(-1) as number)
-    expect(allowances.take(load.account).isOk).to.equal(true)
+    expect(allowances.take(load.account, 1).isOk).to.equal(true)
   })
 })
--- a/packages/gateway/src/accounts/FleetAllowances.ts
+++ b/packages/gateway/src/accounts/FleetAllowances.ts
@@ -7,7 +7,7 @@
 import type { AllowanceLimits } from '../model/FrontSettings.js'
 import type { AllowanceGate, AllowanceRefusal, AllowanceTicket } from './AllowanceGate.js'
 import type { AccountAllowance, ClientAccount } from './ClientAccount.js'
-import { creditMax, decideAllowance, updateCredit, type AllowanceCredit } from './allowanceDecision.js'
+import { admittedAllowance, creditMax, decideAllowance, updateCredit, type AllowanceCredit } from './allowanceDecision.js'
 
 /** Exchanges until what is admitted here is known everywhere: to a reader, to another one, to its followers. */
 const EXCHANGES_UNTIL_KNOWN = 3
@@ -22,6 +22,8 @@
 /** Accounts that the metrics name; the others are summed. */
 const ACCOUNTS_IN_METRICS = 20
 const OTHER_ACCOUNTS = 'others'
+/** Levels of urgency that an account's requests are counted by; the least urgent ones share the last. */
+const URGENCY_LEVELS = 8
 
 const NO_TICKET: AllowanceTicket = { giveBack: () => {} }
 
@@ -47,7 +49,9 @@
 interface AccountState {
   name: AccountName
   allowance: AccountAllowance
-  counterNames: { asked: string, admitted: string, returned: string }
+  counterNames: { asked: readonly string[], admitted: string, returned: string }
+  /** Part of a request that is admitted next, between 0 and 1, by urgency. */
+  fractions: number[]
   credit: AllowanceCredit
   /** Time at which the account was last in force. */
   usedAtMs: number
@@ -82,18 +86,31 @@
     })
   }
 
-  take ({ name, allowance }: ClientAccount): Result<AllowanceTicket, AllowanceRefusal> {
+  take ({ name, allowance: granted }: ClientAccount, urgency: number): Result<AllowanceTicket, AllowanceRefusal> {
     const limits = this.options.limits()
-    if (allowance === undefined || limits === undefined) return Result.ok(NO_TICKET)
+    if (granted === undefined || limits === undefined) return Result.ok(NO_TICKET)
     const { counters, exchangeIntervalMs } = this.options
+    const allowance = admittedAllowance(granted, limits)
     const state = this.stateOf(name, allowance)
-    const { credit, counterNames } = state
-    counters.add(counterNames.asked, 1)
+    const { credit, counterNames, fractions } = state
+    const level = levelOf(urgency)
+    counters.add(counterNames.asked[level] as string, 1)
     this.update(state, limits)
-    const decision = decideAllowance(credit, { allowance, askedPerS: counters.ratePerS(counterNames.asked), horizonMs: EXCHANGES_UNTIL_KNOWN * exchangeIntervalMs() })
-    if (decision.kind === 'refuse') {
-      this.recordRefusal(state)
-      return Result.err({ retryAfterMs: Math.min(limits.windowMs, decision.retryAfterMs) })
+    const askedByLevel = counterNames.asked.map(counter => counters.ratePerS(counter))
+    const decision = decideAllowance(credit, {
+      allowance,
+      askedPerS: sumOf(askedByLevel),
+      moreUrgentPerS: sumOf(askedByLevel.slice(0, level)),
+      asUrgentPerS: askedByLevel[level] as number,
+      horizonMs: EXCHANGES_UNTIL_KNOWN * exchangeIntervalMs()
+    })
+    if (decision.kind === 'admit-share') {
+      const fraction = (fractions[level] as number) + decision.share
+      fractions[level] = fraction % 1
+      if (fraction < 1) {
+        this.recordRefusal(state)
+        return Result.err({ retryAfterMs: Math.min(limits.windowMs, decision.retryAfterMs) })
+      }
     }
     counters.add(counterNames.admitted, 1)
     return Result.ok(this.createTicket(counterNames.returned))
@@ -117,10 +134,11 @@
     }
     const now = performance.now()
     const knownShare = this.knownShare()
-    const counterNames = { asked: `account/${name}/asked`, admitted: `account/${name}/admitted`, returned: `account/${name}/returned` }
+    const counterNames = { asked: Array.from({ length: URGENCY_LEVELS }, (_, level) => `account/${name}/asked/${level}`), admitted: `account/${name}/admitted`, returned: `account/${name}/returned` }
     const requests = now - this.startedAtMs < START_MS ? 1 : creditMax(allowance.burstRequests, knownShare)
-    const credit = { requests, admitted: this.admitted(counterNames), leftToOthers: 0, knownShare, updatedAtMs: now, fraction: this.options.random() }
-    const state: AccountState = { name, allowance, counterNames, credit, usedAtMs: now, excess: undefined }
+    const credit = { requests, admitted: this.admitted(counterNames), leftToOthers: 0, knownShare, updatedAtMs: now }
+    const fractions = counterNames.asked.map(() => this.options.random())
+    const state: AccountState = { name, allowance, counterNames, fractions, credit, usedAtMs: now, excess: undefined }
     this.states.set(name, state)
     return state
   }
@@ -143,7 +161,7 @@
     const now = performance.now()
     if (limits === undefined || now - this.refreshedAtMs < REFRESH_MS) return
     this.refreshedAtMs = now
-    for (const { name, allowance } of this.options.accounts()) if (allowance !== undefined) this.stateOf(name, allowance).usedAtMs = now
+    for (const { name, allowance } of this.options.accounts()) if (allowance !== undefined) this.stateOf(name, admittedAllowance(allowance, limits)).usedAtMs = now
     for (const state of this.states.values()) {
       this.update(state, limits)
       if (state.excess !== undefined && now - state.excess.refusedAtMs > CALM_MS) this.endExcess(state)
@@ -172,7 +190,7 @@
     const { counters } = this.options
     return {
       allowedPerS: allowance.requestsPerS,
-      askedPerS: Math.round(10 * counters.ratePerS(counterNames.asked)) / 10,
+      askedPerS: Math.round(10 * sumOf(counterNames.asked.map(counter => counters.ratePerS(counter)))) / 10,
       creditRequests: Math.round(10 * credit.requests) / 10,
       knownShare: Math.round(100 * credit.knownShare) / 100,
       ageMs: Math.round(counters.ageMs())
@@ -185,3 +203,11 @@
     return [...ranked.slice(0, ACCOUNTS_IN_METRICS), ...(others > 0 ? [[OTHER_ACCOUNTS, others] as [string, number]] : [])]
   }
 }
+
+function levelOf (urgency: number): number {
+  return Math.min(URGENCY_LEVELS - 1, Math.max(0, Math.floor(urgency)))
+}
+
+function sumOf (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0)
+}
--- a/packages/gateway/src/accounts/admitCaller.ts
+++ b/packages/gateway/src/accounts/admitCaller.ts
@@ -32,15 +32,17 @@
   /** Returns the key that the request carries, if any. */
   readKey: () => string | undefined
   isPublicRoute: boolean
+  /** Priority of the request's route. */
+  urgency: number
 }
 
 /** Finds the account of a request and counts it towards the account's allowance. @internal */
-export function admitCaller ({ accounts, allowances, readKey, isPublicRoute }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
+export function admitCaller ({ accounts, allowances, readKey, isPublicRoute, urgency }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
   if (accounts === undefined) return Result.ok({})
   const owner = accounts.ownerOf(readKey())
   if (owner.kind === 'account') {
     const { account } = owner
-    return allowances.take(account)
+    return allowances.take(account, urgency)
       .map((ticket): AdmittedCaller => ({ account, ticket }))
       .mapErr(({ retryAfterMs }): RejectedCaller => ({ reason: 'over-allowance', retryAfterMs }))
   }
--- a/packages/gateway/src/accounts/allowanceDecision.ts
+++ b/packages/gateway/src/accounts/allowanceDecision.ts
@@ -1,5 +1,9 @@
+import type { AllowanceLimits } from '../model/FrontSettings.js'
 import type { AccountAllowance } from './ClientAccount.js'
 
+/** Share of the tolerated excess that is used; the rest covers cuts between instances, in which each part is asked for the whole. */
+const USED_EXCESS_SHARE = 0.3
+
 /**
  * Credit of an account, as one instance knows it.
  * @internal
@@ -14,8 +18,6 @@
   /** Share of the instances that were in touch at the last update. */
   knownShare: number
   updatedAtMs: number
-  /** Part of a request that is admitted next, between 0 and 1. */
-  fraction: number
 }
 
 /**
@@ -65,34 +67,45 @@
   allowance: AccountAllowance
   /** Requests per second of all known instances, admitted or not. */
   askedPerS: number
+  /** The part of these that is more urgent than the request, and the part that is as urgent. */
+  moreUrgentPerS: number
+  asUrgentPerS: number
   /** Time until what is admitted here shows in the decisions of the other instances. */
   horizonMs: number
 }
 
 /**
- * Whether a request is admitted.
+ * Whether a request is admitted. Less than all of those that are as urgent may be.
  * @internal
  */
 export type AllowanceDecision =
   | { kind: 'admit' }
-  | { kind: 'refuse', retryAfterMs: number }
+  | { kind: 'admit-share', share: number, retryAfterMs: number }
 
 /**
  * Decides on one request. While the credit covers what all instances may admit until they learn of each other, everything is admitted;
  * otherwise each instance admits the same share of its own requests, so that the sum is right wherever they arrive. Answers an account
- * that sends a multiple of its allowance to many instances, of which none sees more than a few requests.
+ * that sends a multiple of its allowance to many instances, of which none sees more than a few requests. What the allowance has room for
+ * goes to the account's most urgent requests first.
  * @internal
  */
-export function decideAllowance (credit: AllowanceCredit, { allowance: { requestsPerS }, askedPerS, horizonMs }: AllowanceDemand): AllowanceDecision {
+export function decideAllowance (credit: AllowanceCredit, { allowance: { requestsPerS }, askedPerS, moreUrgentPerS, asUrgentPerS, horizonMs }: AllowanceDemand): AllowanceDecision {
   const horizonS = horizonMs / 1_000
   const ratePerS = requestsPerS * credit.knownShare
   const expected = Math.max(1, askedPerS * horizonS)
   const room = credit.requests + ratePerS * horizonS
   if (room >= expected) return { kind: 'admit' }
-  credit.fraction += Math.max(0, room) / expected
-  if (credit.fraction >= 1) {
-    credit.fraction -= 1
-    return { kind: 'admit' }
-  }
-  return { kind: 'refuse', retryAfterMs: (expected - room) * 1_000 / ratePerS }
+  const share = (room - moreUrgentPerS * horizonS) / Math.max(1, asUrgentPerS * horizonS)
+  if (share >= 1) return { kind: 'admit' }
+  return { kind: 'admit-share', share: Math.max(0, share), retryAfterMs: (expected - room) * 1_000 / ratePerS }
+}
+
+/**
+ * Allowance by which instances admit requests: a part of the tolerated excess is used, so that none within the allowance is refused only
+ * because the instances learn of each other with a delay.
+ * @internal
+ */
+export function admittedAllowance ({ requestsPerS, burstRequests }: AccountAllowance, { excessShare, slackRequests }: AllowanceLimits): AccountAllowance {
+  const factor = 1 + excessShare * USED_EXCESS_SHARE
+  return { requestsPerS: requestsPerS * factor, burstRequests: burstRequests * factor + slackRequests * USED_EXCESS_SHARE }
 }
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -189,7 +189,7 @@
       this.finish('unreadable-route')
       return
     }
-    const caller = admitCaller({ accounts, allowances, readKey: () => callerProtocol.readAccountKey(this.request.headers), isPublicRoute: route.isPublic })
+    const caller = admitCaller({ accounts, allowances, readKey: () => callerProtocol.readAccountKey(this.request.headers), isPublicRoute: route.isPublic, urgency: route.priority })
     if (caller.isErr) {
       this.finish(caller.error.reason, caller.error.retryAfterMs)
       return
--- a/packages/gateway/src/fleet/testing/JoinedFleet.ts
+++ b/packages/gateway/src/fleet/testing/JoinedFleet.ts
@@ -93,8 +93,13 @@
 export class AccountLoad {
   readonly admittedAtMs: number[] = []
   readonly refusedAtMs: number[] = []
+  /** Requests admitted and refused by urgency. */
+  readonly byUrgency = new Map<number, { admitted: number, refused: number }>()
+  /** Urgencies of the requests, in turn. */
+  urgencies: readonly number[] = [1]
   readonly account: ClientAccount
   private due = 0
+  private sent = 0
 
   constructor (requestsPerS: number, name = 'tours') {
     this.account = { name: name as AccountName, keyDigests: [], priority: undefined, allowance: { requestsPerS, burstRequests: requestsPerS } }
@@ -104,8 +109,12 @@
   send (perS: number, stepMs: number, pick: () => JoinedInstance): void {
     this.due += perS * stepMs / 1_000
     for (; this.due >= 1; this.due -= 1) {
-      const isAdmitted = pick().allowances.take(this.account).isOk;
-      (isAdmitted ? this.admittedAtMs : this.refusedAtMs).push(performance.now())
+      const urgency = this.urgencies[this.sent++ % this.urgencies.length] as number
+      const isAdmitted = pick().allowances.take(this.account, urgency).isOk
+      const counts = this.byUrgency.get(urgency) ?? { admitted: 0, refused: 0 }
+      this.byUrgency.set(urgency, counts)
+      counts[isAdmitted ? 'admitted' : 'refused'] += 1
+      ;(isAdmitted ? this.admittedAtMs : this.refusedAtMs).push(performance.now())
     }
   }
 
