Answer the requests of one caller in order without one costing the others

What callers saw: when the first answer of several GETs on a connection broke off after 256 KiB, the connection ended and with it answers to GETs that targets had already run; when a caller left while answers waited in its connection, targets worked on, because Node stops reading a connection in which over 64 KiB wait. Behind an answer that is streamed, requests are read but not passed on.

--- a/packages/gateway/src/edge/BufferedResponse.ts
+++ b/packages/gateway/src/edge/BufferedResponse.ts
@@ -1,8 +1,8 @@
 import { ByteCollector } from '@carobpitch/kernel'
 import type { ResponseHead } from '@carobpitch/proxy'
 
-/** Largest response that is buffered until it is complete, so that a broken one can be retried. */
-const BUFFERED_MAX_BYTES = 262_144
+/** Largest response that is always buffered until it is complete, so that a broken one can be retried. @internal */
+export const BUFFERED_MAX_BYTES = 262_144
 
 /**
  * Buffers a target's response while it arrives.
@@ -22,6 +22,11 @@
     return this.body.sizeBytes <= BUFFERED_MAX_BYTES
   }
 
+  /** Size of what has been buffered. */
+  sizeBytes (): number {
+    return this.body.sizeBytes
+  }
+
   /** Returns the buffered body and clears the buffer. */
   take (): Buffer {
     return this.body.take()
--- a/packages/gateway/src/edge/CallerAnswer.ts
+++ b/packages/gateway/src/edge/CallerAnswer.ts
@@ -11,17 +11,24 @@
   response: ServerResponse
   /** Decides whether the response closes the connection. Called once, when the head is written. */
   decideClose: () => boolean
-  /** Called when a target's response may continue after `write` has returned `false`. */
+  /** Whether all earlier responses of the connection have been sent. */
+  isFirst: () => boolean
+  /** Calls back when that is so; a further call takes the place of the last one. */
+  whenFirst: (callback: () => void) => void
+  /** Called when a target's response may continue after `write` or `beginStreaming` has returned `false`. */
   onRoom: () => void
 }
 
 /**
- * Writes the response to one request: a target's as a whole or while it arrives, or one of the gateway's own.
+ * Writes the response to one request: a target's as a whole or while it arrives, or one of the gateway's own. It waits for the responses
+ * before it here, because Node stops reading a connection, and does not see its end, while much waits in it.
  * @internal
  */
 export class CallerAnswer {
   private readonly options: CallerAnswerOptions
   private writer: BlockWriter | undefined
+  /** Beginning of a response that is streamed when it is its turn. */
+  private held: BufferedResponse | undefined
 
   constructor (options: CallerAnswerOptions) {
     this.options = options
@@ -38,20 +45,30 @@
     const body = buffered.take()
     const headers = head.forwarded
     if (head.framing.kind !== 'length' && head.framing.kind !== 'no-body') headers.push('content-length', String(body.length))
-    this.writeHead(head.status, headers)
-    this.options.response.end(body)
+    this.write(head.status, headers, body)
   }
 
-  /** Writes what has arrived of a response; `write` and `end` follow. */
-  beginStreaming (buffered: BufferedResponse): void {
-    const { response, onRoom } = this.options
-    this.writeHead(buffered.head.status, buffered.head.forwarded)
-    this.writer = new BlockWriter({ destination: response, onRoom })
-    this.writer.write(buffered.take())
+  /**
+   * Writes what has arrived of a response, so that `writeMore` and `end` follow. Returns `false` if it is not its turn; its target then has to
+   * pause until `onRoom` is called. May be called again with the same response.
+   */
+  beginStreaming (buffered: BufferedResponse): boolean {
+    if (this.options.isFirst()) {
+      this.stream(buffered)
+      return true
+    }
+    if (this.held !== buffered) this.options.whenFirst(() => this.continueHeld(buffered))
+    this.held = buffered
+    return false
+  }
+
+  /** Forgets a response whose streaming has not begun. */
+  forgetHeld (): void {
+    this.held = undefined
   }
 
   /** Writes a chunk of a response that is streamed. Returns `false` if its target has to pause until `onRoom` is called. */
-  write (chunk: Buffer): boolean {
+  writeMore (chunk: Buffer): boolean {
     return this.writer?.write(chunk) ?? true
   }
 
@@ -68,8 +85,32 @@
   /** Writes a response of the gateway itself. */
   writeLocal (options: LocalReplyOptions): void {
     const { headers, body } = localReply(options)
-    this.writeHead(options.status, headers)
-    this.options.response.end(body)
+    this.write(options.status, headers, body)
+  }
+
+  private write (status: number, headers: string[], body: Buffer | string): void {
+    const { response, whenFirst } = this.options
+    this.held = undefined
+    whenFirst(() => {
+      if (response.destroyed) return
+      this.writeHead(status, headers)
+      response.end(body)
+    })
+  }
+
+  private continueHeld (buffered: BufferedResponse): void {
+    const { response, onRoom } = this.options
+    if (this.held !== buffered || response.destroyed) return
+    this.held = undefined
+    this.stream(buffered)
+    onRoom()
+  }
+
+  private stream (buffered: BufferedResponse): void {
+    const { response, onRoom } = this.options
+    this.writeHead(buffered.head.status, buffered.head.forwarded)
+    this.writer = new BlockWriter({ destination: response, onRoom })
+    this.writer.write(buffered.take())
   }
 
   private writeHead (status: number, headers: string[]): void {
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -8,6 +8,7 @@
 import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import { createAttempt } from '../targets/createAttempt.js'
+import { AnswerMemory } from './AnswerMemory.js'
 import { BufferedResponse } from './BufferedResponse.js'
 import { CallerAnswer } from './CallerAnswer.js'
 import { logEnd, logFailedAttempt, logSend, type LoggedRequest } from './exchangeLog.js'
@@ -61,6 +62,7 @@
   private sends = 0
   private verdict: Verdict = 'not-run'
   private readonly answer: CallerAnswer
+  private readonly answerMemory: AnswerMemory
   /** Complete failure of a target, for the caller if nothing better comes. */
   private readyFailure: ReadyFailure | undefined
   private hasEnded = false
@@ -75,7 +77,14 @@
     this.request = request
     this.response = response
     this.onClosed = onClosed
-    this.answer = new CallerAnswer({ response, decideClose: () => connection.decideClose(this), onRoom: () => this.running?.attempt.resume() })
+    this.answer = new CallerAnswer({
+      response,
+      decideClose: () => connection.decideClose(this),
+      isFirst: () => connection.isFirst(this),
+      whenFirst: callback => connection.whenFirst(this, callback),
+      onRoom: () => this.running?.attempt.resume()
+    })
+    this.answerMemory = new AnswerMemory(context.bodyMemory)
     this.requestId = context.callerProtocol.readFacts(request.headers).requestId ?? randomUUID()
   }
 
@@ -96,6 +105,7 @@
   /** @internal */
   handleClose (endedBy: ConnectionEndedBy): void {
     this.onClosed()
+    this.answerMemory.release()
     if (this.hasEnded) return
     this.countRunningAttempt()
     this.recordEnd(endedBy === 'caller' ? 'cancelled' : 'connection-closed', undefined)
@@ -110,6 +120,11 @@
     running?.attempt.cancel('cancelled', 'cancelled')
   }
 
+  /** @internal */
+  isStreaming (): boolean {
+    return this.answer.isStreaming()
+  }
+
   /** @internal */
   needsCaller (): boolean {
     return this.running?.attempt.headWrittenAtMs === undefined || this.matchedRoute?.isIdempotent === true
@@ -139,9 +154,10 @@
   takeData (chunk: Buffer): boolean {
     const { buffered } = this.running ?? {}
     if (buffered === undefined || this.hasEnded) return true
-    if (this.answer.isStreaming()) return this.answer.write(chunk)
-    if (!buffered.add(chunk)) this.answer.beginStreaming(buffered)
-    return true
+    if (this.answer.isStreaming()) return this.answer.writeMore(chunk)
+    if (buffered.add(chunk)) return true
+    if (this.connection.mustStayWhole(this) && this.answerMemory.hasRoomFor(buffered.sizeBytes())) return true
+    return this.answer.beginStreaming(buffered)
   }
 
   /** @internal */
@@ -149,6 +165,7 @@
     const { running } = this
     if (running === undefined) return
     this.running = undefined
+    this.answer.forgetHeld()
     const { target } = running.grant
     const elapsedMs = performance.now() - running.startedAtMs
     target.connections.release(running.client, { isReusable: result.isReusable, refusedRequestId: result.verdict === 'not-run' ? this.requestId : undefined })
--- a/packages/proxy/src/CallerConnection.ts
+++ b/packages/proxy/src/CallerConnection.ts
@@ -40,6 +40,8 @@
   failRequest(reason: Reason): void
   /** Whether the request is of no use to anybody once its caller has left. */
   needsCaller(): boolean
+  /** Whether the head of the response has been written while its body still arrives, so that a break of it ends the connection. */
+  isStreaming?(): boolean
   /** Called once when the response has been sent or the connection has closed. */
   handleClose(endedBy: ConnectionEndedBy): void
 }
@@ -64,13 +66,14 @@
 
 /**
  * The life of a caller's connection. Requests are served in the order in which they were read, one after the other unless all of them
- * are safe. The connection ends behind the response to the last request that was admitted; what is read after that is not served.
+ * are safe. Behind a response that is streamed, requests wait, because they would be lost with it. The connection ends behind the response to the last request that was admitted; what is read after that is not served.
  * @public
  */
 export class CallerConnection {
   private readonly options: CallerConnectionOptions
   private readonly exchanges: ConnectionExchange[] = []
   private readonly turnCallbacks = new Map<ConnectionExchange, () => void>()
+  private readonly firstCallbacks = new Map<ConnectionExchange, () => void>()
   private stage: Stage = 'open'
   /** Whether the last response has been sent. */
   private isEnding = false
@@ -116,7 +119,25 @@
   /** Whether all earlier requests have been answered, or may be served in parallel. */
   isDue (exchange: ConnectionExchange): boolean {
     const index = this.exchanges.indexOf(exchange)
-    return index === 0 || this.exchanges.slice(0, index + 1).every(({ request }) => SAFE_METHODS.has(request.method))
+    return index === 0 || this.exchanges.slice(0, index + 1).every(other => SAFE_METHODS.has(other.request.method) && (other === exchange || other.isStreaming?.() !== true))
+  }
+
+  /** Whether a response should not be streamed: it is not its turn, or a break of it would end the responses to requests behind it that are served. */
+  mustStayWhole (exchange: ConnectionExchange): boolean {
+    const next = this.exchanges[this.exchanges.indexOf(exchange) + 1]
+    return !this.isFirst(exchange) || (next !== undefined && this.isDue(next))
+  }
+
+  /** Whether all earlier responses have been sent. */
+  isFirst (exchange: ConnectionExchange): boolean {
+    return this.exchanges[0] === exchange
+  }
+
+  /** Calls back when all earlier responses have been sent, at once if they are. A further call for a request takes the place of the last one. */
+  whenFirst (exchange: ConnectionExchange, callback: () => void): void {
+    this.firstCallbacks.delete(exchange)
+    if (this.isFirst(exchange)) callback()
+    else if (this.exchanges.includes(exchange)) this.firstCallbacks.set(exchange, callback)
   }
 
   /** Calls back when it is the request's turn, at once if it is. */
@@ -213,13 +234,23 @@
     if (index < 0) return
     this.exchanges.splice(index, 1)
     this.turnCallbacks.delete(exchange)
+    this.firstCallbacks.delete(exchange)
     exchange.handleClose(this.hasCallerEnded ? 'caller' : 'instance')
     if (this.isEnding) return
     if (!exchange.request.complete) this.discardBody(exchange.request)
     if (this.exchanges.length === 0 && this.stage === 'closed') this.endAndLinger()
+    this.answerFirst()
     for (const waiting of [...this.turnCallbacks.keys()]) this.startIfDue(waiting)
   }
 
+  private answerFirst (): void {
+    const [first] = this.exchanges
+    const callback = first && this.firstCallbacks.get(first)
+    if (first === undefined || callback === undefined) return
+    this.firstCallbacks.delete(first)
+    callback()
+  }
+
   private startIfDue (exchange: ConnectionExchange): void {
     const callback = this.turnCallbacks.get(exchange)
     if (callback === undefined || !this.isDue(exchange)) return
