--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -73,6 +73,8 @@
   private polls = 0
   private readonly arrivalGapMs = new LearnedMean()
   private lastArrivalAtMs: number | undefined
+  /** Targets that have not answered the last question about their load. */
+  private readonly silent = new WeakSet<GatewayTarget>()
 
   constructor (options: ServiceDispatcherOptions) {
     this.options = options
@@ -141,7 +143,8 @@
       finishMs: Math.min(...this.waiters.map(({ workMs }) => workMs)) * this.work.unknownSlowdown(this.options.service),
       slots: PROBED_TARGETS * (targets[0]?.record.slots ?? 1),
       slackMs: this.leastSlackMs(nowMs),
-      decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0))
+      decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0)),
+      unprobedInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => arrivedAtMs + unprobedAfterMs(objectiveMs, workMs) - nowMs).filter(ms => ms > 0))
     })
     this.polls += 1
     await new Promise<void>(resolve => {
@@ -196,7 +199,9 @@
       let hasRoom = false
       const ask = async (target: GatewayTarget): Promise<void> => {
         const wasFresh = target.reportAgeMs() <= freshMs
+        this.silent.add(target)
         const isFresh = await this.options.prober.refreshReport(target, freshMs)
+        if (isFresh) this.silent.delete(target)
         pending -= 1
         const report = target.report()
         if (isFresh && !wasFresh && report !== undefined) this.work.recordSlowdown(this.options.service, report.slowdown)
@@ -297,6 +302,7 @@
       isHealthy: target.report()?.isHealthy !== false,
       isBackingOff: target.failures.isBackingOff(),
       isCold: target.isCold(),
+      isSilent: this.silent.has(target),
       isConnected: target.connections.hasIdle(),
       refusedShare: target.refusals.share()
     }
--- a/packages/gateway/src/dispatch/place.ts
+++ b/packages/gateway/src/dispatch/place.ts
@@ -28,6 +28,8 @@
   isHealthy: boolean
   isBackingOff: boolean
   isCold: boolean
+  /** Whether it has not answered the last question about its load. */
+  isSilent: boolean
   /** Whether a connection is open there that carries nothing. */
   isConnected: boolean
   /** Share of requests that it refuses though it has free slots. */
@@ -101,7 +103,12 @@
 }
 
 function isKnown (view: TargetView, { waitedMs, unprobedAfterMs }: RequestView): boolean {
-  return view.reportAgeMs <= REPORT_OLD_MAX_MS || (waitedMs >= unprobedAfterMs && !view.isCold)
+  return view.reportAgeMs <= REPORT_OLD_MAX_MS || (waitedMs >= unprobedAfterMs && isGuess(view))
+}
+
+/** Whether a target may be used without a report: perhaps only its health path is broken. Others are asked first. */
+function isGuess (view: TargetView): boolean {
+  return view.isSilent && !view.isCold
 }
 
 /** The cheapest target by fresh reports of healthy ones, else by fresh ones, else by old ones, else by this instance's own counts. */
@@ -113,7 +120,8 @@
   if (best !== undefined || (fresh.length > 0 && waitedMs < objectiveMs * SEARCH_SHARE_OF_OBJECTIVE)) return best
   const byOldReport = cheapest(views.filter(view => view.reportAgeMs <= REPORT_OLD_MAX_MS), request, withinMs, random)
   if (byOldReport !== undefined || waitedMs < unprobedAfterMs) return byOldReport
-  return cheapest(views.filter(view => !view.isCold), request, withinMs, random)
+  // Nothing at all is known, so that a usual speed is as good a guess as any.
+  return cheapest(views.filter(isGuess), request, Infinity, random)
 }
 
 /** Draws two of the nearly cheapest targets that respond within a time, the cheaper the likelier, and returns the cheaper one. */
--- a/packages/gateway/src/dispatch/timing.ts
+++ b/packages/gateway/src/dispatch/timing.ts
@@ -14,8 +14,8 @@
 const UNPROBED_SHARE = 0.5
 /** Shortest pause before the queue is served again when a request found no target. */
 const POLL_MIN_MS = 15
-/** Factor by which the pause grows as long as nothing is found. */
-const POLL_GROWTH = 1.5
+/** Factor by which the pause grows as long as nothing is found, up to the expected release of a slot; each poll asks further targets. */
+const POLL_GROWTH = 2
 /** Share of the slack of the most urgent request that a pause may take. */
 const POLL_SLACK_SHARE = 0.25
 /** Time before the end of a wait at which targets are asked once more. */
@@ -55,11 +55,13 @@
   slackMs: number
   /** Time until the first waiting request is refused for want of a slot. */
   decidesInMs: number
+  /** Time until the first waiting request goes to a target that responds to no probes. */
+  unprobedInMs: number
 }
 
-/** Time in ms until a slot is expected to be free at the targets that are asked, longer each time that there was none. @internal */
-export function pollPauseMs ({ isInformed, polls, finishMs, slots, slackMs, decidesInMs }: PollPause): number {
-  if (!isInformed) return POLL_MIN_MS
+/** Pause in ms before targets are asked again: longer each time, up to the expected release of a slot at those that are asked. @internal */
+export function pollPauseMs ({ isInformed, polls, finishMs, slots, slackMs, decidesInMs, unprobedInMs }: PollPause): number {
+  if (!isInformed) return Math.min(POLL_MIN_MS, unprobedInMs)
   const releaseMs = finishMs / Math.max(1, slots)
-  return Math.max(POLL_MIN_MS, Math.min(releaseMs * POLL_GROWTH ** polls, slackMs * POLL_SLACK_SHARE, decidesInMs - LAST_LOOK_MS))
+  return Math.max(POLL_MIN_MS, Math.min(releaseMs, POLL_MIN_MS * POLL_GROWTH ** polls, slackMs * POLL_SLACK_SHARE, decidesInMs - LAST_LOOK_MS))
 }
