--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -26,6 +26,8 @@
 const SLOW_FACTOR = 2.5
 /** Factor by which targets of other failure domains must rank better to be preferred. */
 const OTHER_DOMAIN_RANK_FACTOR = 2
+/** Share of refusals from which on a target isn't preferred. */
+const REFUSING_SHARE = 0.3
 /** Age up to which a report says that a target is slow or full. */
 const REPORT_USEFUL_MS = 300
 /** Share of the expected work that a request needs at the least; with less time until its deadline it is refused at once. */
@@ -71,6 +73,8 @@
   private polls = 0
   private readonly arrivalGapMs = new LearnedMean()
   private lastArrivalAtMs: number | undefined
+  /** Targets that have not answered the last question about their load. */
+  private readonly silent = new WeakSet<GatewayTarget>()
 
   constructor (options: ServiceDispatcherOptions) {
     this.options = options
@@ -144,7 +148,8 @@
       finishMs: Math.min(...this.waiters.map(({ workMs }) => workMs)) * this.work.unknownSlowdown(this.options.service),
       slots: PROBED_TARGETS * (targets[0]?.record.slots ?? 1),
       slackMs: this.leastSlackMs(nowMs),
-      decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0))
+      decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0)),
+      unprobedInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => arrivedAtMs + unprobedAfterMs(objectiveMs, workMs) - nowMs).filter(ms => ms > 0))
     })
     this.polls += 1
     await new Promise<void>(resolve => {
@@ -199,7 +204,9 @@
       let hasRoom = false
       const ask = async (target: GatewayTarget): Promise<void> => {
         const wasFresh = target.reportAgeMs() <= freshMs
+        this.silent.add(target)
         const isFresh = await this.options.prober.refreshReport(target, freshMs)
+        if (isFresh) this.silent.delete(target)
         pending -= 1
         const report = target.report()
         if (isFresh && !wasFresh && report !== undefined) this.work.recordSlowdown(this.options.service, report.slowdown)
@@ -227,7 +234,7 @@
   }
 
   private isFreeAndFast (target: GatewayTarget, freshMs: number): boolean {
-    return target.reportAgeMs() <= freshMs && target.freeSlots() > 0 && this.mayBeAsked(target) && this.mayReceive(target) && this.factorOf(target) < GOOD_FACTOR
+    return target.reportAgeMs() <= freshMs && target.freeSlots() > 0 && this.mayBeAsked(target) && this.mayReceive(target) && this.factorOf(target) < GOOD_FACTOR && target.refusals.share() < REFUSING_SHARE
   }
 
   private mayBeAsked (target: GatewayTarget): boolean {
@@ -243,7 +250,7 @@
       target,
       rank: (1 + this.rankOf(targets, target)) * (target.record.failureDomain === failureDomain ? 1 : OTHER_DOMAIN_RANK_FACTOR),
       isConnected: target.connections.hasIdle({ mayBeLost: true }),
-      isShort: !this.mayReceive(target) || (target.reportAgeMs() <= REPORT_USEFUL_MS && (target.freeSlots() <= 0 || this.factorOf(target) >= SLOW_FACTOR))
+      isShort: !this.mayReceive(target) || target.refusals.share() >= REFUSING_SHARE || (target.reportAgeMs() <= REPORT_USEFUL_MS && (target.freeSlots() <= 0 || this.factorOf(target) >= SLOW_FACTOR))
     }))
     const requestsPerS = this.arrivalGapMs.evidence() === 0 ? 0 : 1_000 / this.arrivalGapMs.value(1, 0)
     const workMs = Math.max(0, ...this.waiters.map(waiter => waiter.workMs))
@@ -300,7 +307,9 @@
       isHealthy: target.report()?.isHealthy !== false,
       isBackingOff: target.failures.isBackingOff(),
       isCold: target.isCold(),
-      isConnected: target.connections.hasIdle()
+      isSilent: this.silent.has(target),
+      isConnected: target.connections.hasIdle(),
+      refusedShare: target.refusals.share()
     }
   }
 
@@ -339,6 +348,8 @@
       isReleased = true
       target.end()
       if (kind === 'answered') this.work.recordAnswer(request, condition, elapsedMs)
+      // A refusal by a target that is full says nothing about the next one.
+      if (kind === 'answered' || (kind === 'refused' && target.freeSlots() > 0)) target.refusals.record(kind === 'refused')
       this.wake?.()
     }
     waiter.settle(Result.ok({ target, reason, release }))
--- a/packages/gateway/src/dispatch/place.ts
+++ b/packages/gateway/src/dispatch/place.ts
@@ -28,8 +28,12 @@
   isHealthy: boolean
   isBackingOff: boolean
   isCold: boolean
+  /** Whether it has not answered the last question about its load. */
+  isSilent: boolean
   /** Whether a connection is open there that carries nothing. */
   isConnected: boolean
+  /** Share of requests that it refuses though it has free slots. */
+  refusedShare: number
 }
 
 /** A request that needs a place. Times in ms. @internal */
@@ -54,7 +58,7 @@
 /**
  * Decides where a request goes. Among targets of which the same is known, the earliest answer counts, and those that are nearly equal are
  * drawn from, so that instances with the same reports don't choose the same target. A new connection has to bring the answer
- * forward by a tenth of the objective. A full target whose queue will be done in time is better than waiting here.
+ * forward by a tenth of the objective. Targets that refuse though they have free slots come later. A full target whose queue will be done in time is better than waiting here.
  * @param views targets that may run the request
  * @param random returns a number from 0 to 1
  * @internal
@@ -99,7 +103,12 @@
 }
 
 function isKnown (view: TargetView, { waitedMs, unprobedAfterMs }: RequestView): boolean {
-  return view.reportAgeMs <= REPORT_OLD_MAX_MS || (waitedMs >= unprobedAfterMs && !view.isCold)
+  return view.reportAgeMs <= REPORT_OLD_MAX_MS || (waitedMs >= unprobedAfterMs && isGuess(view))
+}
+
+/** Whether a target may be used without a report: perhaps only its health path is broken. Others are asked first. */
+function isGuess (view: TargetView): boolean {
+  return view.isSilent && !view.isCold
 }
 
 /** The cheapest target by fresh reports of healthy ones, else by fresh ones, else by old ones, else by this instance's own counts. */
@@ -111,7 +120,8 @@
   if (best !== undefined || (fresh.length > 0 && waitedMs < objectiveMs * SEARCH_SHARE_OF_OBJECTIVE)) return best
   const byOldReport = cheapest(views.filter(view => view.reportAgeMs <= REPORT_OLD_MAX_MS), request, withinMs, random)
   if (byOldReport !== undefined || waitedMs < unprobedAfterMs) return byOldReport
-  return cheapest(views.filter(view => !view.isCold), request, withinMs, random)
+  // Nothing at all is known, so that a usual speed is as good a guess as any.
+  return cheapest(views.filter(isGuess), request, Infinity, random)
 }
 
 /** Draws two of the nearly cheapest targets that respond within a time, the cheaper the likelier, and returns the cheaper one. */
@@ -121,7 +131,8 @@
   for (const view of views) {
     const finishMs = workMs * view.factor + (view.isConnected ? 0 : CONNECT_MS)
     if (finishMs > withinMs) continue
-    const costMs = finishMs + (view.isConnected ? 0 : objectiveMs * CONNECT_GAIN_SHARE)
+    // A refusal uses up an attempt, of which there are few, and with the last one the whole objective.
+    const costMs = finishMs + (view.isConnected ? 0 : objectiveMs * CONNECT_GAIN_SHARE) + view.refusedShare * objectiveMs
     leastMs = Math.min(leastMs, costMs)
     inTime.push({ view, costMs })
   }
