Exchange counters for giving way only while room is short

The counters are now exchanged for giving way only for 10 s after a request that waited long or found no room; allowances and roll-outs need them as before. Rates begin anew after such a pause. One new test.

--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -12,6 +12,11 @@
 /** Excess of the counted window over the fleet's, because the window moves in steps of a second. */
 const WINDOW_MARGIN_MS = 1_000
 
+/** Time for which room counts as contested after a request that lacked it; bursts come in waves of seconds. */
+const CONTESTED_MS = 10_000
+/** Share of the objective from which on the wait for a target counts as a lack of room. */
+const LONG_WAIT_SHARE_OF_OBJECTIVE = 0.1
+
 /**
  * Options of `Dispatcher`.
  * @public
@@ -45,6 +50,8 @@
   private readonly budgets = new Map<ServiceName, RetryBudget>()
   private readonly admission: Admission | undefined
   private recordedRequests = 0
+  /** Time at which a request last lacked room. */
+  private roomLackedAtMs = -Infinity
 
   constructor (options: DispatcherOptions) {
     this.options = options
@@ -61,7 +68,9 @@
   async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
     const refusal = this.admission?.consider(request)
     if (refusal !== undefined) return Result.err(refusal)
-    return await this.dispatcherOf(request.service).acquire(request)
+    const outcome = await this.dispatcherOf(request.service).acquire(request)
+    if (hasLackedRoom(request, outcome)) this.roomLackedAtMs = performance.now()
+    return outcome
   }
 
   /** Counts a caller's request towards the retry budget of its service. */
@@ -80,9 +89,12 @@
     return this.budgetOf(service).tryTake()
   }
 
-  /** Whether requests may have to give way to others, so that the sums over all instances are needed. */
+  /**
+   * Whether requests may have to give way to others, so that the sums over all instances are needed. In calm times nothing is exchanged for
+   * them, as it costs processor time and bytes between failure domains.
+   */
   isRoomContested (): boolean {
-    return this.admission?.isNeeded() === true
+    return performance.now() - this.roomLackedAtMs < CONTESTED_MS && this.admission?.isNeeded() === true
   }
 
   /** Current statistics of each service, for the metrics. */
@@ -124,3 +136,10 @@
     return budget
   }
 }
+
+function hasLackedRoom ({ objectiveMs }: DispatchRequest, outcome: Result<DispatchGrant, DispatchRefusal>): boolean {
+  return outcome.match({
+    Ok: ({ reason: { waitedMs } }) => waitedMs >= objectiveMs * LONG_WAIT_SHARE_OF_OBJECTIVE,
+    Err: ({ reason }) => reason === 'no-room'
+  })
+}
--- a/packages/gateway/src/fleet/SharedFleetCounters.test.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.test.ts
@@ -81,6 +81,20 @@
     })
   })
 
+  it('guards against rates that jump when the exchange goes on after a pause', async () => {
+    await startFleet(30)
+    const ratesPerS: number[] = []
+    fleet.isNeeded = false
+    for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 100) {
+      if (elapsedMs === 10_000) fleet.isNeeded = true
+      for (const { counters } of fleet.instances) counters.add('asked', 1)
+      await clock.tickAsync(100)
+      if (elapsedMs >= 10_000) ratesPerS.push(...fleet.instances.map(({ counters }) => counters.ratePerS('asked')))
+    }
+    expect(Math.max(...ratesPerS)).to.be.at.most(30 * 10 * 1.3)
+    expect(ratesPerS.slice(-30).every(rate => rate > 30 * 10 * 0.7)).to.equal(true)
+  })
+
   it('sends nothing while nothing reads the counters, and counts on', async () => {
     let calls = 0
     let isNeeded = false
--- a/packages/gateway/src/fleet/SharedFleetCounters.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -20,6 +20,8 @@
 /** Samples of the counters, one an interval, over which rates are taken: about 1.5 s. */
 const SAMPLES = 6
 const RATE_WINDOW_MIN_MS = 1_000
+/** Intervals after a pause of the exchange in which the growth of the pause arrives, which is that of no rate. */
+const INTERVALS_UNTIL_RESUMED = 4
 /** Time for which the rows of instances that are gone stay in the totals. */
 const ROW_RETENTION_MS = 600_000
 /** Time after which a peer that preceded the present one is tried again. */
@@ -97,6 +99,7 @@
   private aliveCount = 1
   private beats = 0
   private beatAtMs = -Infinity
+  private resumedAtMs = -Infinity
   private exchanges = 0
   private failures = 0
   private sentBytes = 0
@@ -194,17 +197,24 @@
 
   private exchangeWithPeers (): void {
     const now = performance.now()
+    const hasPaused = Number.isFinite(this.beatAtMs) && now - this.beatAtMs > INTERVALS_UNTIL_STALE * this.intervalMs()
+    if (hasPaused) this.resume(now)
     if (now - this.beatAtMs >= this.intervalMs() * (1 - JITTER)) this.beat(now)
     this.updateLinks()
     for (const link of this.links.values()) if (!link.isBusy) this.exchangeOver(link, now)
   }
 
+  private resume (now: number): void {
+    this.resumedAtMs = now
+    this.samples = []
+  }
+
   private beat (now: number): void {
     this.beatAtMs = now
     // The first beat is told, so that instances without requests are known as early as others.
     this.rows.beat(now, this.beats % BEATS_PER_SIGN_OF_LIFE === 0)
     this.beats += 1
-    this.samples.push({ atMs: now, growth: this.rows.growthSample() })
+    if (now - this.resumedAtMs >= INTERVALS_UNTIL_RESUMED * this.intervalMs()) this.samples.push({ atMs: now, growth: this.rows.growthSample() })
     if (this.samples.length > SAMPLES) this.samples.shift()
     const dropped = this.rows.dropUnchangedSince(now - ROW_RETENTION_MS)
     if (dropped > 0) this.options.log.info('fleet.rows-dropped', { rows: dropped })
--- a/packages/gateway/src/fleet/testing/JoinedFleet.ts
+++ b/packages/gateway/src/fleet/testing/JoinedFleet.ts
@@ -24,6 +24,8 @@
   readonly limits = { windowMs: 5_000, excessShare: 0.1, slackRequests: 20 }
   /** Accounts in force. */
   accounts: ClientAccount[] = []
+  /** Whether something reads the counters. */
+  isNeeded = true
   /** Called with both messages of each exchange as JSON. */
   onExchange: (request: string, response: string) => void = () => {}
   /** Whether two instances are out of touch. */
@@ -63,7 +65,7 @@
     const counters = new SharedFleetCounters({
       instanceId,
       incarnation,
-      isNeeded: () => true,
+      isNeeded: () => this.isNeeded,
       peers: createExchangePeerSelector({ members: () => this.members, capacities: () => new Map(), instanceId, failureDomain }),
       exchange: async (peerUrl, request) => await this.exchange(member, peerUrl, request),
       memberCount: () => this.members.length,
--- a/packages/gateway/src/steering/CallerSteering.ts
+++ b/packages/gateway/src/steering/CallerSteering.ts
@@ -4,6 +4,9 @@
 import type { RoutingTable } from '../model/Route.js'
 import { selectInstances } from './selectInstances.js'
 
+/** Age from which on the sums say nothing about the present rates. */
+const SUMS_OLD_MS = 2_000
+
 /** Name of the fleet's counter of the requests of a route. @internal */
 export function routeRequestsCounter (route: string): string {
   return `requests/${encodeURIComponent(route)}`
@@ -70,7 +73,7 @@
 
   private requestsPerS (routes: readonly string[], domainCount: number): number | undefined {
     const { counters } = this.options
-    if (counters === undefined || !Number.isFinite(counters.ageMs())) return undefined
+    if (counters === undefined || counters.ageMs() > SUMS_OLD_MS) return undefined
     const ratePerS = routes.reduce((sum, route) => sum + counters.ratePerS(routeRequestsCounter(route)), 0)
     return ratePerS > 0 ? ratePerS / Math.max(1, domainCount - 1) : undefined
   }
