Keep keys out of the reasons of broken responses

The reason of a response of the store that could not be read quoted up to 200 characters of it, and the error of a broken response of another instance the place where its JSON ended; both carry configurations with keys of client accounts, and both are logged (store.lost, relay.refused). They say the size and form now.

--- a/packages/membership/src/transport/PeerServer.test.ts
+++ b/packages/membership/src/transport/PeerServer.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { initTRPC } from '@trpc/server'
 import { expect } from 'chai'
 import * as z from 'zod'
@@ -38,6 +40,16 @@
     expect(server.dump()).to.include({ connections: 1 })
   })
 
+  it('guards against records of a peer, which may hold keys, in the error of a broken response', async () => {
+    const broken = createServer((_request, response) => { response.end('{"result":{"data":"a-secret') })
+    await new Promise<void>(resolve => broken.listen(0, '127.0.0.1', resolve))
+    const client = links.client<typeof router>({ peerUrl: `http://127.0.0.1:${(broken.address() as AddressInfo).port}` }, 'test')
+    const reason = await client.double.query({ value: 21 }).catch((error: Error) => error.message)
+    broken.closeAllConnections()
+    broken.close()
+    expect(reason).to.equal('peer response is not valid JSON')
+  })
+
   it('serves queries with and without input in the format that the client expects', async () => {
     const client = links.client<typeof router>({ peerUrl }, 'test')
     expect(await client.double.query({ value: 21 })).to.equal(42)
--- a/packages/membership/src/transport/peerFetch.ts
+++ b/packages/membership/src/transport/peerFetch.ts
@@ -78,5 +78,14 @@
 }
 
 function toResponse (status: number, text: string): PeerResponse {
-  return { ok: status >= 200 && status < 300, status, json: async () => JSON.parse(text) as unknown }
+  return { ok: status >= 200 && status < 300, status, json: async () => parseBody(text) }
+}
+
+function parseBody (text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    // The parser's own message quotes the text, which may hold secrets.
+    throw new Error('peer response is not valid JSON')
+  }
 }
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
 import { PlatformStore } from './PlatformStore.js'
 import { StandInPlatformStore, type CallBehaviour } from './testing/StandInPlatformStore.js'
@@ -87,6 +89,16 @@
     })
   }
 
+  it('guards against keys of the configuration in the reason of an unreadable response', async () => {
+    const server = createServer((_request, response) => { response.end('{"items":[{"key":"op/config","value":"a-secret') })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const odd = new PlatformStore({ url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+    const reason = (await odd.listPage('')).match({ Ok: () => '', Err: failure => failure.reason })
+    await odd.close()
+    server.close()
+    expect(reason).to.equal('unreadable response: text of 46 characters')
+  })
+
   it('counts calls by kind and result', async () => {
     await store.listPage('')
     standIn.behaviourFor = () => 'busy'
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -1,4 +1,3 @@
-import { inspect } from 'node:util'
 import { Result } from 'true-myth'
 import { Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
@@ -214,7 +213,14 @@
 
 function unexpectedResponse ({ status, body }: StoreResponse): StoreFailure {
   const isRefused = status >= 400
-  return { effect: isRefused ? 'none' : 'unknown', reason: isRefused ? `status ${status}` : `unreadable response: ${inspect(body, { depth: 2, breakLength: Infinity }).slice(0, 200)}` }
+  return { effect: isRefused ? 'none' : 'unknown', reason: isRefused ? `status ${status}` : `unreadable response: ${outlineOf(body)}` }
+}
+
+/** Describes a body without its values, which may be keys of client accounts. */
+function outlineOf (body: unknown): string {
+  if (typeof body === 'string') return `text of ${body.length} characters`
+  if (typeof body !== 'object' || body === null) return body === undefined ? 'a body above the size limit' : `a ${body === null ? 'null' : typeof body}`
+  return Array.isArray(body) ? `a list of ${body.length}` : `an object with ${Object.keys(body).length} fields`
 }
 
 function toStoredValue ({ key, value, revision }: z.infer<typeof itemSchema>, era: number): StoredValue {
--- a/packages/platform/src/decodeRecord.fuzz.test.ts
+++ b/packages/platform/src/decodeRecord.fuzz.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { GatewayTarget, WeightedRoundRobin, type ServicePolicy } from '@carobpitch/gateway'
+import { AccountIndex, GatewayTarget, WeightedRoundRobin, type RoutingTable, type ServicePolicy } from '@carobpitch/gateway'
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { ServiceName } from '@carobpitch/schema'
 import { decodeRecord } from './decodeRecord.js'
@@ -14,7 +14,7 @@
 const POLICY: ServicePolicy = { name: 'menzaiko' as ServiceName, probePath: '/healthz', connectionsMax: 10, coldRequestsPerS: 1 }
 const ENTRY = { service: 'menzaiko', address: '10.128.0.9:8080', zone: 'fukuoka', slots: 3, state: 'ready', 'warmup-left': '1500ms', sequence: 4, born: 1 }
 const MEMBER = { instanceId: 'front-1', incarnation: 1, failureDomain: 'fukuoka', callerUrl: 'http://10.0.0.1:80', peerUrl: 'http://10.0.0.1:81', state: 'serving', adoptedRevision: 1 }
-const CONFIGURATION = JSON.parse(wireConfiguration({ routes: { stock: wireRoute(), split: wireRoute({ prefix: '/split/', service: undefined as never, 'traffic-split': [{ service: 'menzaiko', weight: 1 }] }) } })) as object
+const CONFIGURATION = JSON.parse(wireConfiguration({ routes: { stock: wireRoute(), split: wireRoute({ prefix: '/split/', service: undefined as never, 'traffic-split': [{ service: 'menzaiko', weight: 1 }] }) }, accounts: { cuka: { 'api-keys': ['a-secret-key', 'b-secret-key'], priority: 1, 'rate-per-s': 164, burst: 20 }, weno: { 'api-keys': ['c-secret-key'] } } })) as object
 
 /** Values that another writer may leave in a field. */
 const oddValue = fc.oneof(
@@ -60,6 +60,7 @@
       for (const route of record.table.routes) {
         if (route.shares.length > 0) expect(route.shares.map(({ service }) => service)).to.include(roundRobin.choose(route))
       }
+      useAccounts(record.table)
       break
     }
     case 'member': {
@@ -69,6 +70,18 @@
   }
 }
 
+/** Keys name accounts or are undecidable, and never appear in a fault. */
+function useAccounts ({ accounts, undecidableKeyDigests, hasUnreadableKeys, faults }: RoutingTable): void {
+  expect(JSON.stringify(faults)).to.not.contain('secret')
+  if (accounts === undefined) return
+  const index = new AccountIndex({ accounts, undecidableKeyDigests, hasUnreadableKeys })
+  for (const [key, holder] of [['a-secret-key', 'cuka'], ['c-secret-key', 'weno']] as const) {
+    const owner = index.ownerOf(key)
+    if (owner.kind === 'account') expect(owner.account.name).to.equal(holder)
+  }
+  for (const { allowance } of accounts) expect(allowance?.requestsPerS ?? 1).to.be.within(Number.MIN_VALUE, 1e9)
+}
+
 describe('decodeRecord, with records of another writer', () => {
   for (const [name, key, document] of [
     ['targets', `${STORE_KEYS.targetPrefix}i-1`, ENTRY],
