--- a/packages/daemon/src/front/accounts.test.ts
+++ b/packages/daemon/src/front/accounts.test.ts
@@ -5,12 +5,14 @@
 import { expect } from 'chai'
 import { Result } from 'true-myth'
 import type { AllowanceGate } from '@carobpitch/gateway'
-import { STORE_KEYS, wireConfiguration, wireRoute, type WireAccount } from '@carobpitch/platform'
+import { StandInPlatformStore, STORE_KEYS, wireConfiguration, wireRoute, type WireAccount } from '@carobpitch/platform'
 import type { FrontDaemon } from './FrontDaemon.js'
 import { FrontTestHarness, waitUntil, type ReceivedResponse } from './testing/FrontTestHarness.js'
 import { RawCaller } from './testing/RawCaller.js'
 
 const ACCOUNT_HEADER = 'x-carobpitch-tenant'
+/** Time in which a configuration is in force, in the settings of these tests. */
+const CONFIG_APPLY_MS = 2_000
 const ROUTES = { stock: wireRoute(), news: wireRoute({ prefix: '/news/', public: true }), book: wireRoute({ prefix: '/book/', 'route-type': 'unsafe' }) }
 
 function configuration (accounts: Record<string, WireAccount> | undefined, version = 7): string {
@@ -103,6 +105,21 @@
       expect(caller.statuses()).to.deep.equal([200, 401, 200, 401, 200])
     })
 
+    it('guards against a withdrawn key at an instance that the store turns away: it learns of it from another one', async () => {
+      const refusing = new StandInPlatformStore()
+      const storeUrl = await refusing.start()
+      refusing.behaviourFor = () => 'busy'
+      const second = await harness.addFront({ storeUrl, seedPeerUrls: [`http://127.0.0.1:${front.kernel.get('peer-feed').port()}`] })
+      expect(await harness.call(second, bearer('first'))).to.include({ status: 200 })
+      const withdrawnAtMs = performance.now()
+      await change({ cuka: { 'api-keys': ['second'] } })
+      await waitUntil(() => second.deploymentCache.routingTable()?.version === 8)
+      const elapsedMs = performance.now() - withdrawnAtMs
+      expect([(await harness.call(second, bearer('first'))).status, (await harness.call(second, bearer('second'))).status]).to.deep.equal([401, 200])
+      await refusing.stop()
+      expect(elapsedMs).to.be.below(CONFIG_APPLY_MS)
+    })
+
     it('guards against requests beyond the allowance that are sent, and against credit lost by requests that have not run', async () => {
       const taken: string[] = []
       let givenBack = 0
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -80,8 +80,8 @@
 
   /** Creates a front daemon without starting it. */
   createFront (settings: Partial<FrontSettings> = {}): FrontDaemon {
-    const store = new PlatformStore({ url: this.storeUrl })
     const ownSettings = settingsOf(this.storeUrl, `front-${this.daemons.length + 1}`, settings)
+    const store = new PlatformStore({ url: ownSettings.storeUrl })
     const daemon = new FrontDaemon({
       settings: ownSettings,
       log: new EventLog({ output: this.createLogOutput() }),
