--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,14 +1,14 @@
 import type { Registry } from 'prom-client'
 import {
-  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, TargetRegistry,
-  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
+  BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createExchangePeerSelector, createFleetExchangeClient, createFleetExchangeRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FleetAllowances, FLEET_EXCHANGE_ROUTER, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, SharedFleetCounters, TargetRegistry, WorkEstimator,
+  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type RolloutState, type StoreEntry, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
 import { DeadlineTimer } from '@carobpitch/proxy'
 import type { MemberRecord } from '@carobpitch/schema'
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
 import { LiveSettings } from './LiveSettings.js'
 import { MetricsListener } from './MetricsListener.js'
 
@@ -16,13 +16,16 @@
   interface ServiceMap {
     settings: LiveSettings
     knowledge: { dump(): unknown }
+    'caller-steering': { dump(): unknown }
     follower: DeploymentWatcher
     'member-lease': LeaseKeeper
     registration: Registration
     'peer-feed': PeerServer
     'feed-links': PeerLinks
+    'fleet-counters': SharedFleetCounters
     targets: TargetRegistry
     dispatcher: Dispatcher
+    rollouts: RolloutManager
     front: FrontListener
     directory: Directory
     readiness: Readiness
@@ -48,6 +51,8 @@
   log: EventLog
   store: ChangeStore
   decodeRecord: (key: string, value: string) => Result<DeploymentRecord, string>
+  /** Encodes a decision about a roll-out; the last entry is its record. */
+  encodeRollout: (state: RolloutState) => readonly StoreEntry[]
   callerProtocol: CallerProtocol
   targetProtocol: TargetProtocol
   /** Keys of this instance's records in the store. */
@@ -69,7 +74,7 @@
 
   constructor (options: FrontDaemonOptions) {
     this.options = options
-    const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, keys, registry } = options
+    const { settings, log, store, decodeRecord, encodeRollout, callerProtocol, targetProtocol, keys, registry } = options
     const { kernel } = this
     const live = new LiveSettings({ initial: settings })
     this.liveSettings = live
@@ -100,6 +105,31 @@
       capacity: settings.capacity === undefined ? undefined : { key: keys.capacity, value: settings.capacity },
       log
     })
+    const fleetSelf = {
+      members: () => cache.members(),
+      capacities: () => cache.capacities(),
+      instanceId: settings.instanceId,
+      failureDomain: settings.failureDomain
+    }
+    const fleetCounters = new SharedFleetCounters({
+      instanceId: settings.instanceId,
+      incarnation: this.incarnation,
+      isNeeded: () => this.needsFleetCounters(),
+      peers: createExchangePeerSelector(fleetSelf),
+      exchange: createFleetExchangeClient(peerLinks),
+      memberCount: () => this.instanceCount(),
+      log
+    })
+    peerServer.mount(FLEET_EXCHANGE_ROUTER, createFleetExchangeRouter(request => fleetCounters.serve(request)))
+    const allowances = new FleetAllowances({
+      counters: fleetCounters,
+      accounts: () => cache.routingTable()?.accounts ?? [],
+      exchangeIntervalMs: () => fleetCounters.intervalMs(),
+      memberCount: () => this.instanceCount(),
+      limits: () => live.current().allowanceLimits,
+      log,
+      registry
+    })
     const targets = new TargetRegistry({ deploymentCache: cache, timer, log })
     const observer: ResponseObserver = { onMisplaced: target => targets.markMisplaced(target), onLeaving: target => targets.markLeaving(target) }
 
@@ -108,7 +138,8 @@
       cacheAgeMs: () => kernel.get('follower').ageMs(),
       services: () => kernel.get('dispatcher').stats(),
       routingTable: () => cache.routingTable(),
-      settings: () => live.status()
+      settings: () => live.status(),
+      fleet: () => fleetCounters.stats()
     })
     const loadProber = new LoadProber({
       protocol: targetProtocol,
@@ -132,9 +163,29 @@
       registry: targets,
       prober: loadProber,
       coldLimiter: coldRequestLimiter,
+      work: new WorkEstimator(),
       retryLimits: () => live.current().retryLimits,
-      instanceCount: () => this.instanceCount()
+      instanceCount: () => this.instanceCount(),
+      admission: {
+        counters: fleetCounters,
+        routingTable: () => cache.routingTable(),
+        onTurnAway: ({ service, priority }) => metrics.recordTurnedAway(service, priority),
+        log
+      }
     })
+    const rollouts = new RolloutManager({
+      instanceId: settings.instanceId,
+      instanceIds: () => this.servingMembers().map(({ instanceId }) => instanceId),
+      deploymentCache: cache,
+      counters: fleetCounters,
+      store,
+      encode: encodeRollout,
+      decode: decodeRecord,
+      ageMs: () => kernel.get('follower').ageMs(),
+      limits: () => live.current().rolloutLimits,
+      log
+    })
+    registerRolloutMetrics(registry, () => rollouts.status())
     this.shutdown = new FrontShutdown({
       lease,
       inFlightCount: () => this.inFlightCount(),
@@ -149,7 +200,8 @@
       waitForRouting: async waitMs => await routing.waitForConfiguration(waitMs),
       roundRobin: routing.roundRobin,
       dispatcher,
-      allowances: { take: () => Result.ok({ giveBack: () => {} }) },
+      rollouts,
+      allowances,
       isEligible: target => targets.isEligible(target),
       observer,
       callerProtocol,
@@ -171,27 +223,33 @@
       budget,
       isFleetKnown: () => cache.members().length > 0,
       peerUrls: () => this.peerUrls(),
-      relays: createRelaySelector({
-        members: () => cache.members(),
-        capacities: () => cache.capacities(),
-        instanceId: settings.instanceId,
-        failureDomain: settings.failureDomain
-      }),
+      relays: createRelaySelector(fleetSelf),
       log,
       onWait: (step, elapsedMs) => metrics.recordPropagationWait(step, elapsedMs)
     }))
     kernel.register('member-lease', lease)
     kernel.register('registration', registration)
+    kernel.register('rollouts', rollouts)
     kernel.register('front', front)
     kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
+    const processingMeter = new ProcessingMeter({ requestCount: () => dispatcher.requestCount() })
+    const steering = new CallerSteering({
+      routingTable: () => cache.routingTable(),
+      capacities: () => cache.capacities(),
+      processingMs: () => processingMeter.processingMs(),
+      counters: fleetCounters
+    })
+    kernel.register('caller-steering', { dump: () => steering.dump() })
     kernel.register('directory', new Directory({
       listen: settings.directoryListen,
       protocol: callerProtocol,
       serving: () => this.directoryMembers(),
+      select: (host, members, domains) => steering.select(host, members, domains),
       ttlMs: () => directoryTtlMs(live.current())
     }))
     kernel.register('peer-feed', peerServer)
     kernel.register('feed-links', peerLinks)
+    kernel.register('fleet-counters', fleetCounters)
     kernel.register('targets', targets)
     kernel.register('dispatcher', dispatcher)
     kernel.register('front-metrics', new MetricsListener({ listen: settings.metricsListen, registry, dump: () => kernel.dump() }))
@@ -258,6 +316,13 @@
     return this.isReady() ? [this.ownRecord(), ...others] : others
   }
 
+  /** Whether something in force reads the counters of all instances. */
+  private needsFleetCounters (): boolean {
+    const accounts = this.deploymentCache.routingTable()?.accounts ?? []
+    const hasAllowances = this.liveSettings.current().allowanceLimits !== undefined && accounts.some(({ allowance }) => allowance !== undefined)
+    return hasAllowances || this.kernel.get('dispatcher').isRoomContested() || this.kernel.get('rollouts').isRunning()
+  }
+
   private instanceCount (): number {
     return Math.max(1, this.deploymentCache.members().length)
   }
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -2,10 +2,11 @@
 import type { ServiceName, Verdict } from '@carobpitch/schema'
 import type { PropagationStep } from '../deployment/PropagationWaits.js'
 import type { ServiceStats } from '../dispatch/Dispatcher.js'
+import type { FleetStats } from '../fleet/SharedFleetCounters.js'
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
-/** Number of priorities of accounts that have their own label. */
+/** Number of priorities that have their own label, so that a configuration cannot add any number of them. */
 const PRIORITIES_LABELLED_MAX = 20
 
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
@@ -23,6 +24,8 @@
   routingTable: () => RoutingTable | undefined
   /** The settings in force. */
   settings: () => SettingsStatus
+  /** The counters of all instances. */
+  fleet: () => FleetStats
 }
 
 /**
@@ -52,8 +55,9 @@
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
   private readonly labelledPriorities = new Set<number>()
+  private readonly turnedAway: Counter
 
-  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings }: FrontMetricsSources) {
+  constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings, fleet }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
     this.accountRequests = new Counter({ name: 'carobpitch_front_account_requests_total', help: 'Requests of client accounts by priority and outcome.', labelNames: ['priority', 'outcome', 'verdict'], registers })
@@ -91,7 +95,23 @@
     })
     const adoptedAt: Gauge = new Gauge({ name: 'carobpitch_settings_adopted_seconds', help: 'Unix time at which the settings took effect.', registers, collect: () => adoptedAt.set(settings().adoptedAtEpochMs / 1_000) })
     const restartNeeded: Gauge = new Gauge({ name: 'carobpitch_settings_restart_needed', help: 'Changed settings that take effect at the next start.', registers, collect: () => restartNeeded.set(settings().needsRestart.length) })
+    const fleetAge: Gauge = new Gauge({ name: 'carobpitch_fleet_age_seconds', help: 'Time since the counters of other instances were last refreshed; infinite before the first time.', registers, collect: () => fleetAge.set(fleet().ageMs / 1_000) })
+    const fleetRows: Gauge = new Gauge({ name: 'carobpitch_fleet_rows', help: 'Rows of counters that are known, including those of instances that are gone.', registers, collect: () => fleetRows.set(fleet().rows) })
+    const fleetInstances: Gauge = new Gauge({ name: 'carobpitch_fleet_instances', help: 'Instances whose counters were refreshed recently.', registers, collect: () => fleetInstances.set(fleet().instances) })
+    const fleetSent: Gauge = new Gauge({ name: 'carobpitch_fleet_sent_bytes', help: 'Bytes of counters sent since the start, before compression.', registers, collect: () => fleetSent.set(fleet().sentBytes) })
+    const fleetExchanges: Gauge = new Gauge({
+      name: 'carobpitch_fleet_exchanges',
+      help: 'Exchanges of counters begun since the start, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+      collect: () => {
+        const { exchanges, failures } = fleet()
+        fleetExchanges.set({ outcome: 'failed' }, failures)
+        fleetExchanges.set({ outcome: 'other' }, exchanges - failures)
+      }
+    })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
+    this.turnedAway = new Counter({ name: 'carobpitch_front_turned_away_total', help: 'Requests that were refused at their arrival because of too little room or time.', labelNames: ['service', 'priority'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
 
@@ -103,9 +123,7 @@
 
   /** Counts a request of a client account that has ended. */
   recordAccountRequest ({ priority, outcome, verdict }: { priority: number, outcome: string, verdict: Verdict }): void {
-    const { labelledPriorities } = this
-    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
-    this.accountRequests.inc({ priority: labelledPriorities.has(priority) ? String(priority) : 'other', outcome, verdict })
+    this.accountRequests.inc({ priority: this.priorityLabel(priority), outcome, verdict })
   }
 
   /** Counts an attempt at a target. */
@@ -124,8 +142,19 @@
     this.coldRequests.inc({ service })
   }
 
+  /** Counts a request that was refused at its arrival because of too little room or time. */
+  recordTurnedAway (service: ServiceName, priority: number): void {
+    this.turnedAway.inc({ service, priority: this.priorityLabel(priority) })
+  }
+
   /** Adds a wait on the way of the deployment's records to this instance. */
   recordPropagationWait (step: PropagationStep, elapsedMs: number): void {
     this.propagationWaits.inc({ step }, elapsedMs / 1_000)
   }
+
+  private priorityLabel (priority: number): string {
+    const { labelledPriorities } = this
+    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
+    return labelledPriorities.has(priority) ? String(priority) : 'other'
+  }
 }
--- a/packages/gateway/src/targets/GatewayTarget.ts
+++ b/packages/gateway/src/targets/GatewayTarget.ts
@@ -2,11 +2,15 @@
 import type { ServicePolicy } from '../model/Route.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
 import { FailureBackoff } from './FailureBackoff.js'
+import { RefusalMemory } from './RefusalMemory.js'
 import type { TargetReport } from './TargetReport.js'
 
 /** Connect timeout. Targets are at most a few milliseconds away; one that takes longer is unreachable or drops connections. */
 const CONNECT_TIMEOUT_MS = 250
 
+/** Idle time up to which connections are kept for probes; many servers close idle ones earlier, which ends them here as well. */
+const LONG_IDLE_TIMEOUT_MS = 30_000
+
 /** Age beyond which a report of occupied slots is less accurate than this instance's own request count. */
 const REPORT_VALID_MS = 1_000
 
@@ -34,6 +38,7 @@
   /** Whether the target has reported in a response that it is about to stop. */
   isLeaving = false
   readonly failures = new FailureBackoff()
+  readonly refusals = new RefusalMemory()
   readonly connections: TargetConnectionPool
   private lastReport: TargetReport | undefined
   private sentSinceReport = 0
@@ -47,6 +52,7 @@
       url: `http://${record.host}:${record.port}`,
       connectionsMax: policy.connectionsMax,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      longIdleTimeoutMs: LONG_IDLE_TIMEOUT_MS,
       timer
     })
     this.setColdFor(record.coldForMs)
@@ -136,6 +142,7 @@
       report: lastReport,
       reportAgeMs: lastReport === undefined ? undefined : this.reportAgeMs(),
       failures: this.failures.dump(),
+      refusedShare: this.refusals.share(),
       connections: this.connections.dump()
     }
   }
