--- a/packages/gateway/src/rollout/decideRollout.ts
+++ b/packages/gateway/src/rollout/decideRollout.ts
@@ -5,6 +5,9 @@
 
 /** Longest time from a request of a bad version until no instance sends further ones: its evidence, the decision and its spread. */
 const REACTION_MS = 2_500
+/** Time by which the counted requests lag behind, and the shortest time over which they give a rate. */
+const COUNT_LAG_MS = 500
+const RATE_TIME_MIN_MS = 250
 /** Part of the allowed exposure that the trial is planned to use. */
 const TRIAL_BUDGET_PART = 0.7
 /** Largest share of the trial, below that of the ramp. */
@@ -87,7 +90,8 @@
 /** Share with which the exposure is on plan at the end of the trial and below its bound at every moment, also while a decision spreads. */
 function trialShare ({ limits, elapsedMs, requests, exposed }: RolloutSituation, trialUntilMs: number): number {
   const { exposureShare, exposureSlackRequests } = limits
-  const requestsPerMs = elapsedMs > 0 ? requests / elapsedMs : 0
+  // Too high a rate only makes the share smaller.
+  const requestsPerMs = requests / Math.max(RATE_TIME_MIN_MS, elapsedMs - COUNT_LAG_MS)
   const expected = requestsPerMs * trialUntilMs
   const planned = expected < 1 ? exposureShare / 2 : (expected * exposureShare + exposureSlackRequests) * TRIAL_BUDGET_PART / expected
   const reaction = requestsPerMs * REACTION_MS
