--- a/packages/gateway/src/rollout/RolloutManager.test.ts
+++ b/packages/gateway/src/rollout/RolloutManager.test.ts
@@ -222,6 +222,15 @@
       expect(fleet.send(first, 20)).to.deep.equal({ v2: 20 })
     })
 
+    it('all allowed targets are gone for good: after 30 s the decision binds no longer', async () => {
+      await begin(version => version === 'v2', 5_000)
+      for (let index = 0; index < 10; index += 1) fleet.remove(`target/v1-${index}`)
+      await clock.tickAsync(29_000)
+      expect(fleet.send(first, 5)).to.deep.equal({ none: 5 })
+      await clock.tickAsync(2_000)
+      expect(fleet.send(first, 5)).to.deep.equal({ v2: 5 })
+    })
+
     it('another hand writes an odd record: it is replaced by the next decision', async () => {
       await begin()
       fleet.put('state/prices', 'odd')
