Bound the counters of accounts by grouping them

1,000 accounts at several services and priorities would have used up the 4,096 counters that the fleet tells apart, which allowances need. Accounts beyond 1,024 counters are grouped by a hash of their names.

--- a/packages/gateway/src/admission/Admission.test.ts
+++ b/packages/gateway/src/admission/Admission.test.ts
@@ -42,11 +42,12 @@
       onRefresh: () => () => {}
     }
     const target = { record: { slots: 2 }, failures: { isBackingOff: () => false }, restsForMs: () => 0, isCold: () => false, report: () => undefined, reportAgeMs: () => Infinity }
+    const table = { version: 1, routes: ROUTES, accounts } as unknown as RoutingTable
     this.dispatcher = new Dispatcher({
       registry: { ofService: () => [target] },
       admission: {
         counters,
-        routingTable: () => ({ version: 1, routes: ROUTES, accounts }) as unknown as RoutingTable,
+        routingTable: () => table,
         onTurnAway: ({ route }: DispatchRequest) => this.turnedAway.push(route),
         log: { info: (event: string, fields: Record<string, unknown>) => this.logged.push({ event, fields }) },
         random: () => 0.5
@@ -108,6 +109,15 @@
     assert.ok(fixture.turnedAway.every(route => route === 'flooding'))
   })
 
+  it('counts a bounded number of groups where there are too many accounts', async () => {
+    const accounts = Array.from({ length: 3_000 }, (_, index) => ({ ...ACCOUNT, name: `account-${index}` as AccountName }))
+    const fixture = new Fixture(accounts)
+    for (const { name } of accounts) await fixture.ask(SHARED, usual, name)
+    const counted = [...fixture.added.keys()].filter(name => name.startsWith('work/shared/1/'))
+    // Three counted pairs of service and priority share 1,024 counters.
+    assert.ok(counted.length > 300 && counted.length <= 341, String(counted.length))
+  })
+
   it('counts and decides nothing for a service of one priority without accounts', async () => {
     const fixture = new Fixture(undefined)
     fixture.rates = { 'work/alone/1': 9_000 }
--- a/packages/gateway/src/admission/Admission.ts
+++ b/packages/gateway/src/admission/Admission.ts
@@ -1,15 +1,18 @@
 import type { EventLog } from '@carobpitch/kernel'
-import type { AccountName, ServiceName } from '@carobpitch/schema'
+import type { ServiceName } from '@carobpitch/schema'
 import type { DispatchRefusal, DispatchRequest } from '../dispatch/DispatchRequest.js'
 import type { FleetCounters } from '../fleet/FleetCounters.js'
 import type { RoutingTable } from '../model/Route.js'
 import { routeRequestsCounter } from '../steering/CallerSteering.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
+import { groupAccounts } from './groupAccounts.js'
 import { measureRoom, type RoomTarget } from './measureRoom.js'
 import { ServiceAdmission, type ServiceClaimants } from './ServiceAdmission.js'
 
 /** Age up to which a report tells how many slots of a target are free. */
 const REPORT_FRESH_MS = 250
+/** Counters of accounts over all services and priorities; the fleet tells a bounded number of counters apart, and allowances need most. */
+const ACCOUNT_COUNTERS_MAX = 1_024
 const NO_CLAIMANTS: ReadonlyMap<ServiceName, ServiceClaimants> = new Map()
 
 /**
@@ -70,7 +73,7 @@
     const admission = new ServiceAdmission({
       service,
       counters,
-      claimants: () => this.claimantsOf(service) ?? { priorities: [], accounts: new Map() },
+      claimants: () => this.claimantsOf(service) ?? { priorities: [], accounts: groupAccounts([], 1) },
       room: figures => measureRoom(targetsOf(service).filter(isUsable).map(roomTargetOf), figures),
       speedsSince: sinceMs => targetsOf(service).flatMap(target => {
         const report = target.report()
@@ -102,17 +105,12 @@
     for (const { service } of shares) priorities.set(service, (priorities.get(service) ?? new Set()).add(priority))
   }
   const ofAccounts = (accounts ?? []).flatMap(({ priority }) => priority ?? [])
-  const weights = weightsOf(accounts ?? [])
-  return new Map([...priorities]
+  const contested = [...priorities]
     .filter(([, each]) => accounts !== undefined || each.size > 1)
-    .map(([service, each]) => [service, { priorities: [...new Set([...each, ...ofAccounts])].sort((first, second) => first - second), accounts: weights }]))
-}
-
-/** An account's share of the room is weighted by the rate that it is allowed; one without a limit counts like the mean of the others. */
-function weightsOf (accounts: NonNullable<RoutingTable['accounts']>): ReadonlyMap<AccountName, number> {
-  const rates = accounts.flatMap(({ allowance }) => allowance === undefined ? [] : Math.max(1, allowance.requestsPerS))
-  const mean = rates.length === 0 ? 1 : rates.reduce((sum, rate) => sum + rate, 0) / rates.length
-  return new Map(accounts.map(({ name, allowance }) => [name, allowance === undefined ? mean : Math.max(1, allowance.requestsPerS)]))
+    .map(([service, each]): [ServiceName, number[]] => [service, [...new Set([...each, ...ofAccounts])].sort((first, second) => first - second)])
+  const counted = contested.reduce((sum, [, each]) => sum + each.length, 0)
+  const groups = groupAccounts(accounts ?? [], Math.max(1, Math.floor(ACCOUNT_COUNTERS_MAX / counted)))
+  return new Map(contested.map(([service, each]) => [service, { priorities: each, accounts: groups }]))
 }
 
 function isUsable (target: GatewayTarget): boolean {
--- a/packages/gateway/src/admission/ServiceAdmission.ts
+++ b/packages/gateway/src/admission/ServiceAdmission.ts
@@ -2,6 +2,7 @@
 import type { AccountName, ServiceName } from '@carobpitch/schema'
 import type { FleetCounters } from '../fleet/FleetCounters.js'
 import type { DispatchRefusal, DispatchRequest } from '../dispatch/DispatchRequest.js'
+import type { AccountGroups } from './groupAccounts.js'
 import { decideAdmission } from './decideAdmission.js'
 import { ExcessBacklog } from './ExcessBacklog.js'
 import type { ServiceRoom } from './measureRoom.js'
@@ -29,8 +30,7 @@
  */
 export interface ServiceClaimants {
   priorities: readonly number[]
-  /** Weights of the accounts' shares of the room. */
-  accounts: ReadonlyMap<AccountName, number>
+  accounts: AccountGroups
 }
 
 /**
@@ -72,7 +72,8 @@
   /** Counts a request and returns a refusal if it is to give way. */
   consider (request: DispatchRequest, workMs: number): DispatchRefusal | undefined {
     const { random } = this.options
-    const { priority, account, objectiveMs, exclude } = request
+    const { priority, objectiveMs, exclude } = request
+    const account = request.account === undefined ? undefined : this.options.claimants().accounts.groupOf(request.account)
     const isFurtherAttempt = exclude.size > 0
     if (!isFurtherAttempt) this.count(priority, account, workMs)
     const nowMs = performance.now()
@@ -142,13 +143,14 @@
     const { service } = this.options
     const withoutAccounts = priorities.map(priority => ({ priority, workMsPerS: counters.ratePerS(priorityWorkCounter(service, priority)), accounts: new Map<AccountName, number>() }))
     const plan = planAdmission({ asked: withoutAccounts, roomMsPerS })
-    if (accounts.size === 0 || plan.priorities.every(({ share }) => share >= 1)) return plan
+    const { weights } = accounts
+    if (weights.size === 0 || plan.priorities.every(({ share }) => share >= 1)) return plan
     const asked = withoutAccounts.map(({ priority, workMsPerS }) => ({
       priority,
       workMsPerS,
-      accounts: new Map([...accounts.keys()].map(account => [account, counters.ratePerS(accountWorkCounter(service, priority, account))]))
+      accounts: new Map([...weights.keys()].map(account => [account, counters.ratePerS(accountWorkCounter(service, priority, account))]))
     }))
-    return planAdmission({ asked, roomMsPerS, weightOf: account => accounts.get(account) ?? 1 })
+    return planAdmission({ asked, roomMsPerS, weightOf: account => weights.get(account) ?? 1 })
   }
 
   private followLevel (ageMs: number, nowMs: number): void {
--- a/packages/gateway/src/admission/testing/playLoad.ts
+++ b/packages/gateway/src/admission/testing/playLoad.ts
@@ -75,7 +75,7 @@
   const counters = new FakeCounters()
   const slotsFreeAtMs = new Array<number>(slots).fill(0)
   const startMs = performance.now()
-  const claimants: ServiceClaimants = { priorities: [...new Set(streams.map(({ priority }) => priority))].sort(), accounts: weights }
+  const claimants: ServiceClaimants = { priorities: [...new Set(streams.map(({ priority }) => priority))].sort(), accounts: { weights, groupOf: account => account } }
   const admissions = Array.from({ length: instances }, () => new ServiceAdmission({
     service: 'service' as ServiceName,
     counters,
--- a/packages/routing/src/rendezvous.ts
+++ b/packages/routing/src/rendezvous.ts
@@ -3,7 +3,7 @@
 const FNV_OFFSET = 0x811c9dc5
 const FNV_PRIME = 0x01000193
 
-/** Hashes a text to 32 bits (FNV-1a with a final mix). @internal */
+/** Hashes a text to 32 bits (FNV-1a with a final mix). @public */
 export function hashText (text: string): number {
   let hash = FNV_OFFSET
   for (let index = 0; index < text.length; index += 1) {
