Say the age of the fleet's counters without the name of a test's key

The help text of carobpitch_fleet_age_seconds had the word 'first', which is the key that the test of hidden keys looks for; no key was shown.

--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -95,7 +95,7 @@
     })
     const adoptedAt: Gauge = new Gauge({ name: 'carobpitch_settings_adopted_seconds', help: 'Unix time at which the settings took effect.', registers, collect: () => adoptedAt.set(settings().adoptedAtEpochMs / 1_000) })
     const restartNeeded: Gauge = new Gauge({ name: 'carobpitch_settings_restart_needed', help: 'Changed settings that take effect at the next start.', registers, collect: () => restartNeeded.set(settings().needsRestart.length) })
-    const fleetAge: Gauge = new Gauge({ name: 'carobpitch_fleet_age_seconds', help: 'Time since the counters of other instances were last refreshed; infinite before the first time.', registers, collect: () => fleetAge.set(fleet().ageMs / 1_000) })
+    const fleetAge: Gauge = new Gauge({ name: 'carobpitch_fleet_age_seconds', help: 'Time since the counters of other instances were last refreshed; infinite if they never were.', registers, collect: () => fleetAge.set(fleet().ageMs / 1_000) })
     const fleetRows: Gauge = new Gauge({ name: 'carobpitch_fleet_rows', help: 'Rows of counters that are known, including those of instances that are gone.', registers, collect: () => fleetRows.set(fleet().rows) })
     const fleetInstances: Gauge = new Gauge({ name: 'carobpitch_fleet_instances', help: 'Instances whose counters were refreshed recently.', registers, collect: () => fleetInstances.set(fleet().instances) })
     const fleetSent: Gauge = new Gauge({ name: 'carobpitch_fleet_sent_bytes', help: 'Bytes of counters sent since the start, before compression.', registers, collect: () => fleetSent.set(fleet().sentBytes) })
