--- a/packages/daemon/src/front/FrontDaemon.ts
+++ b/packages/daemon/src/front/FrontDaemon.ts
@@ -1,8 +1,8 @@
 import type { Registry } from 'prom-client'
 import {
-  BodyMemory, ColdRequestLimiter, createDeploymentFeedRouter, createExchangePeerSelector, createFleetExchangeClient, createFleetExchangeRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FleetAllowances, FLEET_EXCHANGE_ROUTER, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
-  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, propagationBudget, Readiness, Registration, RoutingHolder, SharedFleetCounters, TargetRegistry,
-  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type TargetProtocol
+  BodyMemory, CallerSteering, ColdRequestLimiter, createDeploymentFeedRouter, createExchangePeerSelector, createFleetExchangeClient, createFleetExchangeRouter, createPeerFeedClient, createRelaySelector, Directory, Dispatcher, FleetAllowances, FLEET_EXCHANGE_ROUTER, FrontListener, FrontMetrics, FrontShutdown, DeploymentCache,
+  DeploymentWatcher, DEPLOYMENT_FEED_ROUTER, LoadProber, ProbeRateLimiter, ProcessingMeter, propagationBudget, Readiness, registerRolloutMetrics, Registration, RolloutManager, RoutingHolder, SharedFleetCounters, TargetRegistry, WorkEstimator,
+  type CallerProtocol, type ChangeStore, type DeploymentRecord, type FrontSettings, type ResponseObserver, type RolloutState, type StoreEntry, type TargetProtocol
 } from '@carobpitch/gateway'
 import { Kernel, type EventLog } from '@carobpitch/kernel'
 import { LeaseKeeper, PeerLinks, PeerServer } from '@carobpitch/membership'
@@ -16,6 +16,7 @@
   interface ServiceMap {
     settings: LiveSettings
     knowledge: { dump(): unknown }
+    'caller-steering': { dump(): unknown }
     follower: DeploymentWatcher
     'member-lease': LeaseKeeper
     registration: Registration
@@ -24,6 +25,7 @@
     'fleet-counters': SharedFleetCounters
     targets: TargetRegistry
     dispatcher: Dispatcher
+    rollouts: RolloutManager
     front: FrontListener
     directory: Directory
     readiness: Readiness
@@ -49,6 +51,8 @@
   log: EventLog
   store: ChangeStore
   decodeRecord: (key: string, value: string) => Result<DeploymentRecord, string>
+  /** Encodes a decision about a roll-out; the last entry is its record. */
+  encodeRollout: (state: RolloutState) => readonly StoreEntry[]
   callerProtocol: CallerProtocol
   targetProtocol: TargetProtocol
   /** Keys of this instance's records in the store. */
@@ -70,7 +74,7 @@
 
   constructor (options: FrontDaemonOptions) {
     this.options = options
-    const { settings, log, store, decodeRecord, callerProtocol, targetProtocol, keys, registry } = options
+    const { settings, log, store, decodeRecord, encodeRollout, callerProtocol, targetProtocol, keys, registry } = options
     const { kernel } = this
     const live = new LiveSettings({ initial: settings })
     this.liveSettings = live
@@ -159,9 +163,29 @@
       registry: targets,
       prober: loadProber,
       coldLimiter: coldRequestLimiter,
+      work: new WorkEstimator(),
       retryLimits: () => live.current().retryLimits,
-      instanceCount: () => this.instanceCount()
+      instanceCount: () => this.instanceCount(),
+      admission: {
+        counters: fleetCounters,
+        routingTable: () => cache.routingTable(),
+        onTurnAway: ({ service, priority }) => metrics.recordTurnedAway(service, priority),
+        log
+      }
     })
+    const rollouts = new RolloutManager({
+      instanceId: settings.instanceId,
+      instanceIds: () => this.servingMembers().map(({ instanceId }) => instanceId),
+      deploymentCache: cache,
+      counters: fleetCounters,
+      store,
+      encode: encodeRollout,
+      decode: decodeRecord,
+      ageMs: () => kernel.get('follower').ageMs(),
+      limits: () => live.current().rolloutLimits,
+      log
+    })
+    registerRolloutMetrics(registry, () => rollouts.status())
     this.shutdown = new FrontShutdown({
       lease,
       inFlightCount: () => this.inFlightCount(),
@@ -176,6 +200,7 @@
       waitForRouting: async waitMs => await routing.waitForConfiguration(waitMs),
       roundRobin: routing.roundRobin,
       dispatcher,
+      rollouts,
       allowances,
       isEligible: target => targets.isEligible(target),
       observer,
@@ -204,12 +229,22 @@
     }))
     kernel.register('member-lease', lease)
     kernel.register('registration', registration)
+    kernel.register('rollouts', rollouts)
     kernel.register('front', front)
     kernel.register('readiness', new Readiness({ listen: settings.readinessListen, path: callerProtocol.readinessPath, isReady: () => this.isReady() }))
+    const processingMeter = new ProcessingMeter({ requestCount: () => dispatcher.requestCount() })
+    const steering = new CallerSteering({
+      routingTable: () => cache.routingTable(),
+      capacities: () => cache.capacities(),
+      processingMs: () => processingMeter.processingMs(),
+      counters: fleetCounters
+    })
+    kernel.register('caller-steering', { dump: () => steering.dump() })
     kernel.register('directory', new Directory({
       listen: settings.directoryListen,
       protocol: callerProtocol,
       serving: () => this.directoryMembers(),
+      select: (host, members, domains) => steering.select(host, members, domains),
       ttlMs: () => directoryTtlMs(live.current())
     }))
     kernel.register('peer-feed', peerServer)
@@ -284,7 +319,8 @@
   /** Whether something in force reads the counters of all instances. */
   private needsFleetCounters (): boolean {
     const accounts = this.deploymentCache.routingTable()?.accounts ?? []
-    return this.liveSettings.current().allowanceLimits !== undefined && accounts.some(({ allowance }) => allowance !== undefined)
+    const hasAllowances = this.liveSettings.current().allowanceLimits !== undefined && accounts.some(({ allowance }) => allowance !== undefined)
+    return hasAllowances || this.kernel.get('dispatcher').isRoomContested() || this.kernel.get('rollouts').isRunning()
   }
 
   private instanceCount (): number {
--- a/packages/daemon/src/front/testing/FrontTestHarness.ts
+++ b/packages/daemon/src/front/testing/FrontTestHarness.ts
@@ -3,7 +3,7 @@
 import { Registry } from 'prom-client'
 import type { FrontSettings } from '@carobpitch/gateway'
 import { EventLog } from '@carobpitch/kernel'
-import { callerHeaders, callerProtocol, decodeRecord, PlatformStore, recordKeysOf, STORE_KEYS, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
+import { callerHeaders, callerProtocol, decodeRecord, encodeRollout, PlatformStore, recordKeysOf, STORE_KEYS, StandInPlatformStore, StandInPlatformTarget, targetProtocol, wireConfiguration, type StandInPlatformTargetOptions } from '@carobpitch/platform'
 import type { FailureDomainId, InstanceId, ListenerSettings } from '@carobpitch/schema'
 import { FrontDaemon } from '../FrontDaemon.js'
 
@@ -28,6 +28,8 @@
   requestId?: string
   deadlineMs?: number
   body?: string
+  /** Further headers. */
+  headers?: Record<string, string>
   onRequest?: (request: ClientRequest) => void
 }
 
@@ -78,13 +80,14 @@
 
   /** Creates a front daemon without starting it. */
   createFront (settings: Partial<FrontSettings> = {}): FrontDaemon {
-    const store = new PlatformStore({ url: this.storeUrl })
     const ownSettings = settingsOf(this.storeUrl, `front-${this.daemons.length + 1}`, settings)
+    const store = new PlatformStore({ url: ownSettings.storeUrl })
     const daemon = new FrontDaemon({
       settings: ownSettings,
       log: new EventLog({ output: this.createLogOutput() }),
       store,
       decodeRecord,
+      encodeRollout,
       callerProtocol,
       targetProtocol,
       keys: recordKeysOf(ownSettings.instanceId),
@@ -105,12 +108,13 @@
   }
 
   /** Sends a request to a front daemon as a caller does. */
-  async call (daemon: FrontDaemon, { method = 'GET', host = 'shop.example', path = '/stock/1', requestId, deadlineMs = 2_000, body, onRequest }: TestRequest = {}): Promise<ReceivedResponse> {
+  async call (daemon: FrontDaemon, { method = 'GET', host = 'shop.example', path = '/stock/1', requestId, deadlineMs = 2_000, body, headers: furtherHeaders, onRequest }: TestRequest = {}): Promise<ReceivedResponse> {
     const startedAtMs = performance.now()
     this.requestCount += 1
     const headers = {
       ...callerHeaders({ host, requestId: requestId ?? `request-${this.requestCount}`, deadlineMs }),
-      ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) })
+      ...(body === undefined ? {} : { 'content-length': Buffer.byteLength(body) }),
+      ...furtherHeaders
     }
     return await new Promise((resolve, reject) => {
       const request = httpRequest({ host: '127.0.0.1', port: daemon.kernel.get('front').port(), method, path, headers, agent: false })
--- a/packages/gateway/src/accounts/admitCaller.ts
+++ b/packages/gateway/src/accounts/admitCaller.ts
@@ -29,17 +29,20 @@
   /** `undefined` if the configuration has no client accounts. */
   accounts: AccountIndex | undefined
   allowances: AllowanceGate
-  key: string | undefined
+  /** Returns the key that the request carries, if any. */
+  readKey: () => string | undefined
   isPublicRoute: boolean
+  /** Priority of the request's route. */
+  urgency: number
 }
 
 /** Finds the account of a request and counts it towards the account's allowance. @internal */
-export function admitCaller ({ accounts, allowances, key, isPublicRoute }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
+export function admitCaller ({ accounts, allowances, readKey, isPublicRoute, urgency }: AdmitCallerOptions): Result<AdmittedCaller, RejectedCaller> {
   if (accounts === undefined) return Result.ok({})
-  const owner = accounts.ownerOf(key)
+  const owner = accounts.ownerOf(readKey())
   if (owner.kind === 'account') {
     const { account } = owner
-    return allowances.take(account)
+    return allowances.take(account, urgency)
       .map((ticket): AdmittedCaller => ({ account, ticket }))
       .mapErr(({ retryAfterMs }): RejectedCaller => ({ reason: 'over-allowance', retryAfterMs }))
   }
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -1,7 +1,8 @@
-import type { Result } from 'true-myth'
+import { Result } from 'true-myth'
 import type { Service } from '@carobpitch/kernel'
 import { RetryBudget } from '@carobpitch/routing'
 import type { ServiceName } from '@carobpitch/schema'
+import { Admission, type AdmissionOptions } from '../admission/Admission.js'
 import type { FrontSettings } from '../model/FrontSettings.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
 import { ServiceDispatcher, type ServiceDispatcherOptions } from './ServiceDispatcher.js'
@@ -11,6 +12,11 @@
 /** Excess of the counted window over the fleet's, because the window moves in steps of a second. */
 const WINDOW_MARGIN_MS = 1_000
 
+/** Time for which room counts as contested after a request that lacked it; bursts come in waves of seconds. */
+const CONTESTED_MS = 10_000
+/** Share of the objective from which on the wait for a target counts as a lack of room. */
+const LONG_WAIT_SHARE_OF_OBJECTIVE = 0.1
+
 /**
  * Options of `Dispatcher`.
  * @public
@@ -19,6 +25,8 @@
   /** The window applies to services that are used for the first time; the other limits apply at once. */
   retryLimits: () => FrontSettings['retryLimits']
   instanceCount: () => number
+  /** What decides which requests give way when there is too little room; by default none does. */
+  admission?: Omit<AdmissionOptions, 'targetsOf' | 'expectedWorkMs'>
 }
 
 /**
@@ -40,26 +48,55 @@
   private readonly options: DispatcherOptions
   private readonly services = new Map<ServiceName, ServiceDispatcher>()
   private readonly budgets = new Map<ServiceName, RetryBudget>()
+  private readonly admission: Admission | undefined
+  private recordedRequests = 0
+  /** Time at which a request last lacked room. */
+  private roomLackedAtMs = -Infinity
 
   constructor (options: DispatcherOptions) {
     this.options = options
+    const { admission, registry } = options
+    if (admission === undefined) return
+    this.admission = new Admission({
+      ...admission,
+      targetsOf: service => registry.ofService(service),
+      expectedWorkMs: request => this.dispatcherOf(request.service).expectedWorkMs(request)
+    })
   }
 
-  /** Waits for a target. */
+  /** Waits for a target. A request that has to give way to others is refused at once. */
   async acquire (request: DispatchRequest): Promise<Result<DispatchGrant, DispatchRefusal>> {
-    return await this.dispatcherOf(request.service).acquire(request)
+    const refusal = this.admission?.consider(request)
+    if (refusal !== undefined) return Result.err(refusal)
+    const outcome = await this.dispatcherOf(request.service).acquire(request)
+    if (hasLackedRoom(request, outcome)) this.roomLackedAtMs = performance.now()
+    return outcome
   }
 
   /** Counts a caller's request towards the retry budget of its service. */
   recordRequest (service: ServiceName): void {
+    this.recordedRequests += 1
     this.budgetOf(service).recordRequest()
   }
 
+  /** Number of callers' requests since the start. */
+  requestCount (): number {
+    return this.recordedRequests
+  }
+
   /** Takes one retry from the retry budget of a service. Returns whether one was left. */
   tryTakeRetry (service: ServiceName): boolean {
     return this.budgetOf(service).tryTake()
   }
 
+  /**
+   * Whether requests may have to give way to others, so that the sums over all instances are needed. In calm times nothing is exchanged for
+   * them, as it costs processor time and bytes between failure domains.
+   */
+  isRoomContested (): boolean {
+    return performance.now() - this.roomLackedAtMs < CONTESTED_MS && this.admission?.isNeeded() === true
+  }
+
   /** Current statistics of each service, for the metrics. */
   stats (): ServiceStats[] {
     return [...this.services].map(([service, dispatcher]) => ({ service, waiting: dispatcher.waitingCount(), retriesLeft: this.budgetOf(service).remaining() }))
@@ -68,6 +105,7 @@
   dump (): unknown {
     return Object.fromEntries([...this.services].map(([service, dispatcher]) => [service, {
       waiting: dispatcher.waitingCount(),
+      admission: this.admission?.dump(service),
       retryBudget: this.budgetOf(service).totals()
     }]))
   }
@@ -98,3 +136,10 @@
     return budget
   }
 }
+
+function hasLackedRoom ({ objectiveMs }: DispatchRequest, outcome: Result<DispatchGrant, DispatchRefusal>): boolean {
+  return outcome.match({
+    Ok: ({ reason: { waitedMs } }) => waitedMs >= objectiveMs * LONG_WAIT_SHARE_OF_OBJECTIVE,
+    Err: ({ reason }) => reason === 'no-room'
+  })
+}
--- a/packages/gateway/src/edge/FrontExchangeContext.ts
+++ b/packages/gateway/src/edge/FrontExchangeContext.ts
@@ -4,6 +4,7 @@
 import type { AllowanceGate } from '../accounts/AllowanceGate.js'
 import type { Dispatcher } from '../dispatch/Dispatcher.js'
 import type { WeightedRoundRobin } from '../model/WeightedRoundRobin.js'
+import type { RolloutManager } from '../rollout/RolloutManager.js'
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { ResponseObserver } from '../targets/observeResponse.js'
 import type { TargetProtocol } from '../targets/TargetProtocol.js'
@@ -22,6 +23,8 @@
   waitForRouting: (waitMs: number) => Promise<RoutingState | undefined>
   roundRobin: WeightedRoundRobin
   dispatcher: Dispatcher
+  /** Gives requests their versions and follows the attempts during roll-outs. */
+  rollouts: Pick<RolloutManager, 'choose' | 'begin' | 'permits'>
   allowances: AllowanceGate
   isEligible: (target: GatewayTarget) => boolean
   observer: ResponseObserver
--- a/packages/gateway/src/edge/FrontMetrics.ts
+++ b/packages/gateway/src/edge/FrontMetrics.ts
@@ -6,6 +6,9 @@
 import type { RoutingTable } from '../model/Route.js'
 import type { ProbeOutcome } from '../targets/LoadProber.js'
 
+/** Number of priorities that have their own label, so that a configuration cannot add any number of them. */
+const PRIORITIES_LABELLED_MAX = 20
+
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
 /**
@@ -44,16 +47,20 @@
  */
 export class FrontMetrics {
   private readonly requests: Counter
+  private readonly accountRequests: Counter
   private readonly latency: Histogram
   private readonly attempts: Counter
   private readonly attemptLatency: Histogram
   private readonly probes: Counter
   private readonly coldRequests: Counter
   private readonly propagationWaits: Counter
+  private readonly labelledPriorities = new Set<number>()
+  private readonly turnedAway: Counter
 
   constructor (registry: Registry, { inFlight, cacheAgeMs, services, routingTable, settings, fleet }: FrontMetricsSources) {
     const registers = [registry]
     this.requests = new Counter({ name: 'carobpitch_front_requests_total', help: 'Requests of callers by outcome.', labelNames: ['service', 'outcome', 'verdict'], registers })
+    this.accountRequests = new Counter({ name: 'carobpitch_front_account_requests_total', help: 'Requests of client accounts by priority and outcome.', labelNames: ['priority', 'outcome', 'verdict'], registers })
     this.latency = new Histogram({ name: 'carobpitch_front_request_seconds', help: 'Time from the arrival of a request to its response.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
     this.attempts = new Counter({ name: 'carobpitch_front_attempts_total', help: 'Requests sent to targets by outcome.', labelNames: ['service', 'outcome'], registers })
     this.attemptLatency = new Histogram({ name: 'carobpitch_front_attempt_seconds', help: 'Time of one attempt at a target.', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers })
@@ -88,7 +95,7 @@
     })
     const adoptedAt: Gauge = new Gauge({ name: 'carobpitch_settings_adopted_seconds', help: 'Unix time at which the settings took effect.', registers, collect: () => adoptedAt.set(settings().adoptedAtEpochMs / 1_000) })
     const restartNeeded: Gauge = new Gauge({ name: 'carobpitch_settings_restart_needed', help: 'Changed settings that take effect at the next start.', registers, collect: () => restartNeeded.set(settings().needsRestart.length) })
-    const fleetAge: Gauge = new Gauge({ name: 'carobpitch_fleet_age_seconds', help: 'Time since the counters of other instances were last refreshed; infinite before the first time.', registers, collect: () => fleetAge.set(fleet().ageMs / 1_000) })
+    const fleetAge: Gauge = new Gauge({ name: 'carobpitch_fleet_age_seconds', help: 'Time since the counters of other instances were last refreshed; infinite if they never were.', registers, collect: () => fleetAge.set(fleet().ageMs / 1_000) })
     const fleetRows: Gauge = new Gauge({ name: 'carobpitch_fleet_rows', help: 'Rows of counters that are known, including those of instances that are gone.', registers, collect: () => fleetRows.set(fleet().rows) })
     const fleetInstances: Gauge = new Gauge({ name: 'carobpitch_fleet_instances', help: 'Instances whose counters were refreshed recently.', registers, collect: () => fleetInstances.set(fleet().instances) })
     const fleetSent: Gauge = new Gauge({ name: 'carobpitch_fleet_sent_bytes', help: 'Bytes of counters sent since the start, before compression.', registers, collect: () => fleetSent.set(fleet().sentBytes) })
@@ -104,6 +111,7 @@
       }
     })
     this.propagationWaits = new Counter({ name: 'carobpitch_knowledge_wait_seconds_total', help: 'Time spent on the steps that keep the deployment cache up to date.', labelNames: ['step'], registers })
+    this.turnedAway = new Counter({ name: 'carobpitch_front_turned_away_total', help: 'Requests that were refused at their arrival because of too little room or time.', labelNames: ['service', 'priority'], registers })
     this.coldRequests = new Counter({ name: 'carobpitch_front_cold_requests_total', help: 'Requests sent to cold targets.', labelNames: ['service'], registers })
   }
 
@@ -113,6 +121,11 @@
     this.latency.observe({ service: service ?? '' }, elapsedMs / 1_000)
   }
 
+  /** Counts a request of a client account that has ended. */
+  recordAccountRequest ({ priority, outcome, verdict }: { priority: number, outcome: string, verdict: Verdict }): void {
+    this.accountRequests.inc({ priority: this.priorityLabel(priority), outcome, verdict })
+  }
+
   /** Counts an attempt at a target. */
   recordAttempt (service: ServiceName, outcome: string, elapsedMs: number): void {
     this.attempts.inc({ service, outcome })
@@ -129,8 +142,19 @@
     this.coldRequests.inc({ service })
   }
 
+  /** Counts a request that was refused at its arrival because of too little room or time. */
+  recordTurnedAway (service: ServiceName, priority: number): void {
+    this.turnedAway.inc({ service, priority: this.priorityLabel(priority) })
+  }
+
   /** Adds a wait on the way of the deployment's records to this instance. */
   recordPropagationWait (step: PropagationStep, elapsedMs: number): void {
     this.propagationWaits.inc({ step }, elapsedMs / 1_000)
   }
+
+  private priorityLabel (priority: number): string {
+    const { labelledPriorities } = this
+    if (labelledPriorities.size < PRIORITIES_LABELLED_MAX) labelledPriorities.add(priority)
+    return labelledPriorities.has(priority) ? String(priority) : 'other'
+  }
 }
--- a/packages/gateway/src/fleet/testing/JoinedFleet.ts
+++ b/packages/gateway/src/fleet/testing/JoinedFleet.ts
@@ -24,6 +24,8 @@
   readonly limits = { windowMs: 5_000, excessShare: 0.1, slackRequests: 20 }
   /** Accounts in force. */
   accounts: ClientAccount[] = []
+  /** Whether something reads the counters. */
+  isNeeded = true
   /** Called with both messages of each exchange as JSON. */
   onExchange: (request: string, response: string) => void = () => {}
   /** Whether two instances are out of touch. */
@@ -63,7 +65,7 @@
     const counters = new SharedFleetCounters({
       instanceId,
       incarnation,
-      isNeeded: () => true,
+      isNeeded: () => this.isNeeded,
       peers: createExchangePeerSelector({ members: () => this.members, capacities: () => new Map(), instanceId, failureDomain }),
       exchange: async (peerUrl, request) => await this.exchange(member, peerUrl, request),
       memberCount: () => this.members.length,
@@ -93,8 +95,13 @@
 export class AccountLoad {
   readonly admittedAtMs: number[] = []
   readonly refusedAtMs: number[] = []
+  /** Requests admitted and refused by urgency. */
+  readonly byUrgency = new Map<number, { admitted: number, refused: number }>()
+  /** Urgencies of the requests, in turn. */
+  urgencies: readonly number[] = [1]
   readonly account: ClientAccount
   private due = 0
+  private sent = 0
 
   constructor (requestsPerS: number, name = 'tours') {
     this.account = { name: name as AccountName, keyDigests: [], priority: undefined, allowance: { requestsPerS, burstRequests: requestsPerS } }
@@ -104,8 +111,12 @@
   send (perS: number, stepMs: number, pick: () => JoinedInstance): void {
     this.due += perS * stepMs / 1_000
     for (; this.due >= 1; this.due -= 1) {
-      const isAdmitted = pick().allowances.take(this.account).isOk;
-      (isAdmitted ? this.admittedAtMs : this.refusedAtMs).push(performance.now())
+      const urgency = this.urgencies[this.sent++ % this.urgencies.length] as number
+      const isAdmitted = pick().allowances.take(this.account, urgency).isOk
+      const counts = this.byUrgency.get(urgency) ?? { admitted: 0, refused: 0 }
+      this.byUrgency.set(urgency, counts)
+      counts[isAdmitted ? 'admitted' : 'refused'] += 1
+      ;(isAdmitted ? this.admittedAtMs : this.refusedAtMs).push(performance.now())
     }
   }
 
--- a/packages/gateway/src/targets/GatewayTarget.ts
+++ b/packages/gateway/src/targets/GatewayTarget.ts
@@ -2,11 +2,15 @@
 import type { ServicePolicy } from '../model/Route.js'
 import type { TargetRecord } from '../model/TargetRecord.js'
 import { FailureBackoff } from './FailureBackoff.js'
+import { RefusalMemory } from './RefusalMemory.js'
 import type { TargetReport } from './TargetReport.js'
 
 /** Connect timeout. Targets are at most a few milliseconds away; one that takes longer is unreachable or drops connections. */
 const CONNECT_TIMEOUT_MS = 250
 
+/** Idle time up to which connections are kept for probes; many servers close idle ones earlier, which ends them here as well. */
+const LONG_IDLE_TIMEOUT_MS = 30_000
+
 /** Age beyond which a report of occupied slots is less accurate than this instance's own request count. */
 const REPORT_VALID_MS = 1_000
 
@@ -34,6 +38,7 @@
   /** Whether the target has reported in a response that it is about to stop. */
   isLeaving = false
   readonly failures = new FailureBackoff()
+  readonly refusals = new RefusalMemory()
   readonly connections: TargetConnectionPool
   private lastReport: TargetReport | undefined
   private sentSinceReport = 0
@@ -47,6 +52,7 @@
       url: `http://${record.host}:${record.port}`,
       connectionsMax: policy.connectionsMax,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      longIdleTimeoutMs: LONG_IDLE_TIMEOUT_MS,
       timer
     })
     this.setColdFor(record.coldForMs)
@@ -65,9 +71,9 @@
     return this.lastReport
   }
 
-  /** Age of the last report; infinite without one. */
-  reportAgeMs (): number {
-    return this.lastReport === undefined ? Infinity : performance.now() - this.lastReport.atMs
+  /** Age of the last report; infinite without one. Reading the clock is most of the cost, so that callers may pass the time. */
+  reportAgeMs (nowMs?: number): number {
+    return this.lastReport === undefined ? Infinity : (nowMs ?? performance.now()) - this.lastReport.atMs
   }
 
   /** Stores a load report of the target. */
@@ -83,7 +89,7 @@
 
   /** Whether the target accepts requests only at its cold rate. */
   isCold (): boolean {
-    return performance.now() < this.coldUntilMs
+    return this.coldUntilMs > 0 && performance.now() < this.coldUntilMs
   }
 
   /** Sends the target nothing for a time, as it has asked this instance to. */
@@ -93,7 +99,7 @@
 
   /** Time for which the target is still to get nothing from this instance. */
   restsForMs (): number {
-    return Math.max(0, this.restsUntilMs - performance.now())
+    return this.restsUntilMs === 0 ? 0 : Math.max(0, this.restsUntilMs - performance.now())
   }
 
   /** Clears the last report of a target that may have restarted or turned cold unnoticed. */
@@ -102,9 +108,9 @@
   }
 
   /** Estimated free slots: those of the last report minus the requests that this instance has sent since. */
-  freeSlots (): number {
+  freeSlots (nowMs?: number): number {
     const { lastReport, sentSinceReport, inFlight, record } = this
-    if (lastReport === undefined || this.reportAgeMs() > REPORT_VALID_MS) return record.slots - inFlight
+    if (lastReport === undefined || this.reportAgeMs(nowMs) > REPORT_VALID_MS) return record.slots - inFlight
     return lastReport.slots - lastReport.running - lastReport.waiting - sentSinceReport
   }
 
@@ -136,6 +142,7 @@
       report: lastReport,
       reportAgeMs: lastReport === undefined ? undefined : this.reportAgeMs(),
       failures: this.failures.dump(),
+      refusedShare: this.refusals.share(),
       connections: this.connections.dump()
     }
   }
