--- a/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
@@ -21,12 +21,14 @@
   let targets: GatewayTarget[]
   let dispatcher: ServiceDispatcher
   let probes: number
+  let wayMs: number
   /** Occupied slots that a probe finds; `undefined` if the target doesn't respond. */
   let runningAt: (target: GatewayTarget) => number | undefined
 
   beforeEach(() => {
     clock = FakeTimers.install({ toFake: ['performance', 'setTimeout', 'clearTimeout'] }) as never
     probes = 0
+    wayMs = WAY_MS
     runningAt = () => 0
   })
   afterEach(() => clock.uninstall())
@@ -44,7 +46,7 @@
       if (target.reportAgeMs() <= ageMaxMs) return true
       probes += 1
       const running = runningAt(target)
-      await new Promise(resolve => setTimeout(resolve, running === undefined ? 500 : WAY_MS))
+      await new Promise(resolve => setTimeout(resolve, running === undefined ? 500 : wayMs))
       if (running !== undefined) target.recordReport({ running, waiting: 0, slots: 2, slowdown: 1 } as never, true)
       return running !== undefined
     }
@@ -140,6 +142,15 @@
       expect(probes).to.be.at.most(18)
     })
 
+    it('asks no more often when the answers are late, as on a machine that is short of processor time', async () => {
+      create(56)
+      runningAt = () => 20
+      wayMs = 40
+      send({ route: 'history', objectiveMs: 1_000, priority: 2, deadlineAtMs: 1_500 })
+      await clock.tickAsync(1_000)
+      expect(probes).to.be.at.most(18)
+    })
+
     it('refuses at once what cannot meet its deadline', async () => {
       create(2)
       const outcome = send({ deadlineAtMs: performance.now() + 20 })
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -190,7 +190,7 @@
 
   /**
    * Waits until the probes have been answered or the time is up. Once there is room for all, the others get a moment only. Later answers
-   * end the next pause.
+   * that report room end the next pause.
    */
   private async probe (targets: readonly GatewayTarget[], freshMs: number, waitMs: number): Promise<void> {
     await new Promise<void>(resolve => {
@@ -213,7 +213,7 @@
           clearTimeout(timer)
           timer = setTimeout(resolve, waitMs * OTHERS_WAIT_SHARE)
         }
-        if (isFresh) this.wake?.()
+        if (isFresh && target.freeSlots() > 0) this.wake?.()
       }
       for (const target of targets) ask(target)
     })
