--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -102,6 +102,11 @@
     })
   }
 
+  /** Time that a request takes at a target at its usual speed. */
+  expectedWorkMs (request: DispatchRequest): number {
+    return this.work.expectedMs(request)
+  }
+
   /** Number of requests that wait for a target. */
   waitingCount (): number {
     return this.waiters.length
--- a/packages/gateway/src/edge/CallerProtocol.ts
+++ b/packages/gateway/src/edge/CallerProtocol.ts
@@ -17,6 +17,8 @@
  * @public
  */
 export interface DirectoryQuery {
+  /** Host that the caller wants to send requests to. */
+  host: string | undefined
   failureDomain: FailureDomainId | undefined
 }
 
@@ -26,6 +28,8 @@
  */
 export interface CallerProtocol {
   readFacts: (headers: IncomingHttpHeaders) => CallerMetadata
+  /** Returns the key of the caller's account, if the request carries one. */
+  readAccountKey: (headers: IncomingHttpHeaders) => string | undefined
   /** Name of the header with the time after which the caller may retry, in seconds. */
   retryAfterHeader: string
   readinessPath: string
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -2,18 +2,20 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Readable } from 'node:stream'
 import type { Result } from 'true-myth'
-import { abortResponse, BlockWriter, endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
+import { endToEndHeaders, readBody, type Attempt, type AttemptResult, type CallerConnection, type ConnectionEndedBy, type ConnectionExchange, type Expirable, type ResponseHead, type ResponseSink } from '@carobpitch/proxy'
 import { combineVerdicts, type ServiceName, type TargetId, type Verdict } from '@carobpitch/schema'
+import { admitCaller, type AdmittedCaller } from '../accounts/admitCaller.js'
 import type { DispatchGrant, DispatchRefusal } from '../dispatch/DispatchRequest.js'
 import type { Route } from '../model/Route.js'
 import { createAttempt } from '../targets/createAttempt.js'
+import { AnswerMemory } from './AnswerMemory.js'
 import { BufferedResponse } from './BufferedResponse.js'
+import { CallerAnswer } from './CallerAnswer.js'
 import { logEnd, logFailedAttempt, logSend, type LoggedRequest } from './exchangeLog.js'
 import type { FrontExchangeContext, FrontExchangeOptions } from './FrontExchangeContext.js'
 import { frontStatusOf, type FrontReason } from './FrontReason.js'
 import { headSizeBytes } from './headSizeBytes.js'
-import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, type RunningAttempt } from './evaluateAttempt.js'
-import { localReply } from './localReply.js'
+import { isSuccessfulAttempt, evaluateAttempt, TARGET_FAILURE_STATUS_MIN, versionMarkOf, type RunningAttempt } from './evaluateAttempt.js'
 import { OverdueCheck } from './OverdueCheck.js'
 import type { RoutingState } from './RoutingHolder.js'
 
@@ -26,6 +28,12 @@
 /** A retry with less time than this left cannot get a response. */
 const ATTEMPT_MIN_MS = 20
 
+/** Complete response of a target that reports a failure. */
+interface ReadyFailure {
+  buffered: BufferedResponse
+  targetId: TargetId
+}
+
 /**
  * One request of a caller and its response.
  * @internal
@@ -41,6 +49,7 @@
   private readonly triedTargets = new Set<TargetId>()
   private readonly requestId: string
   private matchedRoute: Route | undefined
+  private caller: AdmittedCaller = {}
   private service: ServiceName | undefined
   private configurationVersion = 0
   private deadlineAtMs = 0
@@ -52,8 +61,10 @@
   /** Attempts that may have reached their targets. */
   private sends = 0
   private verdict: Verdict = 'not-run'
-  private isStreaming = false
-  private writer: BlockWriter | undefined
+  private readonly answer: CallerAnswer
+  private readonly answerMemory: AnswerMemory
+  /** Complete failure of a target, for the caller if nothing better comes. */
+  private readyFailure: ReadyFailure | undefined
   private hasEnded = false
   private releaseBodyMemory: (() => void) | undefined
   private overdueCheck: OverdueCheck | undefined
@@ -66,6 +77,14 @@
     this.request = request
     this.response = response
     this.onClosed = onClosed
+    this.answer = new CallerAnswer({
+      response,
+      decideClose: () => connection.decideClose(this),
+      isFirst: () => connection.isFirst(this),
+      whenFirst: callback => connection.whenFirst(this, callback),
+      onRoom: () => this.running?.attempt.resume()
+    })
+    this.answerMemory = new AnswerMemory(context.bodyMemory)
     this.requestId = context.callerProtocol.readFacts(request.headers).requestId ?? randomUUID()
   }
 
@@ -86,6 +105,7 @@
   /** @internal */
   handleClose (endedBy: ConnectionEndedBy): void {
     this.onClosed()
+    this.answerMemory.release()
     if (this.hasEnded) return
     this.countRunningAttempt()
     this.recordEnd(endedBy === 'caller' ? 'cancelled' : 'connection-closed', undefined)
@@ -100,6 +120,11 @@
     running?.attempt.cancel('cancelled', 'cancelled')
   }
 
+  /** @internal */
+  isStreaming (): boolean {
+    return this.answer.isStreaming()
+  }
+
   /** @internal */
   needsCaller (): boolean {
     return this.running?.attempt.headWrittenAtMs === undefined || this.matchedRoute?.isIdempotent === true
@@ -129,10 +154,10 @@
   takeData (chunk: Buffer): boolean {
     const { buffered } = this.running ?? {}
     if (buffered === undefined || this.hasEnded) return true
-    if (this.writer !== undefined) return this.writer.write(chunk)
+    if (this.answer.isStreaming()) return this.answer.writeMore(chunk)
     if (buffered.add(chunk)) return true
-    this.beginStreaming(buffered)
-    return true
+    if (this.connection.mustStayWhole(this) && this.answerMemory.hasRoomFor(buffered.sizeBytes())) return true
+    return this.answer.beginStreaming(buffered)
   }
 
   /** @internal */
@@ -140,11 +165,13 @@
     const { running } = this
     if (running === undefined) return
     this.running = undefined
+    this.answer.forgetHeld()
     const { target } = running.grant
     const elapsedMs = performance.now() - running.startedAtMs
     target.connections.release(running.client, { isReusable: result.isReusable, refusedRequestId: result.verdict === 'not-run' ? this.requestId : undefined })
     const kind = evaluateAttempt(running, result, this.context.observer)
     running.grant.release(kind, elapsedMs)
+    running.endForVersion?.(versionMarkOf(running, result), elapsedMs)
     this.addVerdict(result.verdict)
     const wasSent = running.attempt.headWrittenAtMs !== undefined
     if (wasSent) this.sends += 1
@@ -153,7 +180,7 @@
     if (this.hasEnded) return
     const { buffered } = running
     if (result.verdict === 'answered' && buffered !== undefined) this.respond(running, buffered)
-    else if (this.isStreaming) this.abortStream(result.reason ?? 'target-failed')
+    else if (this.answer.isStreaming()) this.abortStream(result.reason ?? 'target-failed')
     else if (!wasSent && this.mayRedirect(result)) this.dispatch()
     else this.retryOrFinish(result.reason ?? 'target-failed')
   }
@@ -166,8 +193,8 @@
     else this.route(state, deadlineMs)
   }
 
-  private route ({ table, index }: RoutingState, deadlineMs: number): void {
-    const { targetProtocol, roundRobin, dispatcher, timer } = this.context
+  private route ({ table, index, accounts }: RoutingState, deadlineMs: number): void {
+    const { targetProtocol, callerProtocol, roundRobin, dispatcher, allowances, timer } = this.context
     const route = index.find(this.request.headers.host ?? '', this.request.url ?? '')
     this.configurationVersion = table.version
     if (route === undefined) {
@@ -179,6 +206,12 @@
       this.finish('unreadable-route')
       return
     }
+    const caller = admitCaller({ accounts, allowances, readKey: () => callerProtocol.readAccountKey(this.request.headers), isPublicRoute: route.isPublic, urgency: route.priority })
+    if (caller.isErr) {
+      this.finish(caller.error.reason, caller.error.retryAfterMs)
+      return
+    }
+    this.caller = caller.value
     if (headSizeBytes(this.request) > table.callerLimits.headSizeMaxBytes) {
       this.finish('head-too-large')
       return
@@ -187,7 +220,7 @@
     dispatcher.recordRequest(this.service)
     this.deadlineAtMs = this.arrivedAtMs + Math.min(deadlineMs, route.timeoutMs ?? Infinity)
     this.timerKey = timer.add(this, this.deadlineAtMs)
-    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, targetProtocol.headersSetPerAttempt)
+    this.headers = endToEndHeaders(this.request.rawHeaders, this.request.headers.connection, table.accounts === undefined ? targetProtocol.headersSetPerAttempt : targetProtocol.headersSetWithAccounts)
     this.receive(table.callerLimits.bodySizeMaxBytes)
   }
 
@@ -260,9 +293,9 @@
     return await this.context.dispatcher.acquire({
       service: this.service as ServiceName,
       route: route.name,
-      account: undefined,
-      accepts: () => true,
-      priority: route.priority,
+      account: this.caller.account?.name,
+      accepts: this.context.rollouts.choose(this.service as ServiceName, this.attempts > 0),
+      priority: this.priority(),
       arrivedAtMs: this.arrivedAtMs,
       objectiveMs: route.objectiveMs,
       deadlineAtMs: this.deadlineAtMs,
@@ -271,14 +304,19 @@
     })
   }
 
+  /** Priority of the account, or else that of the route. */
+  private priority (): number {
+    return this.caller.account?.priority ?? this.matchedRoute?.priority ?? Infinity
+  }
+
   private send (grant: DispatchGrant): void {
-    const { targetProtocol, isEligible, metrics } = this.context
+    const { targetProtocol, isEligible, metrics, rollouts } = this.context
     const { target } = grant
     const { targetId } = target.record
     const client = target.connections.acquire(this.requestId)
     this.attempts += 1
     this.triedTargets.add(targetId)
-    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId }))
+    const headers = this.headers.concat(targetProtocol.attemptHeaders({ requestId: this.requestId, remainingMs: this.deadlineAtMs - performance.now(), targetId, account: this.caller.account?.name }))
     const attempt = createAttempt(target, client, targetProtocol, {
       method: this.request.method ?? 'GET',
       path: this.request.url ?? '/',
@@ -287,9 +325,9 @@
       requestId: this.requestId,
       missingRequestId: targetProtocol.missingRequestId,
       sink: this,
-      checkBeforeSend: () => isEligible(target) && target.restsForMs() === 0 ? undefined : 'target-withdrawn'
+      checkBeforeSend: () => isEligible(target) && target.restsForMs() === 0 && rollouts.permits(target.record) ? undefined : 'target-withdrawn'
     })
-    this.running = { attempt, grant, client, startedAtMs: performance.now(), buffered: undefined }
+    this.running = { attempt, grant, client, startedAtMs: performance.now(), buffered: undefined, endForVersion: rollouts.begin(target.record, this.matchedRoute?.name ?? '', target.isCold()) }
     logSend(this.context.log, this.logFields(), grant)
     if (target.isCold()) metrics.recordColdRequest(target.record.service)
     attempt.start(client)
@@ -332,33 +370,16 @@
 
   private respond (running: RunningAttempt, buffered: BufferedResponse): void {
     const isFailure = buffered.head.status >= TARGET_FAILURE_STATUS_MIN
-    if (isFailure && this.mayRetry()) {
+    const { targetId } = running.grant.target.record
+    if (isFailure && !this.answer.isStreaming() && this.mayRetry()) {
+      this.readyFailure = { buffered, targetId }
       this.dispatch()
       return
     }
-    if (this.writer !== undefined) this.writer.end()
-    else this.writeBuffered(buffered)
+    if (this.answer.isStreaming()) this.answer.end()
+    else this.answer.writeWhole(buffered)
     this.discardRequestBody()
-    this.recordEnd('answered', buffered.head.status, running.grant.target.record.targetId)
-  }
-
-  private writeBuffered (buffered: BufferedResponse): void {
-    const { head } = buffered
-    const body = buffered.take()
-    const headers = head.forwarded
-    if (head.framing.kind !== 'length' && head.framing.kind !== 'no-body') headers.push('content-length', String(body.length))
-    this.pushConnectionHeader(headers)
-    this.response.writeHead(head.status, headers)
-    this.response.end(body)
-  }
-
-  private beginStreaming (buffered: BufferedResponse): void {
-    this.isStreaming = true
-    const headers = buffered.head.forwarded
-    this.pushConnectionHeader(headers)
-    this.response.writeHead(buffered.head.status, headers)
-    this.writer = new BlockWriter({ destination: this.response, onRoom: () => this.running?.attempt.resume() })
-    this.writer.write(buffered.take())
+    this.recordEnd('answered', buffered.head.status, targetId)
   }
 
   private retryOrFinish (reason: FrontReason): void {
@@ -399,18 +420,27 @@
 
   private finish (reason: FrontReason, retryAfterMs?: number): void {
     if (this.hasEnded) return
-    if (this.isStreaming) {
+    if (this.answer.isStreaming()) {
       this.abortStream(reason)
       return
     }
+    if (this.readyFailure !== undefined) {
+      this.deliver(this.readyFailure, reason)
+      return
+    }
     const status = frontStatusOf(reason, this.verdict !== 'not-run')
     this.recordEnd(reason, status)
     this.discardRequestBody()
     if (this.response.destroyed) return
-    const { headers, body } = localReply({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
-    this.pushConnectionHeader(headers)
-    this.response.writeHead(status, headers)
-    this.response.end(body)
+    this.answer.writeLocal({ reason, status, retryAfterHeader: this.context.callerProtocol.retryAfterHeader, retryAfterMs })
+  }
+
+  /** Sends the failure of a target, because its repeat has ended without an answer. */
+  private deliver ({ buffered, targetId }: ReadyFailure, reason: FrontReason): void {
+    this.context.log.info('answer.kept', { requestId: this.requestId, targetId, status: buffered.head.status, reason })
+    this.recordEnd('answered', buffered.head.status, targetId)
+    this.discardRequestBody()
+    if (!this.response.destroyed) this.answer.writeWhole(buffered)
   }
 
   /** Reads and discards the rest of the request body, so that the caller can read the response. */
@@ -422,11 +452,7 @@
 
   private abortStream (reason: FrontReason): void {
     this.recordEnd(reason, undefined)
-    abortResponse(this.response)
-  }
-
-  private pushConnectionHeader (headers: string[]): void {
-    if (this.connection.decideClose(this)) headers.push('connection', 'close')
+    this.answer.abort()
   }
 
   private recordEnd (outcome: FrontReason | 'answered', status: number | undefined, targetId?: TargetId): void {
@@ -435,13 +461,15 @@
     this.abortController.abort()
     this.overdueCheck?.cancel()
     this.releaseBodyMemory?.()
+    if (this.verdict === 'not-run') this.caller.ticket?.giveBack()
     if (this.timerKey !== undefined) timer.remove(this, this.timerKey)
     const elapsedMs = performance.now() - this.arrivedAtMs
     metrics.recordRequest({ service: this.service, outcome, verdict: this.verdict, elapsedMs })
+    if (this.caller.account !== undefined) metrics.recordAccountRequest({ priority: this.priority(), outcome, verdict: this.verdict })
     logEnd(log, this.logFields(), { route: this.matchedRoute, outcome, status, verdict: this.verdict, targetId, elapsedMs, configurationVersion: this.configurationVersion })
   }
 
   private logFields (): LoggedRequest {
-    return { requestId: this.requestId, service: this.service, attempts: this.attempts }
+    return { requestId: this.requestId, service: this.service, account: this.caller.account?.name, attempts: this.attempts }
   }
 }
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
 import { PlatformStore } from './PlatformStore.js'
 import { StandInPlatformStore, type CallBehaviour } from './testing/StandInPlatformStore.js'
@@ -46,6 +48,41 @@
     expect(removal.events).to.deep.equal([{ kind: 'delete', key: 'op/config', modRevision: removal.revision }])
   })
 
+  describe('a write under a condition', () => {
+    const entries = [{ key: 'status/rollout/a', value: 'status' }, { key: 'carobpitch/rollouts/a', value: 'new' }]
+    const positionOfRecord = async (): Promise<number> => {
+      const page = (await store.listPage('carobpitch/rollouts/')).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      return page.records[0]?.modRevision ?? 0
+    }
+
+    it('writes all entries if the key is as expected, and nothing otherwise', async () => {
+      const created = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })
+      expect(created.isOk && created.value).to.equal(await positionOfRecord())
+      standIn.put('carobpitch/rollouts/a', 'of another writer')
+      const stale = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: created.unwrapOr(0) })
+      expect(stale.isErr && stale.error).to.deep.equal({ kind: 'conflict' })
+      expect(standIn.read('carobpitch/rollouts/a')).to.equal('of another writer')
+    })
+
+    it('does not take a revision of before the store came back from an older copy for one of now', async () => {
+      standIn.takeCopy()
+      const created = (await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })).unwrapOr(0)
+      standIn.returnFromCopy()
+      standIn.put('carobpitch/rollouts/a', 'of another writer')
+      await positionOfRecord()
+      const stale = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: created })
+      expect(stale.isErr && stale.error).to.deep.equal({ kind: 'conflict' })
+      expect(standIn.read('carobpitch/rollouts/a')).to.equal('of another writer')
+    })
+
+    it('reports an unknown effect if the answer is lost', async () => {
+      standIn.behaviourFor = path => path.includes('kv-txn') ? 'lose-answer' : 'serve'
+      const lost = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })
+      expect(lost.isErr && lost.error.kind === 'failed' && lost.error.failure.effect).to.equal('unknown')
+      expect(standIn.read('status/rollout/a')).to.equal('status')
+    })
+  })
+
   it('reports that the change history is lost', async () => {
     standIn.put('a', '1')
     standIn.compactHistory()
@@ -87,6 +124,16 @@
     })
   }
 
+  it('guards against keys of the configuration in the reason of an unreadable response', async () => {
+    const server = createServer((_request, response) => { response.end('{"items":[{"key":"op/config","value":"a-secret') })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const odd = new PlatformStore({ url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+    const reason = (await odd.listPage('')).match({ Ok: () => '', Err: failure => failure.reason })
+    await odd.close()
+    server.close()
+    expect(reason).to.equal('unreadable response: text of 46 characters')
+  })
+
   it('counts calls by kind and result', async () => {
     await store.listPage('')
     standIn.behaviourFor = () => 'busy'
--- a/packages/platform/src/testing/StandInPlatformTarget.ts
+++ b/packages/platform/src/testing/StandInPlatformTarget.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { WIRE_HEADERS, STORE_KEYS } from '../wire.js'
 import { SEAL_HEADER } from './callerRequests.js'
@@ -16,11 +16,13 @@
   failureDomain?: string
   slots?: number
   serviceTimeMs?: number
+  version?: string
 }
 
 /** One request that a target has received. @public */
 export interface ReceivedRequest {
   requestId: string | undefined
+  headers: IncomingHttpHeaders
   remainingMs: number
   atMs: number
   behaviour: StandInTargetBehaviour
@@ -46,7 +48,7 @@
   private readonly bornAtEpochMs = Date.now()
 
   constructor (options: StandInPlatformTargetOptions) {
-    this.options = { failureDomain: 'zone-a', slots: 3, serviceTimeMs: 5, ...options }
+    this.options = { failureDomain: 'zone-a', slots: 3, serviceTimeMs: 5, version: 'v1', ...options }
     this.serviceTimeMs = this.options.serviceTimeMs
     this.server = createServer((request, response) => { this.handle(request, response) })
   }
@@ -67,12 +69,12 @@
 
   /** The target's record in the store. */
   entry (state: 'ready' | 'draining' = 'ready'): string {
-    const { service, failureDomain, slots } = this.options
+    const { service, failureDomain, slots, version } = this.options
     return JSON.stringify({
       service,
       address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`,
       zone: failureDomain,
-      version: 'v1',
+      version,
       slots,
       state,
       'warmup-left': `${this.coldForMs}ms`,
@@ -108,7 +110,7 @@
 
   private async run (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = request.headers[WIRE_HEADERS.requestId] as string | undefined
-    const received = { requestId, remainingMs: Number(request.headers[WIRE_HEADERS.remainingMs]), atMs: performance.now(), behaviour: this.nextBehaviour(), isAborted: false }
+    const received = { requestId, headers: request.headers, remainingMs: Number(request.headers[WIRE_HEADERS.remainingMs]), atMs: performance.now(), behaviour: this.nextBehaviour(), isAborted: false }
     this.receivedRequests.push(received)
     request.resume()
     response.once('close', () => { received.isAborted = !response.writableFinished })
