--- a/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
@@ -21,12 +21,14 @@
   let targets: GatewayTarget[]
   let dispatcher: ServiceDispatcher
   let probes: number
+  let wayMs: number
   /** Occupied slots that a probe finds; `undefined` if the target doesn't respond. */
   let runningAt: (target: GatewayTarget) => number | undefined
 
   beforeEach(() => {
     clock = FakeTimers.install({ toFake: ['performance', 'setTimeout', 'clearTimeout'] }) as never
     probes = 0
+    wayMs = WAY_MS
     runningAt = () => 0
   })
   afterEach(() => clock.uninstall())
@@ -44,7 +46,7 @@
       if (target.reportAgeMs() <= ageMaxMs) return true
       probes += 1
       const running = runningAt(target)
-      await new Promise(resolve => setTimeout(resolve, running === undefined ? 500 : WAY_MS))
+      await new Promise(resolve => setTimeout(resolve, running === undefined ? 500 : wayMs))
       if (running !== undefined) target.recordReport({ running, waiting: 0, slots: 2, slowdown: 1 } as never, true)
       return running !== undefined
     }
@@ -119,6 +121,18 @@
       expect(outcome.atMs).to.be.within(WAY_MS, 7)
     })
 
+    it('guards against an urgent request that waits for the questions of another route: 0 ms, formerly 20', async () => {
+      create(3)
+      runningAt = () => undefined
+      targets[0]?.recordReport({ running: 0, waiting: 0, slots: 2, slowdown: 1 } as never, true)
+      send({ route: 'history', objectiveMs: 1_000, exclude: new Set(['i-0' as TargetId]) })
+      await clock.tickAsync(5)
+      const outcome = send()
+      await clock.tickAsync(100)
+      expect(outcome.grant?.target).to.equal(targets[0])
+      expect(outcome.atMs).to.equal(0)
+    })
+
     it('sends to a silent target while the request can still be in time there, formerly after its objective', async () => {
       create(4)
       runningAt = () => undefined
@@ -140,6 +154,15 @@
       expect(probes).to.be.at.most(18)
     })
 
+    it('asks no more often when the answers are late, as on a machine that is short of processor time', async () => {
+      create(56)
+      runningAt = () => 20
+      wayMs = 40
+      send({ route: 'history', objectiveMs: 1_000, priority: 2, deadlineAtMs: 1_500 })
+      await clock.tickAsync(1_000)
+      expect(probes).to.be.at.most(18)
+    })
+
     it('refuses at once what cannot meet its deadline', async () => {
       create(2)
       const outcome = send({ deadlineAtMs: performance.now() + 20 })
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -118,8 +118,15 @@
     this.lastArrivalAtMs = nowMs
     this.polls = 0
     this.waiters.push(waiter)
-    if (this.isRunning) this.wake?.()
-    else this.run()
+    if (!this.isRunning) this.run()
+    else if (this.wake !== undefined) this.wake()
+    // While others await answers, a request with little slack doesn't.
+    else if (isTight(waiter.arrivedAtMs + waiter.objectiveMs - waiter.workMs - nowMs) && this.hasRoomForAll(this.targets(), this.freshMs(nowMs))) this.grantWaiting()
+  }
+
+  /** Age up to which reports are fresh for all waiting requests. */
+  private freshMs (nowMs: number): number {
+    return Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => freshForMs(arrivedAtMs + objectiveMs - nowMs, workMs)))
   }
 
   private remove (waiter: Waiter, refusal: DispatchRefusal): void {
@@ -178,7 +185,7 @@
    */
   private async refreshReports (): Promise<void> {
     const nowMs = performance.now()
-    const freshMs = Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => freshForMs(arrivedAtMs + objectiveMs - nowMs, workMs)))
+    const freshMs = this.freshMs(nowMs)
     const slackMs = this.leastSlackMs(nowMs)
     if (isTight(slackMs) && this.hasRoomForAll(this.targets(), freshMs)) return
     const untilMs = nowMs + probeWaitMs(slackMs)
@@ -195,7 +202,7 @@
 
   /**
    * Waits until the probes have been answered or the time is up. Once there is room for all, the others get a moment only. Later answers
-   * end the next pause.
+   * that report room end the next pause.
    */
   private async probe (targets: readonly GatewayTarget[], freshMs: number, waitMs: number): Promise<void> {
     await new Promise<void>(resolve => {
@@ -218,7 +225,7 @@
           clearTimeout(timer)
           timer = setTimeout(resolve, waitMs * OTHERS_WAIT_SHARE)
         }
-        if (isFresh) this.wake?.()
+        if (isFresh && target.freeSlots() > 0) this.wake?.()
       }
       for (const target of targets) ask(target)
     })
