--- a/packages/gateway/src/admission/Admission.test.ts
+++ b/packages/gateway/src/admission/Admission.test.ts
@@ -1,4 +1,4 @@
-import assert from 'node:assert/strict'
+import { expect } from 'chai'
 import type { AccountName, ServiceName } from '@carobpitch/schema'
 import type { ClientAccount } from '../accounts/ClientAccount.js'
 import { Dispatcher } from '../dispatch/Dispatcher.js'
@@ -72,30 +72,30 @@
   it('turns the low priority away at its arrival when all instances together are asked too much', async () => {
     const fixture = new Fixture(undefined)
     fixture.rates = { 'work/shared/0': 2_500, 'work/shared/1': 2_500 }
-    assert.equal(await fixture.ask(SHARED, { ...urgent, priority: 0 }), 'admitted')
-    assert.notEqual(await fixture.ask(SHARED, usual), 'admitted')
-    assert.deepEqual(fixture.turnedAway, ['usual'])
-    assert.deepEqual(fixture.logged, [{ event: 'admission.changed', fields: { service: SHARED, from: 'open', to: 'priority 0: 0.8', askedSlots: 5, roomSlots: 2, speed: 1, ageMs: 100 } }])
+    expect(await fixture.ask(SHARED, { ...urgent, priority: 0 })).to.equal('admitted')
+    expect(await fixture.ask(SHARED, usual)).not.to.equal('admitted')
+    expect(fixture.turnedAway).to.deep.equal(['usual'])
+    expect(fixture.logged).to.deep.equal([{ event: 'admission.changed', fields: { service: SHARED, from: 'open', to: 'priority 0: 0.8', askedSlots: 5, roomSlots: 2, speed: 1, ageMs: 100 } }])
   })
 
   it('turns nobody away by sums that are old', async () => {
     const fixture = new Fixture(undefined)
     fixture.rates = { 'work/shared/0': 2_500, 'work/shared/1': 2_500 }
     fixture.ageMs = 1_500
-    assert.equal(await fixture.ask(SHARED, usual), 'admitted')
+    expect(await fixture.ask(SHARED, usual)).to.equal('admitted')
   })
 
   it('counts the work of priorities and accounts', async () => {
     const fixture = new Fixture([ACCOUNT])
     await fixture.ask(SHARED, usual, ACCOUNT.name)
-    assert.deepEqual(Object.fromEntries(fixture.added), { 'requests/usual': 1, 'work/shared/1': 100, 'work/shared/1/flood': 100 })
+    expect(Object.fromEntries(fixture.added)).to.deep.equal({ 'requests/usual': 1, 'work/shared/1': 100, 'work/shared/1/flood': 100 })
   })
 
   it('takes the speed of the targets from the reports of all instances, not from the last one of a target', async () => {
     const fixture = new Fixture(undefined)
     fixture.rates = { 'work/shared/0': 500, 'work/shared/1': 1_500, 'reports/shared': 45, 'speeds/shared': 20 }
     await fixture.ask(SHARED, usual)
-    assert.deepEqual(fixture.logged[0]?.fields, { service: SHARED, from: 'open', to: 'priority 1: 0.3', askedSlots: 2, roomSlots: 1, speed: 0.5, ageMs: 100 })
+    expect(fixture.logged[0]?.fields).to.deep.equal({ service: SHARED, from: 'open', to: 'priority 1: 0.3', askedSlots: 2, roomSlots: 1, speed: 0.5, ageMs: 100 })
   })
 
   it('thins an account that floods the service, and no other one', async () => {
@@ -105,8 +105,8 @@
       await fixture.ask(ALONE, { ...other, name: 'flooding' }, ACCOUNT.name)
       await fixture.ask(ALONE, other, 'small' as AccountName)
     }
-    assert.ok(fixture.turnedAway.length >= 5)
-    assert.ok(fixture.turnedAway.every(route => route === 'flooding'))
+    expect(fixture.turnedAway.length >= 5).to.equal(true)
+    expect(fixture.turnedAway.every(route => route === 'flooding')).to.equal(true)
   })
 
   it('counts a bounded number of groups where there are too many accounts', async () => {
@@ -115,13 +115,13 @@
     for (const { name } of accounts) await fixture.ask(SHARED, usual, name)
     const counted = [...fixture.added.keys()].filter(name => name.startsWith('work/shared/1/'))
     // Three counted pairs of service and priority share 1,024 counters.
-    assert.ok(counted.length > 300 && counted.length <= 341, String(counted.length))
+    expect(counted.length > 300 && counted.length <= 341).to.equal(true)
   })
 
   it('counts and decides nothing for a service of one priority without accounts', async () => {
     const fixture = new Fixture(undefined)
     fixture.rates = { 'work/alone/1': 9_000 }
-    assert.equal(await fixture.ask(ALONE, other), 'admitted')
-    assert.equal(fixture.added.size, 0)
+    expect(await fixture.ask(ALONE, other)).to.equal('admitted')
+    expect(fixture.added.size).to.equal(0)
   })
 })
--- a/packages/gateway/src/steering/steering.test.ts
+++ b/packages/gateway/src/steering/steering.test.ts
@@ -1,6 +1,6 @@
-import assert from 'node:assert/strict'
 import type { FailureDomainId, InstanceId, MemberRecord } from '@carobpitch/schema'
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { expect } from 'chai'
 import { Directory, type DirectoryOptions } from '../edge/Directory.js'
 import type { Route, RoutingTable } from '../model/Route.js'
 import { CallerSteering } from './CallerSteering.js'
@@ -20,24 +20,24 @@
 describe('the instances that callers of a host are sent to', () => {
   describe('where the objective is short and the instances are unequal', () => {
     it('leaves out those whose own processing would use up more than a tenth of the objective', () => {
-      assert.deepEqual(selectedCores({ instances: instancesOf(0.27, 1.35, 0.54, 0.27, 0.675) }), [1.35, 0.54, 0.675])
+      expect(selectedCores({ instances: instancesOf(0.27, 1.35, 0.54, 0.27, 0.675) })).to.deep.equal([1.35, 0.54, 0.675])
     })
 
     it('adds the next fastest ones, all of a size, when a burst leaves the fast ones too little room', () => {
       // 100 requests of 3 ms need 0.6 cores that are used by half, without the fastest instance.
-      assert.deepEqual(selectedCores({ instances: instancesOf(0.5, 0.2, 0.25, 0.5, 0.25), requestsPerS: 100 }), [0.5, 0.25, 0.5, 0.25])
-      assert.equal(selectedCores({ instances: instancesOf(0.5, 0.2, 0.25, 0.5, 0.25), requestsPerS: 1_000 }).length, 5)
+      expect(selectedCores({ instances: instancesOf(0.5, 0.2, 0.25, 0.5, 0.25), requestsPerS: 100 })).to.deep.equal([0.5, 0.25, 0.5, 0.25])
+      expect(selectedCores({ instances: instancesOf(0.5, 0.2, 0.25, 0.5, 0.25), requestsPerS: 1_000 }).length).to.equal(5)
     })
 
     it('gives the host an even share of the cores while no rate is known', () => {
-      assert.deepEqual(selectedCores({ instances: instancesOf(1, 1, 0.2, 0.2), requestsPerS: undefined }), [1, 1])
-      assert.deepEqual(selectedCores({ instances: instancesOf(1, 1, 0.25, 0.25, 0.2), requestsPerS: undefined, hostCount: 2 }), [1, 1, 0.25, 0.25])
+      expect(selectedCores({ instances: instancesOf(1, 1, 0.2, 0.2), requestsPerS: undefined })).to.deep.equal([1, 1])
+      expect(selectedCores({ instances: instancesOf(1, 1, 0.25, 0.25, 0.2), requestsPerS: undefined, hostCount: 2 })).to.deep.equal([1, 1, 0.25, 0.25])
     })
 
     it('does not depend on the order of the instances', () => {
       const instances = instancesOf(0.27, 1.35, 0.54, 0.27, 0.675)
       const selected = (each: readonly SelectableInstance[]): string[] => selectInstances({ instances: each, objectiveMs: 100, processingMs: PROCESSING_MS, requestsPerS: 100, hostCount: 4 }).map(({ instanceId }) => instanceId).sort()
-      assert.deepEqual(selected(instances), selected([...instances].reverse()))
+      expect(selected(instances)).to.deep.equal(selected([...instances].reverse()))
     })
   })
 
@@ -51,12 +51,12 @@
     ]
     for (const [title, options] of cases) {
       it(`names all instances with ${title}`, () => {
-        assert.equal(selectedCores(options).length, options.instances?.length)
+        expect(selectedCores(options).length).to.equal(options.instances?.length)
       })
     }
 
     it('names an instance whose capacity is not known, and does not rely on it', () => {
-      assert.deepEqual(selectedCores({ instances: instancesOf(undefined, 1, 0.2, 1) }), [undefined, 1, 1])
+      expect(selectedCores({ instances: instancesOf(undefined, 1, 0.2, 1) })).to.deep.equal([undefined, 1, 1])
     })
   })
 })
@@ -74,14 +74,14 @@
   }
 
   it('leaves a slow instance out for the urgent host only', () => {
-    assert.equal(addressesOf('urgent.example'), 3)
-    assert.equal(addressesOf('patient.example'), 4)
+    expect(addressesOf('urgent.example')).to.equal(3)
+    expect(addressesOf('patient.example')).to.equal(4)
   })
 
   it('names all instances for a host that is not known, and while routes could not be read', () => {
-    assert.equal(addressesOf('other.example'), 4)
-    assert.equal(addressesOf(undefined), 4)
-    assert.equal(addressesOf('urgent.example', true), 4)
+    expect(addressesOf('other.example')).to.equal(4)
+    expect(addressesOf(undefined)).to.equal(4)
+    expect(addressesOf('urgent.example', true)).to.equal(4)
   })
 })
 
@@ -110,11 +110,11 @@
   }
 
   it('is a prior of about 3 ms while few requests were seen', () => {
-    assert.equal(measureWith(12, 80, [1, 0, 2, 1]), measureWith(1, 0, []))
+    expect(measureWith(12, 80, [1, 0, 2, 1])).to.equal(measureWith(1, 0, []))
   })
 
   it('follows what a request costs and leaves out the work that goes on without requests', () => {
     const rates = Array.from({ length: 120 }, (_, index) => index % 40)
-    assert.ok(Math.abs(measureWith(8, 100, rates) - 8) < 2)
+    expect(Math.abs(measureWith(8, 100, rates) - 8) < 2).to.equal(true)
   })
 })
