Send a request to a target that backs off when all of a service do

What callers saw: nothing yet; found by reading the merged dispatcher. Targets that back off are asked for no reports, and without reports no target was chosen, so that a service whose targets had all failed once refused every request for 0.3 s and longer, where one that failed seldom would have answered. Such targets are now used like those that answer no probes. The new test fails before the change.

--- a/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
@@ -84,6 +84,17 @@
     return outcome
   }
 
+  describe('when all targets have just failed', () => {
+    it('guards against refusals without a try: the request goes to one that backs off, after the time without answers to probes', async () => {
+      create(2)
+      for (const target of targets) target.failures.recordFailure()
+      const outcome = send({ objectiveMs: 600, deadlineAtMs: performance.now() + 2_000 })
+      await clock.tickAsync(250)
+      expect(probes).to.equal(0)
+      expect(outcome.grant).to.not.equal(undefined)
+    })
+  })
+
   describe('in calm', () => {
     it('asks 200 times for 100 requests, formerly 300, and uses few of 56 targets', async () => {
       create(56)
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -291,8 +291,9 @@
     const nowMs = performance.now()
     for (const waiter of this.waiters) waiter.workMs = this.work.expectedMs(waiter.request)
     // Of the others nothing is known that a choice could rest on.
-    const known = this.targets().filter(target => target.reportAgeMs(nowMs) <= REPORT_OLD_MAX_MS || this.silent.has(target))
-    const candidates = known.filter(target => target.restsForMs() === 0 && this.mayReceive(target)).map(target => this.candidateOf(target, nowMs))
+    const isGuess = this.guess()
+    const known = this.targets().filter(target => target.reportAgeMs(nowMs) <= REPORT_OLD_MAX_MS || isGuess(target))
+    const candidates = known.filter(target => target.restsForMs() === 0 && this.mayReceive(target)).map(target => this.candidateOf(target, nowMs, isGuess(target)))
     for (const waiter of orderWaiting(this.waiters, nowMs)) {
       const { request } = waiter
       if (nowMs + LEAST_WORK_SHARE * Math.min(waiter.workMs, request.objectiveMs) >= request.deadlineAtMs) {
@@ -306,12 +307,18 @@
       this.polls = 0
       this.grant(waiter, chosen.view)
       const index = candidates.indexOf(chosen.view)
-      if (this.mayReceive(target)) candidates[index] = this.candidateOf(target, nowMs)
+      if (this.mayReceive(target)) candidates[index] = this.candidateOf(target, nowMs, isGuess(target))
       else candidates.splice(index, 1)
     }
   }
 
-  private candidateOf (target: GatewayTarget, nowMs: number): Candidate {
+  /** Returns which targets may be used without a report: the silent ones, and all while every target backs off, so that none is asked. */
+  private guess (): (target: GatewayTarget) => boolean {
+    const isNoneAsked = !this.targets().some(target => this.mayBeAsked(target))
+    return target => isNoneAsked || this.silent.has(target)
+  }
+
+  private candidateOf (target: GatewayTarget, nowMs: number, isSilent: boolean): Candidate {
     return {
       target,
       factor: this.factorOf(target, nowMs),
@@ -321,7 +328,7 @@
       isHealthy: target.report()?.isHealthy !== false,
       isBackingOff: target.failures.isBackingOff(),
       isCold: target.isCold(),
-      isSilent: this.silent.has(target),
+      isSilent,
       isConnected: target.connections.hasIdle(),
       refusedShare: target.refusals.share()
     }
