--- a/packages/gateway/src/fleet/CounterRows.ts
+++ b/packages/gateway/src/fleet/CounterRows.ts
@@ -1,7 +1,7 @@
 import type { InstanceId } from '@carobpitch/schema'
 
-/** Counters of the whole fleet that a process tells apart. 1,000 accounts with three counters each fit. */
-const NAMES_MAX = 4_096
+/** Counters of the whole fleet that a process tells apart. 1,000 accounts with ten counters each fit. */
+const NAMES_MAX = 16_384
 /** Rows, including those of instances that are gone, after which the tables are numbered anew. */
 const ROWS_MAX = 4_096
 /** Changes per message, so that it stays below a quarter of a megabyte; the rest follows with the next one. */
