Spare probes and queues only where requests compete, and use no part of the tolerated excess

How much is asked is now a property of the service: few probes, paced polls and queues of full targets only where routes of different priority or client accounts compete; elsewhere three targets are asked every 15 ms as before.

--- a/packages/gateway/src/accounts/FleetAllowances.ts
+++ b/packages/gateway/src/accounts/FleetAllowances.ts
@@ -7,7 +7,7 @@
 import type { AllowanceLimits } from '../model/FrontSettings.js'
 import type { AllowanceGate, AllowanceRefusal, AllowanceTicket } from './AllowanceGate.js'
 import type { AccountAllowance, ClientAccount } from './ClientAccount.js'
-import { admittedAllowance, creditMax, decideAllowance, updateCredit, type AllowanceCredit } from './allowanceDecision.js'
+import { creditMax, decideAllowance, updateCredit, type AllowanceCredit } from './allowanceDecision.js'
 
 /** Exchanges until what is admitted here is known everywhere: to a reader, to another one, to its followers. */
 const EXCHANGES_UNTIL_KNOWN = 3
@@ -86,11 +86,10 @@
     })
   }
 
-  take ({ name, allowance: granted }: ClientAccount, urgency: number): Result<AllowanceTicket, AllowanceRefusal> {
+  take ({ name, allowance }: ClientAccount, urgency: number): Result<AllowanceTicket, AllowanceRefusal> {
     const limits = this.options.limits()
-    if (granted === undefined || limits === undefined) return Result.ok(NO_TICKET)
+    if (allowance === undefined || limits === undefined) return Result.ok(NO_TICKET)
     const { counters, exchangeIntervalMs } = this.options
-    const allowance = admittedAllowance(granted, limits)
     const state = this.stateOf(name, allowance)
     const { credit, counterNames, fractions } = state
     const level = levelOf(urgency)
@@ -102,7 +101,7 @@
       askedPerS: sumOf(askedByLevel),
       moreUrgentPerS: sumOf(askedByLevel.slice(0, level)),
       asUrgentPerS: askedByLevel[level] as number,
-      horizonMs: EXCHANGES_UNTIL_KNOWN * exchangeIntervalMs()
+      horizonMs: EXCHANGES_UNTIL_KNOWN * exchangeIntervalMs() + Math.min(counters.ageMs(), limits.windowMs)
     })
     if (decision.kind === 'admit-share') {
       const fraction = (fractions[level] as number) + decision.share
@@ -161,7 +160,7 @@
     const now = performance.now()
     if (limits === undefined || now - this.refreshedAtMs < REFRESH_MS) return
     this.refreshedAtMs = now
-    for (const { name, allowance } of this.options.accounts()) if (allowance !== undefined) this.stateOf(name, admittedAllowance(allowance, limits)).usedAtMs = now
+    for (const { name, allowance } of this.options.accounts()) if (allowance !== undefined) this.stateOf(name, allowance).usedAtMs = now
     for (const state of this.states.values()) {
       this.update(state, limits)
       if (state.excess !== undefined && now - state.excess.refusedAtMs > CALM_MS) this.endExcess(state)
--- a/packages/gateway/src/accounts/allowanceDecision.ts
+++ b/packages/gateway/src/accounts/allowanceDecision.ts
@@ -1,9 +1,5 @@
-import type { AllowanceLimits } from '../model/FrontSettings.js'
 import type { AccountAllowance } from './ClientAccount.js'
 
-/** Share of the tolerated excess that is used; the rest covers cuts between instances, in which each part is asked for the whole. */
-const USED_EXCESS_SHARE = 0.3
-
 /**
  * Credit of an account, as one instance knows it.
  * @internal
@@ -99,13 +95,3 @@
   if (share >= 1) return { kind: 'admit' }
   return { kind: 'admit-share', share: Math.max(0, share), retryAfterMs: (expected - room) * 1_000 / ratePerS }
 }
-
-/**
- * Allowance by which instances admit requests: a part of the tolerated excess is used, so that none within the allowance is refused only
- * because the instances learn of each other with a delay.
- * @internal
- */
-export function admittedAllowance ({ requestsPerS, burstRequests }: AccountAllowance, { excessShare, slackRequests }: AllowanceLimits): AccountAllowance {
-  const factor = 1 + excessShare * USED_EXCESS_SHARE
-  return { requestsPerS: requestsPerS * factor, burstRequests: burstRequests * factor + slackRequests * USED_EXCESS_SHARE }
-}
--- a/packages/gateway/src/admission/Admission.ts
+++ b/packages/gateway/src/admission/Admission.ts
@@ -62,6 +62,11 @@
     return this.claimantsByService().size > 0
   }
 
+  /** Whether requests of a service may have to give way to others. */
+  isContested (service: ServiceName): boolean {
+    return this.claimantsOf(service) !== undefined
+  }
+
   dump (service: ServiceName): unknown {
     return this.services.get(service)?.dump()
   }
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -5,21 +5,16 @@
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { LoadProber } from '../targets/LoadProber.js'
 import type { TargetRegistry } from '../targets/TargetRegistry.js'
+import { SPARING_EFFORT, type AskingEffort } from './AskingEffort.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRefusalReason, DispatchRequest } from './DispatchRequest.js'
 import { conditionOf, expectedLatencyFactor } from './expectedLatencyFactor.js'
 import { orderWaiting, type WaitingRequest } from './orderWaiting.js'
 import { place, REPORT_OLD_MAX_MS, waitsForMs, type Place, type RequestView, type TargetView } from './place.js'
 import { chooseAsked, preferredCount } from './preferTargets.js'
-import { freshForMs, isTight, pollPauseMs, probeWaitMs, unprobedAfterMs } from './timing.js'
+import { freshForMs, isTight, POLL_MIN_MS, pollPauseMs, probeWaitMs, unprobedAfterMs } from './timing.js'
 import { LearnedMean } from './LearnedMean.js'
 import { WorkEstimator } from './WorkEstimator.js'
 
-/** Number of targets that are probed before a choice; the better one of two is nearly as good as the best one of all. */
-const PROBED_TARGETS = 2
-/** Number of further targets that are probed if none of these is free and fast. */
-const FURTHER_TARGETS = 3
-/** Share of the wait for probes for which the others are awaited after one has said that there is room. */
-const OTHERS_WAIT_SHARE = 0.2
 /** Latency factor (see `expectedLatencyFactor`) below which a target is good enough, so that no further ones are probed. */
 const GOOD_FACTOR = 1.6
 /** Latency factor from which on a target isn't preferred. */
@@ -46,6 +41,8 @@
   coldLimiter: ColdRequestLimiter
   /** Estimates that the services of an instance share; its own ones by default. */
   work?: WorkEstimator
+  /** How much is asked of targets, by what the configuration in force says of the service; little by default. */
+  effort?: () => AskingEffort
 }
 
 interface Waiter extends WaitingRequest {
@@ -64,6 +61,7 @@
 export class ServiceDispatcher {
   private readonly options: ServiceDispatcherOptions
   private readonly work: WorkEstimator
+  private readonly effort: () => AskingEffort
   private waiters: Waiter[] = []
   /** This instance's own ranking of the current targets. */
   private ranking: { targets: readonly GatewayTarget[], ranked: readonly GatewayTarget[] } | undefined
@@ -79,6 +77,7 @@
   constructor (options: ServiceDispatcherOptions) {
     this.options = options
     this.work = options.work ?? new WorkEstimator()
+    this.effort = options.effort ?? (() => SPARING_EFFORT)
   }
 
   /** Waits for a target. */
@@ -149,15 +148,18 @@
   private async pause (): Promise<void> {
     const nowMs = performance.now()
     const targets = this.targets()
-    const pauseMs = pollPauseMs({
-      isInformed: targets.some(target => target.reportAgeMs(nowMs) <= REPORT_USEFUL_MS),
-      polls: this.polls,
-      finishMs: Math.min(...this.waiters.map(({ workMs }) => workMs)) * this.work.unknownSlowdown(this.options.service),
-      slots: PROBED_TARGETS * (targets[0]?.record.slots ?? 1),
-      slackMs: this.leastSlackMs(nowMs),
-      decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0)),
-      unprobedInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => arrivedAtMs + unprobedAfterMs(objectiveMs, workMs) - nowMs).filter(ms => ms > 0))
-    })
+    const { probedTargets, pacesPolls } = this.effort()
+    const pauseMs = !pacesPolls
+      ? POLL_MIN_MS
+      : pollPauseMs({
+        isInformed: targets.some(target => target.reportAgeMs(nowMs) <= REPORT_USEFUL_MS),
+        polls: this.polls,
+        finishMs: Math.min(...this.waiters.map(({ workMs }) => workMs)) * this.work.unknownSlowdown(this.options.service),
+        slots: probedTargets * (targets[0]?.record.slots ?? 1),
+        slackMs: this.leastSlackMs(nowMs),
+        decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0)),
+        unprobedInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => arrivedAtMs + unprobedAfterMs(objectiveMs, workMs) - nowMs).filter(ms => ms > 0))
+      })
     this.polls += 1
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, pauseMs)
@@ -190,9 +192,10 @@
     if (isTight(slackMs) && this.hasRoomForAll(this.targets(), freshMs)) return
     const untilMs = nowMs + probeWaitMs(slackMs)
     const probed = new Set<GatewayTarget>()
-    const rounds = this.polls === 0 ? [PROBED_TARGETS, FURTHER_TARGETS] : [PROBED_TARGETS]
+    const { probedTargets, furtherTargets, pacesPolls } = this.effort()
+    const rounds = this.polls === 0 || !pacesPolls ? [probedTargets, furtherTargets] : [probedTargets]
     for (const count of rounds) {
-      const asked = this.chooseAsked(probed, Math.min(this.waiters.length, PROBED_TARGETS) - 1 + count)
+      const asked = this.chooseAsked(probed, Math.min(this.waiters.length, probedTargets) - 1 + count)
       if (asked.length === 0) return
       for (const target of asked) probed.add(target)
       await this.probe(asked, freshMs, Math.max(1, untilMs - performance.now()))
@@ -205,6 +208,7 @@
    * that report room end the next pause.
    */
   private async probe (targets: readonly GatewayTarget[], freshMs: number, waitMs: number): Promise<void> {
+    const { othersWaitShare } = this.effort()
     await new Promise<void>(resolve => {
       let pending = targets.length
       let timer = setTimeout(resolve, waitMs)
@@ -220,10 +224,10 @@
         if (pending === 0) {
           clearTimeout(timer)
           resolve()
-        } else if (!hasRoom && this.hasRoomForAll(targets, freshMs)) {
+        } else if (!hasRoom && othersWaitShare < 1 && this.hasRoomForAll(targets, freshMs)) {
           hasRoom = true
           clearTimeout(timer)
-          timer = setTimeout(resolve, waitMs * OTHERS_WAIT_SHARE)
+          timer = setTimeout(resolve, waitMs * othersWaitShare)
         }
         if (isFresh && target.freeSlots() > 0) this.wake?.()
       }
@@ -345,7 +349,8 @@
       objectiveMs,
       freshForMs: freshForMs(objectiveMs - waitedMs, workMs) + probeWaitMs(slackMs),
       unprobedAfterMs: unprobedAfterMs(objectiveMs, workMs),
-      restsForMs: this.restsForMs()
+      restsForMs: this.restsForMs(),
+      joinsQueues: this.effort().joinsQueues
     }
     return place(candidates.filter(({ target }) => !exclude.has(target.record.targetId) && accepts(target.record)), view, Math.random)
   }
--- a/packages/gateway/src/dispatch/place.test.ts
+++ b/packages/gateway/src/dispatch/place.test.ts
@@ -8,7 +8,7 @@
 import { freshForMs, pollPauseMs, probeWaitMs, unprobedAfterMs } from './timing.js'
 
 const TARGET: TargetView = { factor: 1, slots: 2, free: 2, reportAgeMs: 10, isHealthy: true, isBackingOff: false, isCold: false, isSilent: false, isConnected: true, refusedShare: 0 }
-const URGENT: RequestView = { priority: 0, workMs: 36, waitedMs: 0, objectiveMs: 104, freshForMs: 70, unprobedAfterMs: 34, restsForMs: 0 }
+const URGENT: RequestView = { priority: 0, workMs: 36, waitedMs: 0, objectiveMs: 104, freshForMs: 70, unprobedAfterMs: 34, restsForMs: 0, joinsQueues: true }
 
 /** Repeatable numbers from 0 to 1. */
 function createRandom (): () => number {
--- a/packages/gateway/src/dispatch/place.ts
+++ b/packages/gateway/src/dispatch/place.ts
@@ -50,6 +50,8 @@
   unprobedAfterMs: number
   /** Time until the first target accepts requests again. */
   restsForMs: number
+  /** Whether it may join the queue of a full target. */
+  joinsQueues: boolean
 }
 
 /** Where a request goes: to a target, back into the queue, or nowhere. @internal */
@@ -77,7 +79,7 @@
   const isSearching = waitedMs < objectiveMs * SEARCH_SHARE_OF_OBJECTIVE
   const best = knownBest(free, request, remainingMs, random)
   if (best !== undefined && !(isSearching && best.factor >= LATE_FACTOR)) return { kind: 'send', view: best }
-  if (best === undefined) {
+  if (best === undefined && request.joinsQueues) {
     const queueing = usable.filter(view => view.isHealthy && view.reportAgeMs <= freshForMs && mayQueue(view, request))
     const queue = cheapest(queueing, request, remainingMs * QUEUE_MARGIN_SHARE, random)
     if (queue !== undefined) return { kind: 'send', view: queue }
--- a/packages/gateway/src/dispatch/timing.ts
+++ b/packages/gateway/src/dispatch/timing.ts
@@ -12,8 +12,8 @@
 const UNPROBED_AFTER_MS = 100
 /** Share of a request's slack after which it does so. */
 const UNPROBED_SHARE = 0.5
-/** Shortest pause before the queue is served again when a request found no target. */
-const POLL_MIN_MS = 15
+/** Shortest pause before the queue is served again when a request found no target. @internal */
+export const POLL_MIN_MS = 15
 /** Factor by which the pause grows as long as nothing is found, up to the expected release of a slot; each poll asks further targets. */
 const POLL_GROWTH = 2
 /** Share of the slack of the most urgent request that a pause may take. */
