Ask three targets first where requests have time to spare

Suspected cause: two probes instead of three, of which the first good one decides. Few targets are now asked only with less than 250 ms to spare; where requests compete, those that wait still ask two targets at a pace. The test of polls (18 for a wait of 400 ms) holds; 13 tests of the dispatcher pass.

--- a/packages/gateway/src/dispatch/AskingEffort.ts
+++ b/packages/gateway/src/dispatch/AskingEffort.ts
@@ -1,12 +1,17 @@
+/** Time to spare below which few targets are asked: ten times the longest wait for probes. */
+const LITTLE_SLACK_MS = 250
+
 /**
  * How much is asked of targets before a request gets one.
  * @internal
  */
 export interface AskingEffort {
-  /** Number of targets that are probed before a choice. */
+  /** Number of targets that are probed before the first choice. */
   probedTargets: number
   /** Number of further targets that are probed if none of these is free and fast. */
   furtherTargets: number
+  /** Number of targets that are probed at each further look of a waiting request. */
+  polledTargets: number
   /** Share of the wait for probes for which the others are awaited after one has said that there is room. */
   othersWaitShare: number
   /** Whether waiting requests ask less often the longer nothing is found, up to the expected release of a slot. */
@@ -15,12 +20,27 @@
   joinsQueues: boolean
 }
 
+const THOROUGH: AskingEffort = { probedTargets: 3, furtherTargets: 3, polledTargets: 3, othersWaitShare: 1, pacesPolls: false, joinsQueues: false }
+
+/** Where requests compete for room, those that wait must not take it by their questions. */
+const PACED: AskingEffort = { ...THOROUGH, polledTargets: 2, pacesPolls: true, joinsQueues: true }
+
+/** With little time to spare, the better one of two targets is nearly as good as the best one of three, and known earlier. */
+const SPARING: AskingEffort = { ...PACED, probedTargets: 2, othersWaitShare: 0.2 }
+
 /**
- * For services at which requests compete by priority or account: probes and connections take room from requests, so few are spent. The
- * better one of two targets is nearly as good as the best one of all.
+ * Options of `askingEffort`.
  * @internal
  */
-export const SPARING_EFFORT: AskingEffort = { probedTargets: 2, furtherTargets: 3, othersWaitShare: 0.2, pacesPolls: true, joinsQueues: true }
+export interface AskingSituation {
+  /** Whether requests compete at the service by priority or account. */
+  isContested: boolean
+  /** Least time that a waiting request had to spare at its arrival: its objective less the expected work. */
+  slackMs: number
+}
 
-/** For services with requests of one kind, whose objectives leave time to look for the best target. @internal */
-export const THOROUGH_EFFORT: AskingEffort = { probedTargets: 3, furtherTargets: 3, othersWaitShare: 1, pacesPolls: false, joinsQueues: false }
+/** Returns how much is asked for the waiting requests of a service. @internal */
+export function askingEffort ({ isContested, slackMs }: AskingSituation): AskingEffort {
+  if (!isContested) return THOROUGH
+  return slackMs < LITTLE_SLACK_MS ? SPARING : PACED
+}
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -4,7 +4,6 @@
 import type { ServiceName } from '@carobpitch/schema'
 import { Admission, type AdmissionOptions } from '../admission/Admission.js'
 import type { FrontSettings } from '../model/FrontSettings.js'
-import { SPARING_EFFORT, THOROUGH_EFFORT } from './AskingEffort.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
 import { ServiceDispatcher, type ServiceDispatcherOptions } from './ServiceDispatcher.js'
 
@@ -114,7 +113,7 @@
   private dispatcherOf (service: ServiceName): ServiceDispatcher {
     const existing = this.services.get(service)
     if (existing !== undefined) return existing
-    const dispatcher = new ServiceDispatcher({ ...this.options, service, effort: () => this.admission?.isContested(service) === true ? SPARING_EFFORT : THOROUGH_EFFORT })
+    const dispatcher = new ServiceDispatcher({ ...this.options, service, isContested: () => this.admission?.isContested(service) === true })
     this.services.set(service, dispatcher)
     return dispatcher
   }
--- a/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.test.ts
@@ -56,7 +56,8 @@
       failureDomain: DOMAIN,
       registry: { ofService: () => targets } as never,
       prober: { refreshReport } as never,
-      coldLimiter: {} as never
+      coldLimiter: {} as never,
+      isContested: () => true
     })
   }
 
--- a/packages/gateway/src/dispatch/ServiceDispatcher.ts
+++ b/packages/gateway/src/dispatch/ServiceDispatcher.ts
@@ -5,7 +5,7 @@
 import type { GatewayTarget } from '../targets/GatewayTarget.js'
 import type { LoadProber } from '../targets/LoadProber.js'
 import type { TargetRegistry } from '../targets/TargetRegistry.js'
-import { SPARING_EFFORT, type AskingEffort } from './AskingEffort.js'
+import { askingEffort, type AskingEffort } from './AskingEffort.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRefusalReason, DispatchRequest } from './DispatchRequest.js'
 import { conditionOf, expectedLatencyFactor } from './expectedLatencyFactor.js'
 import { orderWaiting, type WaitingRequest } from './orderWaiting.js'
@@ -41,8 +41,8 @@
   coldLimiter: ColdRequestLimiter
   /** Estimates that the services of an instance share; its own ones by default. */
   work?: WorkEstimator
-  /** How much is asked of targets, by what the configuration in force says of the service; little by default. */
-  effort?: () => AskingEffort
+  /** Whether requests compete at the service by priority or account, by the configuration in force; by default they don't. */
+  isContested?: () => boolean
 }
 
 interface Waiter extends WaitingRequest {
@@ -61,7 +61,6 @@
 export class ServiceDispatcher {
   private readonly options: ServiceDispatcherOptions
   private readonly work: WorkEstimator
-  private readonly effort: () => AskingEffort
   private waiters: Waiter[] = []
   /** This instance's own ranking of the current targets. */
   private ranking: { targets: readonly GatewayTarget[], ranked: readonly GatewayTarget[] } | undefined
@@ -77,7 +76,6 @@
   constructor (options: ServiceDispatcherOptions) {
     this.options = options
     this.work = options.work ?? new WorkEstimator()
-    this.effort = options.effort ?? (() => SPARING_EFFORT)
   }
 
   /** Waits for a target. */
@@ -148,14 +146,14 @@
   private async pause (): Promise<void> {
     const nowMs = performance.now()
     const targets = this.targets()
-    const { probedTargets, pacesPolls } = this.effort()
+    const { polledTargets, pacesPolls } = this.effort()
     const pauseMs = !pacesPolls
       ? POLL_MIN_MS
       : pollPauseMs({
         isInformed: targets.some(target => target.reportAgeMs(nowMs) <= REPORT_USEFUL_MS),
         polls: this.polls,
         finishMs: Math.min(...this.waiters.map(({ workMs }) => workMs)) * this.work.unknownSlowdown(this.options.service),
-        slots: probedTargets * (targets[0]?.record.slots ?? 1),
+        slots: polledTargets * (targets[0]?.record.slots ?? 1),
         slackMs: this.leastSlackMs(nowMs),
         decidesInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs }) => waitsForMs(objectiveMs) - (nowMs - arrivedAtMs)).filter(ms => ms > 0)),
         unprobedInMs: Math.min(...this.waiters.map(({ arrivedAtMs, objectiveMs, workMs }) => arrivedAtMs + unprobedAfterMs(objectiveMs, workMs) - nowMs).filter(ms => ms > 0))
@@ -171,6 +169,11 @@
     this.wake = undefined
   }
 
+  private effort (): AskingEffort {
+    const { isContested = () => false } = this.options
+    return askingEffort({ isContested: isContested(), slackMs: Math.min(...this.waiters.map(({ objectiveMs, workMs }) => objectiveMs - workMs)) })
+  }
+
   private targets (): readonly GatewayTarget[] {
     return this.options.registry.ofService(this.options.service)
   }
@@ -192,8 +195,8 @@
     if (isTight(slackMs) && this.hasRoomForAll(this.targets(), freshMs)) return
     const untilMs = nowMs + probeWaitMs(slackMs)
     const probed = new Set<GatewayTarget>()
-    const { probedTargets, furtherTargets, pacesPolls } = this.effort()
-    const rounds = this.polls === 0 || !pacesPolls ? [probedTargets, furtherTargets] : [probedTargets]
+    const { probedTargets, furtherTargets, polledTargets, pacesPolls } = this.effort()
+    const rounds = this.polls === 0 || !pacesPolls ? [probedTargets, furtherTargets] : [polledTargets]
     for (const count of rounds) {
       const asked = this.chooseAsked(probed, Math.min(this.waiters.length, probedTargets) - 1 + count)
       if (asked.length === 0) return
