Let instances ask a reader that is late less often, in smaller messages

Suspected cause, from the trace: one late answer moved an instance to the next reader, to which it sent its whole table and from which it asked for all rows, at once with the 44 others, which made that reader late as well. Tests: a new one counts the calls of a fleet without answers (at most half); the test of long messages passes on its rows in as many messages as it needs; the one that counts calls while counters are needed has a peer that answers, since failing calls now pause.

--- a/packages/gateway/src/fleet/CounterRows.ts
+++ b/packages/gateway/src/fleet/CounterRows.ts
@@ -4,8 +4,8 @@
 const NAMES_MAX = 16_384
 /** Rows, including those of instances that are gone, after which the tables are numbered anew. */
 const ROWS_MAX = 4_096
-/** Changes per message, so that it stays below a quarter of a megabyte; the rest follows with the next one. */
-const CHANGES_MAX = 10_000
+/** Changes per message, so that a reader is done with it in a few milliseconds; the rest follows with the next one. */
+const CHANGES_MAX = 2_500
 /** Rows of an instance that has counted no longer than this began at 0 when it started, so their first sight is growth. */
 const YOUNG_SEQUENCE_MAX = 8
 /** Name index of a change that tells only that the instance is alive. */
--- a/packages/gateway/src/fleet/SharedFleetCounters.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -24,6 +24,10 @@
 const INTERVALS_UNTIL_RESUMED = 4
 /** Time for which the rows of instances that are gone stay in the totals. */
 const ROW_RETENTION_MS = 600_000
+/** Failures in a row after which another peer is tried. A new peer needs all rows once, which many instances must not ask of it for one late response. */
+const FAILURES_UNTIL_MOVED = 2
+/** Longest pause after failures, in intervals. */
+const PAUSE_INTERVALS_MAX = 8
 /** Time after which a peer that preceded the present one is tried again. */
 const PREFERENCE_RETRY_MS = 5_000
 /** Time after which the tables of a peer that doesn't call any more are dropped. */
@@ -71,6 +75,9 @@
   movedAtMs: number
   isBusy: boolean
   hasFailed: boolean
+  /** Failures since the last response. */
+  failures: number
+  pausedUntilMs: number
 }
 
 /** What is known of a peer that this instance calls, or that calls it. */
@@ -201,7 +208,7 @@
     if (hasPaused) this.resume(now)
     if (now - this.beatAtMs >= this.intervalMs() * (1 - JITTER)) this.beat(now)
     this.updateLinks()
-    for (const link of this.links.values()) if (!link.isBusy) this.exchangeOver(link, now)
+    for (const link of this.links.values()) if (!link.isBusy && now >= link.pausedUntilMs) this.exchangeOver(link, now)
   }
 
   private resume (now: number): void {
@@ -232,7 +239,7 @@
     for (const key of this.links.keys()) if (!keys.has(key)) this.links.delete(key)
     for (const candidates of lists) {
       const key = candidates.join(' ')
-      if (!this.links.has(key)) this.links.set(key, { candidates, index: 0, movedAtMs: 0, isBusy: false, hasFailed: false })
+      if (!this.links.has(key)) this.links.set(key, { candidates, index: 0, movedAtMs: 0, isBusy: false, hasFailed: false, failures: 0, pausedUntilMs: 0 })
     }
   }
 
@@ -251,16 +258,26 @@
       this.failures += 1
       if (!link.hasFailed) log.warn('fleet.exchange-failed', { peerUrl, error: result.error })
       link.hasFailed = true
-      link.index = (link.index + 1) % link.candidates.length
-      link.movedAtMs = performance.now()
+      this.backOff(link)
       return
     }
+    link.failures = 0
     if (link.hasFailed) log.info('fleet.exchange-restored', { peerUrl })
     link.hasFailed = false
     state.cursor = result.value.cursor
     this.receive(result.value.delta, state)
   }
 
+  /** Pauses a link for longer after each failure, and moves it to the next peer. A reader that is late must not get more to do by it. */
+  private backOff (link: ExchangeLink): void {
+    const now = performance.now()
+    link.failures += 1
+    link.pausedUntilMs = now + this.intervalMs() * Math.min(PAUSE_INTERVALS_MAX, 2 ** link.failures) * this.options.random()
+    if (link.failures % FAILURES_UNTIL_MOVED !== 0) return
+    link.index = (link.index + 1) % link.candidates.length
+    link.movedAtMs = now
+  }
+
   private deltaFor (cursor: RowsCursor, mirror: RowsMirror): RowsDelta {
     const delta = this.rows.deltaFor(cursor, mirror)
     this.sentBytes += sizeBytesOf(delta)
--- a/packages/gateway/src/fleet/testing/JoinedFleet.ts
+++ b/packages/gateway/src/fleet/testing/JoinedFleet.ts
@@ -28,6 +28,8 @@
   isNeeded = true
   /** Called with both messages of each exchange as JSON. */
   onExchange: (request: string, response: string) => void = () => {}
+  /** Called for each exchange that is begun. */
+  onAsked: () => void = () => {}
   /** Whether two instances are out of touch. */
   isCut: (from: MemberRecord, to: MemberRecord) => boolean = () => false
   private readonly members: MemberRecord[]
@@ -78,6 +80,7 @@
 
   private async exchange (from: MemberRecord, peerUrl: string, request: FleetExchangeRequest): Promise<Result<FleetExchangeResponse, string>> {
     const to = this.instances[Number(peerUrl.slice(URL_PREFIX.length))] as JoinedInstance
+    this.onAsked()
     if (this.isCut(from, to.member)) {
       await pause(TIMEOUT_MS)
       return Result.err('no answer')
