Send a reader the rows of others only from those that pass them on

A follower now sends its own row only; readers, and substitutes that others exchange with, pass on the rows of others. The new test fails before the change.

--- a/packages/gateway/src/fleet/CounterRows.ts
+++ b/packages/gateway/src/fleet/CounterRows.ts
@@ -176,8 +176,11 @@
     return this.names.length
   }
 
-  /** Changes that another process doesn't have; `mirror` is what came from there. */
-  deltaFor ({ epoch, names, rows, position }: RowsCursor, mirror: RowsMirror | undefined): RowsDelta {
+  /**
+   * Changes that another process doesn't have; `mirror` is what came from there.
+   * @param isOwnOnly whether only the changes of this process's own row are told
+   */
+  deltaFor ({ epoch, names, rows, position }: RowsCursor, mirror: RowsMirror | undefined, isOwnOnly = false): RowsDelta {
     const isKnown = epoch === this.epoch
     const namesFrom = isKnown ? Math.min(names, this.names.length) : 0
     const rowsFrom = isKnown ? Math.min(rows, this.rows.length) : 0
@@ -187,8 +190,8 @@
     for (let count = 0; index < this.changes.length && count < CHANGES_MAX; index++) {
       const change = this.changes[index] as Change
       last = change.position
-      if (!this.isLive(change) || (mirror !== undefined && change.source === mirror)) continue
       const row = this.rows[change.rowIndex] as CounterRow
+      if (!this.isLive(change) || (mirror !== undefined && change.source === mirror) || (isOwnOnly && row !== this.own)) continue
       const fields = byRow.get(change.rowIndex) ?? [change.rowIndex, row.sequence]
       if (change.nameIndex !== NO_NAME) fields.push(change.nameIndex, (row.counters.get(change.nameIndex) as CounterValue).value)
       byRow.set(change.rowIndex, fields)
--- a/packages/gateway/src/fleet/SharedFleetCounters.test.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.test.ts
@@ -3,7 +3,7 @@
 import { Result } from 'true-myth'
 import { EventLog } from '@carobpitch/kernel'
 import type { InstanceId } from '@carobpitch/schema'
-import type { ExchangeWithPeer } from './FleetExchange.js'
+import type { ExchangeWithPeer, FleetExchangeRequest } from './FleetExchange.js'
 import { SharedFleetCounters } from './SharedFleetCounters.js'
 import { JoinedFleet, type JoinedInstance } from './testing/JoinedFleet.js'
 
@@ -63,6 +63,20 @@
       }
     })
 
+    it('guards against a storm at a new reader: only those that others exchange with send it the rows of others', async () => {
+      for (const { counters } of fleet.instances) for (let name = 0; name < 50; name++) counters.add(`asked-${name}`, 1)
+      await clock.tickAsync(2_000)
+      const relays = new Set(fleet.instances.filter(({ counters }) => (counters.dump() as { links: unknown[] }).links.length !== 1).map(({ member }) => member.instanceId))
+      const senders = new Set<string>()
+      fleet.onExchange = request => {
+        const { from, delta } = JSON.parse(request) as FleetExchangeRequest
+        if (delta.changes.length > 1) senders.add(from)
+      }
+      fleet.isCut = (from, to) => relays.has(from.instanceId) || relays.has(to.instanceId)
+      await clock.tickAsync(4_000)
+      expect(senders.size).to.be.at.most(3 * 2)
+    })
+
     it('guards against decisions on old figures: instances that are cut off are not counted, and are again after it', async () => {
       fleet.isCut = (from, to) => (from.failureDomain === 'zone-0') !== (to.failureDomain === 'zone-0')
       await clock.tickAsync(2_000)
--- a/packages/gateway/src/fleet/SharedFleetCounters.ts
+++ b/packages/gateway/src/fleet/SharedFleetCounters.ts
@@ -252,7 +252,9 @@
     state.usedAtMs = now
     link.isBusy = true
     this.exchanges += 1
-    const result = await exchange(peerUrl, { from: instanceId, cursor: state.mirror.cursor(), delta: this.deltaFor(state.cursor, state.mirror) })
+    // The rows of others reach a reader from themselves, and a new reader would otherwise get them from each of its followers at once.
+    const delta = this.deltaFor(state.cursor, state.mirror, !this.passesRowsOn(now))
+    const result = await exchange(peerUrl, { from: instanceId, cursor: state.mirror.cursor(), delta })
     link.isBusy = false
     if (result.isErr) {
       this.failures += 1
@@ -268,6 +270,12 @@
     this.receive(result.value.delta, state)
   }
 
+  /** Whether the rows of others pass through this instance: a reader, or a substitute that others exchange with. */
+  private passesRowsOn (now: number): boolean {
+    if (this.options.peers().isReader) return true
+    return [...this.callers.values()].some(({ usedAtMs }) => now - usedAtMs < INTERVALS_UNTIL_STALE * this.intervalMs())
+  }
+
   /** Pauses a link for longer after each failure, and moves it to the next peer. A reader that is late must not get more to do by it. */
   private backOff (link: ExchangeLink): void {
     const now = performance.now()
@@ -278,8 +286,8 @@
     link.movedAtMs = now
   }
 
-  private deltaFor (cursor: RowsCursor, mirror: RowsMirror): RowsDelta {
-    const delta = this.rows.deltaFor(cursor, mirror)
+  private deltaFor (cursor: RowsCursor, mirror: RowsMirror, isOwnOnly = false): RowsDelta {
+    const delta = this.rows.deltaFor(cursor, mirror, isOwnOnly)
     this.sentBytes += sizeBytesOf(delta)
     return delta
   }
