Count instances that have just left in the division of the retry slack

Cause: instances that stop are registered no more, but serve until their grace ends; the others divided the whole slack among themselves. The largest number of instances of the last 20 s divides it now.

--- a/packages/cli/src/readFiles.ts
+++ b/packages/cli/src/readFiles.ts
@@ -16,7 +16,8 @@
   const text = readTextFile(path)
   try {
     return JSON.parse(text)
-  } catch (error) {
-    throw new CommandError(EXIT.invalid, `${path}: not valid JSON: ${(error as Error).message}`)
+  } catch {
+    // The parser's own message quotes the text, which may hold keys of client accounts.
+    throw new CommandError(EXIT.invalid, `${path}: not valid JSON`)
   }
 }
--- a/packages/gateway/src/accounts/admitCaller.ts
+++ b/packages/gateway/src/accounts/admitCaller.ts
@@ -19,6 +19,8 @@
 export interface RejectedCaller {
   reason: 'unknown-key' | 'unreadable-account' | 'over-allowance'
   retryAfterMs?: number
+  /** Account whose allowance is exceeded. */
+  account?: ClientAccount
 }
 
 /**
@@ -44,7 +46,7 @@
     const { account } = owner
     return allowances.take(account, urgency)
       .map((ticket): AdmittedCaller => ({ account, ticket }))
-      .mapErr(({ retryAfterMs }): RejectedCaller => ({ reason: 'over-allowance', retryAfterMs }))
+      .mapErr(({ retryAfterMs }): RejectedCaller => ({ reason: 'over-allowance', retryAfterMs, account }))
   }
   if (isPublicRoute) return Result.ok({})
   return Result.err({ reason: owner.kind === 'unknown' ? 'unknown-key' : 'unreadable-account' })
--- a/packages/gateway/src/deployment/RewriteGrace.ts
+++ b/packages/gateway/src/deployment/RewriteGrace.ts
@@ -1,8 +1,8 @@
 import type { FailureDomainId, TargetId } from '@carobpitch/schema'
 import type { TargetRecord } from '../model/TargetRecord.js'
 
-/** Time within which operators and targets write again what an older copy of the store has lost; targets report every 1.5 s. */
-const REWRITE_GRACE_MS = 3_000
+/** Time within which operators and targets write again what an older copy of the store has lost; targets report every 1.5 s. @internal */
+export const REWRITE_GRACE_MS = 3_000
 
 /** What was in force when the store came back from an older copy. */
 interface Retained {
--- a/packages/gateway/src/dispatch/Dispatcher.ts
+++ b/packages/gateway/src/dispatch/Dispatcher.ts
@@ -5,6 +5,7 @@
 import { Admission, type AdmissionOptions } from '../admission/Admission.js'
 import type { FrontSettings } from '../model/FrontSettings.js'
 import type { DispatchGrant, DispatchRefusal, DispatchRequest } from './DispatchRequest.js'
+import { RecentMaximum } from './RecentMaximum.js'
 import { ServiceDispatcher, type ServiceDispatcherOptions } from './ServiceDispatcher.js'
 
 /** Share of the fleet's slack for retries that the instances use. The rest is a margin, because restarted instances lose their count of sent retries. */
@@ -12,6 +13,9 @@
 /** Excess of the counted window over the fleet's, because the window moves in steps of a second. */
 const WINDOW_MARGIN_MS = 1_000
 
+/** Time for which an instance that is registered no more counts towards the division of the slack: it serves until its grace has ended, and its repeats count for a window. */
+const DEPARTED_COUNTED_MS = 20_000
+
 /** Time for which room counts as contested after a request that lacked it; bursts come in waves of seconds. */
 const CONTESTED_MS = 10_000
 /** Share of the objective from which on the wait for a target counts as a lack of room. */
@@ -50,6 +54,7 @@
   private readonly budgets = new Map<ServiceName, RetryBudget>()
   private readonly admission: Admission | undefined
   private recordedRequests = 0
+  private readonly largestInstanceCount = new RecentMaximum({ memoryMs: DEPARTED_COUNTED_MS })
   /** Time at which a request last lacked room. */
   private roomLackedAtMs = -Infinity
 
@@ -76,6 +81,7 @@
   /** Counts a caller's request towards the retry budget of its service. */
   recordRequest (service: ServiceName): void {
     this.recordedRequests += 1
+    this.countInstances()
     this.budgetOf(service).recordRequest()
   }
 
@@ -118,18 +124,23 @@
     return dispatcher
   }
 
+  /** Instances that may serve, those included that were registered a moment ago. */
+  private countInstances (): number {
+    return this.largestInstanceCount.update(Math.max(1, this.options.instanceCount()))
+  }
+
   /** Each instance uses only its share of the slack, so all instances together keep the limit without a call. */
   private budgetOf (service: ServiceName): RetryBudget {
     const existing = this.budgets.get(service)
     if (existing !== undefined) return existing
-    const { retryLimits, instanceCount } = this.options
+    const { retryLimits } = this.options
     const { windowMs } = retryLimits()
     const countedWindowMs = windowMs + WINDOW_MARGIN_MS
     const budget = new RetryBudget({
       windowMs: countedWindowMs,
       allowance: requests => {
         const { share, slack } = retryLimits()
-        return requests * share * windowMs / countedWindowMs + slack * USED_SLACK_SHARE / Math.max(1, instanceCount())
+        return requests * share * windowMs / countedWindowMs + slack * USED_SLACK_SHARE / this.countInstances()
       }
     })
     this.budgets.set(service, budget)
--- a/packages/gateway/src/edge/FrontExchange.ts
+++ b/packages/gateway/src/edge/FrontExchange.ts
@@ -207,11 +207,11 @@
       return
     }
     const caller = admitCaller({ accounts, allowances, readKey: () => callerProtocol.readAccountKey(this.request.headers), isPublicRoute: route.isPublic, urgency: route.priority })
+    this.caller = caller.match<AdmittedCaller>({ Ok: admitted => admitted, Err: ({ account }) => account === undefined ? {} : { account } })
     if (caller.isErr) {
       this.finish(caller.error.reason, caller.error.retryAfterMs)
       return
     }
-    this.caller = caller.value
     if (headSizeBytes(this.request) > table.callerLimits.headSizeMaxBytes) {
       this.finish('head-too-large')
       return
--- a/packages/gateway/src/rollout/RolloutKnowledge.ts
+++ b/packages/gateway/src/rollout/RolloutKnowledge.ts
@@ -1,12 +1,10 @@
 import type { EventLog } from '@carobpitch/kernel'
 import type { ServiceName, TargetVersion } from '@carobpitch/schema'
 import type { DeploymentCache } from '../deployment/DeploymentCache.js'
+import { REWRITE_GRACE_MS } from '../deployment/RewriteGrace.js'
 import { eraOf } from '../deployment/storePosition.js'
 import type { RolloutOrder, RolloutState } from './RolloutOrder.js'
 
-/** Time for which an order may be missing after the store has come back from an older copy, until its operator writes it again. */
-const REWRITE_GRACE_MS = 3_000
-
 /**
  * What this instance knows of the roll-out of one service.
  * @internal
