--- a/packages/daemon/src/front/accounts.test.ts
+++ b/packages/daemon/src/front/accounts.test.ts
@@ -131,6 +131,7 @@
       options.allowances = { take }
       const refused = await harness.call(front, { ...bearer('third-secret'), path: '/news/1' })
       expect([refused.status, refused.headers['retry-after'], refused.body]).to.deep.equal([429, '1.24', '{"reason":"over-allowance"}\n'])
+      await waitUntil(() => harness.logLines.some(line => /request\.ended.* account=weno outcome=over-allowance/.test(line)))
       await harness.call(front, bearer('first-secret'))
       target.nextBehaviour = () => 'reset'
       await harness.call(front, { ...bearer('first-secret'), path: '/book/1', method: 'POST', body: 'an order' })
