Mend what a review of the store's return found

Leases of an earlier era are neither renewed nor ended, a write that finds out about the return fails, mixed pages are read again. Two tests did not test their names: the condition's test now gives the same revision out again, and the watch waits before the store returns.

--- a/packages/gateway/src/deployment/DeploymentCache.test.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.test.ts
@@ -179,6 +179,12 @@
       expect(isDraining()).to.equal(true)
     })
 
+    it('guards against requests to a target that was draining and whose copied record lapses', () => {
+      returnFromCopy()
+      cache.replace({ records: [], revision: again(9) }, 'store', true)
+      expect(isDraining()).to.equal(true)
+    })
+
     it('guards against an evacuation that ends before the operator had time to state it again', async () => {
       returnFromCopy()
       expect([...cache.evacuatedDomains()]).to.deep.equal(['zone-a'])
--- a/packages/gateway/src/deployment/DeploymentCache.ts
+++ b/packages/gateway/src/deployment/DeploymentCache.ts
@@ -86,7 +86,7 @@
     const nowMs = performance.now()
     const targets = new Map<TargetId, TargetRecord>()
     for (const { target, untilMs } of this.lapsed.values()) {
-      if (untilMs > nowMs) targets.set(target.targetId, target)
+      if (untilMs > nowMs) targets.set(target.targetId, this.rewriteGrace.apply(target))
     }
     for (const { decoded } of this.records.values()) {
       if (decoded.kind === 'target') targets.set(decoded.target.targetId, this.rewriteGrace.apply(decoded.target))
--- a/packages/gateway/src/deployment/StoreReader.ts
+++ b/packages/gateway/src/deployment/StoreReader.ts
@@ -3,6 +3,7 @@
 import type { ChangeStore } from './ChangeStore.js'
 import type { DeploymentCache } from './DeploymentCache.js'
 import type { PropagationBudget } from './propagationBudget.js'
+import { eraOf } from './storePosition.js'
 import type { PropagationWaits } from './PropagationWaits.js'
 
 /** Total size of values up to which changes are always read, so that a first large configuration needs no second call. */
@@ -124,6 +125,8 @@
     for (let after: string | undefined, hasMore = true; hasMore;) {
       const page = await waits.measure('store-list', store.listPage('', { after, isStaleAllowed, responseTimeoutMs: this.responseTimeoutMs(), transferTimeoutMs }))
       if (page.isErr) return this.fail(page.error.reason)
+      // Pages of two eras together are neither the lost state nor the copy.
+      if (records.length > 0 && eraOf(page.value.revision) !== eraOf(revision)) return this.fail('the store came back from an older copy between two pages')
       records.push(...page.value.records)
       // Each page may have another revision; changes after the oldest one are read again.
       revision = Math.min(revision, page.value.revision)
--- a/packages/platform/src/PlatformStore.test.ts
+++ b/packages/platform/src/PlatformStore.test.ts
@@ -1,3 +1,4 @@
+import { revisionIn } from '@carobpitch/gateway'
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
@@ -68,8 +69,10 @@
       standIn.takeCopy()
       const created = (await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: 0 })).unwrapOr(0)
       standIn.returnFromCopy()
+      // As many changes as before, so that the other record has the revision of the lost one.
+      standIn.put('status/rollout/a', 'of another writer')
       standIn.put('carobpitch/rollouts/a', 'of another writer')
-      await positionOfRecord()
+      expect(revisionIn(await positionOfRecord())).to.equal(revisionIn(created))
       const stale = await store.compareAndPut(entries, { key: 'carobpitch/rollouts/a', revision: created })
       expect(stale.isErr && stale.error).to.deep.equal({ kind: 'conflict' })
       expect(standIn.read('carobpitch/rollouts/a')).to.equal('of another writer')
@@ -160,6 +163,8 @@
       standIn.takeCopy()
       standIn.put('op/config', 'lost')
       const waiting = store.changesAfter('', await revisionOf(), 5_000)
+      const callCount = standIn.calls.length
+      while (standIn.calls.length === callCount) await new Promise(resolve => setTimeout(resolve, 5))
       standIn.returnFromCopy()
       const changes = await waiting
       expect(changes.isErr && changes.error.kind).to.equal('history-lost')
@@ -176,7 +181,31 @@
       expect((await other.renewLease(given.leaseId)).unwrapOr({ leaseId: '', ttlMs: -1 }).ttlMs).to.equal(5_000)
       const written = await store.put([{ key: 'carobpitch/members/a', value: 'x' }], lost.leaseId)
       expect(written.isErr && written.error.effect).to.equal('none')
+      const callCount = standIn.calls.length
+      expect((await store.revokeLease(lost.leaseId)).isOk).to.equal(true)
+      expect((await store.renewLease(lost.leaseId)).unwrapOr({ leaseId: '', ttlMs: -1 }).ttlMs).to.equal(0)
+      expect(standIn.calls.length).to.equal(callCount)
+      expect((await other.renewLease(given.leaseId)).unwrapOr({ leaseId: '', ttlMs: -1 }).ttlMs).to.equal(5_000)
+      await other.close()
+    })
+
+    it('guards against a registration under the lease of another instance: the first write after the return fails', async () => {
+      standIn.takeCopy()
+      const lost = (await store.grantLease(5_000)).unwrapOrElse(({ reason }) => { throw new Error(reason) })
+      standIn.returnFromCopy()
+      const other = new PlatformStore({ url: storeUrl })
+      await other.grantLease(5_000)
+      const written = await store.put([{ key: 'carobpitch/members/a', value: 'x' }], lost.leaseId)
+      expect(written.isErr && written.error.effect).to.equal('unknown')
       await other.close()
     })
+
+    it('guards against a complete read after each refusal that names no era', async () => {
+      const revision = await revisionOf()
+      standIn.behaviourFor = () => 'busy'
+      standIn.tellsEra = false
+      const changes = await store.changesAfter('', revision, 0)
+      expect(changes.isErr && changes.error.kind).to.equal('unavailable')
+    })
   })
 })
--- a/packages/platform/src/PlatformStore.ts
+++ b/packages/platform/src/PlatformStore.ts
@@ -19,6 +19,7 @@
 const BASE64_FACTOR = 4 / 3
 /** Between the era and the store's id of a lease. */
 const ERA_SEPARATOR = '/'
+const LEASE_OF_EARLIER_ERA = 'the lease was granted before the store came back from an older copy'
 /** Largest era whose positions are safe integers. */
 const ERA_MAX = 8_000
 
@@ -120,8 +121,8 @@
     })
     if (response.isErr) return Result.err({ kind: 'unavailable', reason: response.error.reason })
     // A revision of an earlier era may be another change in this one, also where the store still has it.
-    const { era } = response.value
-    if (response.value.status === 410 || era !== eraOf(revision)) return Result.err({ kind: 'history-lost' })
+    const { era, status } = response.value
+    if (status === 410 || (status === 200 && era !== eraOf(revision))) return Result.err({ kind: 'history-lost' })
     if (response.value.status === 200 && response.value.body === undefined) return Result.err({ kind: 'too-large' })
     const batch = batchSchema.safeParse(response.value.body)
     if (response.value.status !== 200 || !batch.success) return Result.err({ kind: 'unavailable', reason: unexpectedResponse(response.value).reason })
@@ -129,17 +130,19 @@
   }
 
   async put (entries: readonly StoreEntry[], leaseId: string): Promise<Result<void, StoreFailure>> {
-    if (eraOfLease(leaseId) < this.era) return Result.err({ effect: 'none', reason: 'the lease was granted before the store came back from an older copy' })
+    if (this.isLeaseOfEarlierEra(leaseId)) return Result.err({ effect: 'none', reason: LEASE_OF_EARLIER_ERA })
     const lease = toWireLeaseId(leaseId)
     const body = { puts: entries.map(({ key, value }) => ({ key, value: Buffer.from(value).toString('base64'), lease })) }
     const response = await this.call({ name: 'write', method: 'POST', path: STORE_PATHS.write, body })
     if (response.isErr) return Result.err(response.error)
-    return response.value.status === 200 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpectedResponse(response.value))
+    if (response.value.status !== 200) return Result.err(unexpectedResponse(response.value))
+    // The first call after a return may have put the records under the lease of another instance.
+    return this.isLeaseOfEarlierEra(leaseId) ? Result.err({ effect: 'unknown', reason: LEASE_OF_EARLIER_ERA }) : Result.ok<void, StoreFailure>(undefined)
   }
 
   async compareAndPut (entries: readonly StoreEntry[], { key, revision }: WriteCondition): Promise<Result<number, ConditionalWriteFailure>> {
     // The revision of an earlier era may belong to another change in this one.
-    if (revision > 0 && eraOf(revision) !== this.era) return Result.err({ kind: 'conflict' })
+    if (revision > 0 && eraOf(revision) < this.era) return Result.err({ kind: 'conflict' })
     const body = {
       'expected-revision': [{ key, revision: revisionIn(revision) }],
       puts: entries.map(({ key, value }) => ({ key, value: Buffer.from(value).toString('base64') }))
@@ -161,6 +164,7 @@
   }
 
   async renewLease (leaseId: string): Promise<Result<Lease, StoreFailure>> {
+    if (this.isLeaseOfEarlierEra(leaseId)) return Result.ok({ leaseId, ttlMs: 0 })
     const response = await this.call({ name: 'renewLease', method: 'POST', path: `${STORE_PATHS.renewLease}${toWireLeaseId(leaseId)}`, body: {} })
     if (response.isErr) return Result.err(response.error)
     // An older copy may have given the id of a lease that it lost to another instance.
@@ -171,6 +175,8 @@
   }
 
   async revokeLease (leaseId: string): Promise<Result<void, StoreFailure>> {
+    // It is gone, and its id may belong to another instance.
+    if (this.isLeaseOfEarlierEra(leaseId)) return Result.ok<void, StoreFailure>(undefined)
     const response = await this.call({ name: 'endLease', method: 'DELETE', path: `${STORE_PATHS.endLease}${toWireLeaseId(leaseId)}` })
     if (response.isErr) return Result.err(response.error)
     return response.value.status === 200 || response.value.status === 204 || response.value.status === 404 ? Result.ok<void, StoreFailure>(undefined) : Result.err(unexpectedResponse(response.value))
@@ -181,6 +187,10 @@
     await this.pool.destroy()
   }
 
+  private isLeaseOfEarlierEra (leaseId: string): boolean {
+    return eraOfLease(leaseId) < this.era
+  }
+
   /** Sends a call. A call without a response may have been executed, or may be executed later. */
   private async call ({ name, method, path, body, timeoutMs = RESPONSE_TIMEOUT_MS, transferTimeoutMs = TRANSFER_TIMEOUT_MS, bodySizeMaxBytes = RESPONSE_SIZE_MAX_BYTES }: StoreCall): Promise<Result<StoreResponse, StoreFailure>> {
     const controller = new AbortController()
--- a/packages/platform/src/testing/StandInPlatformStore.ts
+++ b/packages/platform/src/testing/StandInPlatformStore.ts
@@ -47,6 +47,8 @@
 export class StandInPlatformStore {
   /** Returns the behaviour for a call by its path. */
   behaviourFor: (path: string) => CallBehaviour = () => 'serve'
+  /** Whether responses name the era. */
+  tellsEra = true
   /** Paths of all calls, oldest first. */
   readonly calls: string[] = []
   private readonly items = new Map<string, Item>()
@@ -144,7 +146,7 @@
   private handleCall (request: IncomingMessage, response: ServerResponse, handler: (request: IncomingMessage, response: ServerResponse) => void): void {
     const path = request.url ?? ''
     this.calls.push(path)
-    response.setHeader(STORE_ERA_HEADER, String(this.era))
+    if (this.tellsEra) response.setHeader(STORE_ERA_HEADER, String(this.era))
     const behaviour = this.behaviourFor(path)
     switch (behaviour) {
       case 'serve': return handler(request, response)
