--- /dev/null
+++ b/review/lib-2/runScript.mjs
@@ -0,0 +1,32 @@
+import { CaseRecord } from './CaseRecord.mjs'
+import { FrontFleet } from './FrontFleet.mjs'
+
+const TIME_MAX_MS = 110_000
+
+/** Runs the script of a case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+export async function runScript (folder, script) {
+  const record = new CaseRecord(`${folder}/record.txt`)
+  const fleet = new FrontFleet()
+  const endings = []
+  const watchdog = setTimeout(() => {
+    console.error('the case took too long')
+    for (const front of fleet.processes) front.child?.kill('SIGKILL')
+    process.exit(2)
+  }, TIME_MAX_MS)
+  let code = 2
+  try {
+    const { isBroken, text } = await script({ record, fleet, hasTrouble: process.env.TROUBLE !== '0', atEnd: ending => endings.push(ending) })
+    record.add('result', { isBroken, text: `"${text}"` })
+    console.log(text)
+    code = isBroken ? 1 : 0
+  } catch (error) {
+    console.error(`the case could not run: ${error.stack}`)
+  }
+  await fleet.stop()
+  for (const ending of endings) await ending()
+  await record.close()
+  clearTimeout(watchdog)
+  process.exit(code)
+}
+
+export const pause = async durationMs => await new Promise(resolve => setTimeout(resolve, durationMs))
