--- a/review/lib-2/Upstream.mjs
+++ b/review/lib-2/Upstream.mjs
@@ -48,6 +48,7 @@
       return
     }
     const id = request.headers['x-carobpitch-attempt-id']
+    const received = new Promise(resolve => request.once('end', resolve))
     request.resume()
     if (request.headers['x-carobpitch-expect-instance'] !== this.id) {
       this.answer(response, id, 421, { 'x-carobpitch-not-executed': '1' }, '')
@@ -60,19 +61,20 @@
     }
     const arrival = { id, atMs: this.record.add('arrives', { id, upstream: this.id }) }
     this.arrivals.push(arrival)
-    if (this.running < this.slots) this.run(arrival, response)
-    else this.waiting.push({ arrival, response })
+    if (this.running < this.slots) this.run({ arrival, response, received })
+    else this.waiting.push({ arrival, response, received })
   }
 
-  run (arrival, response) {
+  async run ({ arrival, response, received }) {
     this.running += 1
+    await received
     this.record.add('runs', { id: arrival.id, upstream: this.id })
     setTimeout(() => {
       this.running -= 1
       arrival.end = response.destroyed ? 'connection closed' : 'answered'
       this.answer(response, arrival.id, 200, { 'x-carobpitch-server-seal': `seal-${this.id}`, ...(this.isLeaving ? { connection: 'close' } : {}) }, `done by ${this.id}`)
       const next = this.waiting.shift()
-      if (next !== undefined) this.run(next.arrival, next.response)
+      if (next !== undefined) this.run(next)
     }, this.workMs)
   }
 
