--- a/review/lib-2/Upstream.mjs
+++ b/review/lib-2/Upstream.mjs
@@ -6,8 +6,8 @@
  * answers 503 while it is leaving.
  */
 export class Upstream {
-  constructor ({ id, service, zone, slots = 3, queueMax = 6, workMs = 200, record }) {
-    Object.assign(this, { id, service, zone, slots, queueMax, workMs, record })
+  constructor ({ id, service, zone, slots = 3, queueMax = 6, workMs = 200, answerBytes = 0, record }) {
+    Object.assign(this, { id, service, zone, slots, queueMax, workMs, answerBytes, record })
     /** Called before an answer to a request is written, with the bytes of its head. */
     this.beforeAnswer = () => {}
     this.bornMs = Date.now()
@@ -72,7 +72,7 @@
     setTimeout(() => {
       this.running -= 1
       arrival.end = response.destroyed ? 'connection closed' : 'answered'
-      this.answer(response, arrival.id, 200, { 'x-carobpitch-server-seal': `seal-${this.id}`, ...(this.isLeaving ? { connection: 'close' } : {}) }, `done by ${this.id}`)
+      this.answer(response, arrival.id, 200, { 'x-carobpitch-server-seal': `seal-${this.id}`, ...(this.isLeaving ? { connection: 'close' } : {}) }, `done by ${this.id}`.padEnd(this.answerBytes, '.'))
       const next = this.waiting.shift()
       if (next !== undefined) this.run(next)
     }, this.workMs)
