Review case 6: count what has begun to run, and tell failures of the case apart

An order counts as run twice only where two upstreams began to work on it. run.sh exits with 2 where a build is missing, also after an unexpected error.

--- a/review/lib-2/Upstream.mjs
+++ b/review/lib-2/Upstream.mjs
@@ -10,6 +10,8 @@
     Object.assign(this, { id, service, zone, slots, queueMax, workMs, answerBytes, record })
     /** Called before an answer to a request is written, with the bytes of its head. */
     this.beforeAnswer = () => {}
+    /** Returns the status of the answer to a request that has run. */
+    this.statusOf = () => 200
     this.bornMs = Date.now()
     this.isLeaving = false
     this.running = 0
@@ -69,10 +71,11 @@
     this.running += 1
     await received
     this.record.add('runs', { id: arrival.id, upstream: this.id })
+    arrival.hasRun = true
     setTimeout(() => {
       this.running -= 1
       arrival.end = response.destroyed ? 'connection closed' : 'answered'
-      this.answer(response, arrival.id, 200, { 'x-carobpitch-server-seal': `seal-${this.id}`, ...(this.isLeaving ? { connection: 'close' } : {}) }, `done by ${this.id}`.padEnd(this.answerBytes, '.'))
+      this.answer(response, arrival.id, this.statusOf(arrival.id), { 'x-carobpitch-server-seal': `seal-${this.id}`, ...(this.isLeaving ? { connection: 'close' } : {}) }, `done by ${this.id}`.padEnd(this.answerBytes, '.'))
       const next = this.waiting.shift()
       if (next !== undefined) this.run(next)
     }, this.workMs)
--- a/review/lib-2/runScript.mjs
+++ b/review/lib-2/runScript.mjs
@@ -8,11 +8,14 @@
   const record = new CaseRecord(`${folder}/record.txt`)
   const fleet = new FrontFleet()
   const endings = []
-  const watchdog = setTimeout(() => {
-    console.error('the case took too long')
+  const abandon = reason => {
+    console.error(`the case could not run: ${reason}`)
     for (const front of fleet.processes) front.child?.kill('SIGKILL')
     process.exit(2)
-  }, TIME_MAX_MS)
+  }
+  const watchdog = setTimeout(() => abandon('it took too long'), TIME_MAX_MS)
+  process.on('uncaughtException', error => abandon(error.stack))
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => abandon(`it got ${signal}`))
   let code = 2
   try {
     const { isBroken, text } = await script({ record, fleet, hasTrouble: process.env.TROUBLE !== '0', atEnd: ending => endings.push(ending) })
