--- a/review/lib-2/CaseRecord.mjs
+++ b/review/lib-2/CaseRecord.mjs
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { performance } from 'node:perf_hooks'
 
-/** Writes one line for each thing that was sent, answered or run to `record.txt` of a case. */
+/** Writes one line for each thing that was sent, answered or run to the `record.txt` of a case. */
 export class CaseRecord {
   constructor (path) {
     this.stream = createWriteStream(path)
--- a/review/lib-2/runScript.mjs
+++ b/review/lib-2/runScript.mjs
@@ -3,9 +3,9 @@
 
 const TIME_MAX_MS = 110_000
 
-/** Runs the script of a case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export async function runScript (folder, script) {
-  const record = new CaseRecord(`${folder}/record.txt`)
+/** Runs the script of a case, which writes to `recordFile`: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+export async function runScript (recordFile, script) {
+  const record = new CaseRecord(recordFile)
   const fleet = new FrontFleet()
   const endings = []
   const abandon = reason => {
